--- /dev/null
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -0,0 +1,63 @@
+from linkhaven.schema import Trouble
+
+LATE_TICK_US = 1_000_000
+
+
+class Node:
+    __slots__ = ("name", "address", "ports", "hearers", "paths", "systems", "ticked_us", "on_late", "on_hear")
+
+    def __init__(self, name, address, ports):
+        self.name = name
+        self.address = address
+        self.ports = ports
+        self.hearers = {}
+        self.paths = {}
+        self.systems = []
+        self.ticked_us = ports.clock.now_us()
+        self.on_late = []
+        self.on_hear = []
+
+    def now_us(self):
+        return self.ports.clock.now_us()
+
+    def tell(self, address, say, **facts):
+        facts["say"] = say
+        facts["name"] = self.name
+        facts["back"] = self.address
+        self.ports.wire.tell(address, facts)
+
+    def hear(self, message):
+        hearer = self.hearers.get(message.get("say"))
+        if hearer is None:
+            return
+        try:
+            for hear in self.on_hear:
+                hear(message)
+            hearer(message)
+        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+            self.ports.log(1005, say=message.get("say"), fault=repr(fault))
+
+    def serve(self, call):
+        path = call.path.partition("?")[0]
+        serve, rest = self.paths.get((call.method, path)), None
+        if serve is None:
+            stem, _, rest = path.rpartition("/")
+            serve = self.paths.get((call.method, stem + "/"))
+        if serve is None:
+            return call.answer_trouble(Trouble("unknown_path", path=path, method=call.method))
+        try:
+            serve(call) if rest is None else serve(call, rest)
+        except Trouble as trouble:
+            if not call.is_ended and not call.is_begun:
+                call.answer_trouble(trouble)
+
+    def tick(self):
+        now_us = self.now_us()
+        late_us = now_us - self.ticked_us
+        self.ticked_us = now_us
+        if late_us > LATE_TICK_US:
+            self.ports.log(1004, late_us=late_us)
+            for check in self.on_late:
+                check(now_us)
+        for system in self.systems:
+            system(now_us)
--- /dev/null
+++ b/packages/clockwork/src/linkhaven/clockwork/text.py
@@ -0,0 +1,14 @@
+import json
+
+from linkhaven.schema import Trouble
+
+
+def write_json(document):
+    return json.dumps(document, separators=(",", ":"), ensure_ascii=False).encode()
+
+
+def read_json(body):
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError) as fault:
+        raise Trouble("bad_request", places=[{"place": ".", "fault": f"not JSON: {fault}"[:200]}]) from None
--- /dev/null
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -0,0 +1,180 @@
+from collections import deque
+
+from linkhaven.clockwork import Bucket, Table
+from linkhaven.schema import Trouble
+
+QUANTUM = 2_000
+DEMAND_US = 2_000_000
+
+
+class GroupBook:
+    __slots__ = ("name", "queue", "queued_tokens", "deficit", "bucket", "share", "share_until_us", "grant", "arrived", "demand", "terms")
+
+    def __init__(self, name, now_us):
+        self.name = name
+        self.queue = deque()
+        self.queued_tokens = 0
+        self.deficit = 0
+        self.bucket = Bucket(0.0, 0.0, now_us)
+        self.share = None
+        self.share_until_us = 0
+        self.grant = 0
+        self.arrived = 0
+        self.demand = 0.0
+        self.terms = None
+
+    @property
+    def period_s(self):
+        return self.terms["credit"]["period_us"] / 1_000_000
+
+    @property
+    def allowance(self):
+        return self.terms["credit"]["tokens"] / self.period_s
+
+
+class CreditDesk:
+    """Each group's own bounded queue at this router, its part of the group's credit, and the round
+    in which ready groups are served. A group without credit waits alone."""
+
+    __slots__ = ("node", "groups", "floor", "order", "cursor", "demand_us", "is_serving", "is_called")
+
+    def __init__(self, node):
+        self.node = node
+        self.groups = Table()
+        self.floor = 0.0
+        self.order = []
+        self.cursor = 0
+        self.demand_us = node.now_us()
+        self.is_serving = False
+        self.is_called = False
+        node.systems.append(self.tick)
+
+    def take_plan(self, plan):
+        now_us = self.node.now_us()
+        self.floor = plan["floor"]
+        for name, terms in plan["groups"].items():
+            book = self.groups.get(name)
+            if book is None:
+                book = self.groups[name] = GroupBook(name, now_us)
+                book.terms = terms
+                self._set_rate(book, now_us)
+                book.bucket.level = book.bucket.size
+            book.terms = terms
+            self._set_rate(book, now_us)
+        for name in [name for name in self.groups if name not in plan["groups"]]:
+            if not self.groups[name].queue:
+                self.groups.drop(name)
+        self.order = list(self.groups)
+
+    def _set_rate(self, book, now_us):
+        is_shared = book.share is not None and now_us < book.share_until_us
+        rate = book.share if is_shared else 0.0
+        rate = min(book.allowance, rate + book.allowance * self.floor)
+        if rate != book.bucket.rate:
+            book.bucket.resize(rate, rate * book.period_s, now_us)
+
+    def take_share(self, name, rate, grant, until_us):
+        book = self.groups.get(name)
+        if book is None:
+            return
+        book.share = rate
+        book.grant = grant
+        book.share_until_us = until_us
+        self._set_rate(book, self.node.now_us())
+
+    def tell_demand(self):
+        now_us = self.node.now_us()
+        return {
+            book.name: {
+                "wanted": book.demand + book.queued_tokens / 2,
+                "rate": book.share if book.share is not None and now_us < book.share_until_us else 0.0,
+                "grant": book.grant,
+            }
+            for book in self.groups.values()
+        }
+
+    def enqueue(self, group, request):
+        book = self.groups[group]
+        bounds = book.terms["queue"]
+        if len(book.queue) >= bounds["requests"] or (book.queue and book.queued_tokens + request.prompt_tokens > bounds["tokens"]):
+            now_us = self.node.now_us()
+            wait_us = book.bucket.wait_us(min(request.prompt_tokens, book.bucket.size), now_us)
+            raise Trouble("credit_spent" if wait_us else "queue_full", retry_us=max(1_000_000, wait_us), group=group)
+        book.queue.append(request)
+        book.queued_tokens += request.prompt_tokens
+        book.arrived += request.prompt_tokens + request.answer_tokens // 2
+
+    def leave(self, group, request):
+        book = self.groups.get(group)
+        if book is None or request not in book.queue:
+            return
+        book.queue.remove(request)
+        book.queued_tokens -= request.prompt_tokens
+
+    def charge(self, group, tokens):
+        book = self.groups.get(group)
+        if book is not None:
+            book.bucket.level -= tokens
+
+    def has_credit(self, book, request, now_us):
+        return book.bucket.fill(now_us) >= min(request.prompt_tokens, book.bucket.size) and book.bucket.size > 0
+
+    def serve(self, start):
+        """start(request) answers whether the request could be begun; one that couldn't stays at the head."""
+        if self.is_serving:
+            self.is_called = True
+            return
+        self.is_serving = True
+        self.is_called = True
+        while self.is_called:
+            self.is_called = False
+            self._serve_round(start)
+        self.is_serving = False
+
+    def _serve_round(self, start):
+        now_us = self.node.now_us()
+        stuck = set()
+        while True:
+            ready = [
+                name for name in self.order
+                if name not in stuck and self.groups[name].queue
+                and self.has_credit(self.groups[name], self.groups[name].queue[0], now_us)
+            ]
+            if not ready:
+                return
+            self.cursor %= len(self.order)
+            turn = self.order[self.cursor:] + self.order[:self.cursor]
+            for name in [name for name in turn if name in ready]:
+                book = self.groups[name]
+                if book.queue[0].prompt_tokens > book.deficit:
+                    book.deficit += QUANTUM * book.terms["weight"]
+                if not self._serve_group(book, start, now_us):
+                    stuck.add(name)
+            self.cursor += 1
+
+    def _serve_group(self, book, start, now_us):
+        while book.queue and book.queue[0].prompt_tokens <= book.deficit:
+            request = book.queue[0]
+            if not self.has_credit(book, request, now_us):
+                break
+            if not start(request):
+                return False
+            book.queue.remove(request)
+            book.queued_tokens -= request.prompt_tokens
+            book.deficit -= request.prompt_tokens
+            book.bucket.level -= request.prompt_tokens
+        if not book.queue:
+            book.deficit = 0
+        return True
+
+    def tick(self, now_us):
+        for book in self.groups.values():
+            self._set_rate(book, now_us)
+        passed_us = now_us - self.demand_us
+        if passed_us < 500_000:
+            return
+        self.demand_us = now_us
+        weight = min(1.0, passed_us / DEMAND_US)
+        for book in self.groups.values():
+            book.demand += weight * (book.arrived * 1_000_000 / passed_us - book.demand)
+            book.arrived = 0
--- /dev/null
+++ b/packages/duty/src/linkhaven/duty/__init__.py
@@ -0,0 +1,3 @@
+from .duty import Duty
+
+__all__ = ["Duty"]
--- /dev/null
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -0,0 +1,112 @@
+GRANT_US = 3_000_000
+MARGIN_US = 200_000
+RENEW_US = 1_000_000
+CONTEST_US = 150_000
+
+
+class Duty:
+    """A duty in the register: {holder, fence, renewal}. Held for a grant that is counted
+    from before it was asked for; contested only after a whole grant without renewal."""
+
+    __slots__ = (
+        "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
+        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal",
+    )
+
+    def __init__(self, node, name, proposer, seat, on_won=lambda: None, on_lapsed=lambda: None):
+        self.node = node
+        self.name = name
+        self.key = f"duty/{name}"
+        self.proposer = proposer
+        self.seat = seat
+        self.on_won = on_won
+        self.on_lapsed = on_lapsed
+        self.fence = None
+        self.renewal = 0
+        self.granted_us = 0
+        self.asked_us = 0
+        self.is_asking = False
+        self.seen = None
+        self.seen_us = node.now_us()
+        self.contest_us = 0
+        node.systems.append(self.tick)
+        node.on_late.append(self.wake)
+
+    def is_held(self):
+        return self.fence is not None and self.node.now_us() < self.granted_us
+
+    def holder(self):
+        return self.seat.cell(self.key).value
+
+    def wake(self, now_us):
+        if self.fence is not None:
+            self._lapse()
+
+    def _lapse(self):
+        self.node.ports.log(1402, duty=self.name, fence=self.fence)
+        self.fence = None
+        self.on_lapsed()
+
+    def observe(self, value, now_us):
+        seen = value and (value["fence"], value["renewal"])
+        if (seen or (0, 0)) > (self.seen or (0, 0)):
+            self.seen = seen
+            self.seen_us = now_us
+            reach = CONTEST_US * 2
+            self.contest_us = now_us + GRANT_US + MARGIN_US + self.node.ports.dice.randrange(reach)
+
+    def tick(self, now_us):
+        if not self.seat.is_voting:
+            self.seen_us = now_us
+            self.contest_us = now_us + GRANT_US + MARGIN_US
+            return
+        self.observe(self.seat.cell(self.key).value, now_us)
+        if self.fence is not None and now_us >= self.granted_us:
+            self._lapse()
+        if self.is_asking:
+            return
+        if self.fence is not None:
+            if now_us - self.asked_us >= RENEW_US:
+                self._ask(now_us, self.fence, self.renewal + 1)
+            return
+        if now_us < self.contest_us or now_us < self.seat.votes_from_us:
+            return
+        held = self.seen or (0, 0)
+        self._ask(now_us, held[0] + 1, 0)
+
+    def _ask(self, now_us, fence, renewal):
+        self.is_asking = True
+        self.asked_us = now_us
+        expected = (self.fence, self.renewal) if renewal else self.seen
+        wanted = {"holder": self.node.name, "fence": fence, "renewal": renewal}
+
+        def step(value):
+            if value == wanted:
+                return "keep", None
+            found = value and (value["fence"], value["renewal"])
+            if found != expected:
+                return "stop", value
+            return "set", wanted
+
+        def done(outcome, value):
+            self.is_asking = False
+            if outcome == "stopped":
+                self.observe(value, self.node.now_us())
+            if outcome != "chosen" or value != wanted:
+                return self._rest()
+            if self.node.now_us() >= now_us + GRANT_US:
+                return
+            is_new = self.fence != fence
+            self.fence = fence
+            self.renewal = renewal
+            self.granted_us = now_us + GRANT_US
+            if is_new:
+                self.node.ports.log(1401, duty=self.name, fence=fence)
+                self.on_won()
+
+        self.proposer.change(self.key, step, done)
+
+    def _rest(self):
+        reach = CONTEST_US * 2
+        rested_us = self.node.now_us() + CONTEST_US + self.node.ports.dice.randrange(reach)
+        self.contest_us = max(self.contest_us, rested_us)
--- /dev/null
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -0,0 +1,41 @@
+from linkhaven.runner.roster import DECODE
+
+SMOOTHING = 0.1
+FACTOR_AT_MOST = 4.0
+
+
+class Estimator:
+    """Reading time of a prompt on a runner: a base and a rate, halved (as the plan says) on decode
+    runners, times a factor learned per runner from what was seen."""
+
+    __slots__ = ("taichi", "factors", "prompt_mean")
+
+    def __init__(self):
+        self.taichi = None
+        self.factors = {}
+        self.prompt_mean = 1_000.0
+
+    def rate(self, phase):
+        rate = self.taichi["prefill_tokens_per_s"]
+        return rate * self.taichi["decode_read_share"] if phase == DECODE else rate
+
+    def read_us(self, tokens, runner):
+        if tokens <= 0:
+            return 0
+        plain_us = self.taichi["read_base_us"] + tokens * 1_000_000 / self.rate(runner.phase)
+        return int(plain_us * self.factors.get((runner.name, runner.phase), 1.0))
+
+    def transfer_us(self, tokens):
+        return int(tokens * self.taichi["kv_bytes_per_token"] * 1_000_000 / self.taichi["link_bytes_per_s"])
+
+    def note_prompt(self, tokens):
+        self.prompt_mean += SMOOTHING * (tokens - self.prompt_mean)
+
+    def note_read(self, runner_name, phase, predicted_us, seen_us):
+        if predicted_us <= 0:
+            return
+        key = (runner_name, phase)
+        factor = self.factors.get(key, 1.0)
+        wanted = factor * seen_us / predicted_us
+        factor += SMOOTHING * (wanted - factor)
+        self.factors[key] = min(FACTOR_AT_MOST, max(1 / FACTOR_AT_MOST, factor))
--- /dev/null
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -0,0 +1,44 @@
+GAIN = 0.15
+SETTLE_US = 2_000_000
+
+
+class RatioSearch:
+    """How many runners should read: the count whose busier part is least busy, changed only
+    after the same answer has held for a while and is clearly better."""
+
+    __slots__ = ("wanted", "since_us")
+
+    def __init__(self):
+        self.wanted = None
+        self.since_us = 0
+
+    def busy(self, prefills, runners, prompt_rate, answer_rate, taichi):
+        decodes = runners - prefills
+        fast = taichi["prefill_tokens_per_s"]
+        spare = max(0.0, 1 - answer_rate / (decodes * taichi["decode_tokens_per_s"]))
+        reading = prefills * fast + decodes * fast * taichi["decode_read_share"] * spare
+        read_busy = prompt_rate / reading if reading else float("inf") if prompt_rate else 0.0
+        decode_busy = answer_rate / (decodes * taichi["decode_tokens_per_s"])
+        return max(read_busy, decode_busy)
+
+    def search(self, runners, prompt_rate, answer_rate, taichi):
+        counts = range(0, runners)
+        return min(counts, key=lambda count: (self.busy(count, runners, prompt_rate, answer_rate, taichi), -count))
+
+    def settle(self, current, runners, prompt_rate, answer_rate, taichi, now_us):
+        if runners < 2 or prompt_rate + answer_rate <= 0:
+            self.wanted = None
+            return current
+        best = self.search(runners, prompt_rate, answer_rate, taichi)
+        here = self.busy(min(current, runners - 1), runners, prompt_rate, answer_rate, taichi)
+        there = self.busy(best, runners, prompt_rate, answer_rate, taichi)
+        if best == current or there > here * (1 - GAIN):
+            self.wanted = None
+            return current
+        side = 1 if best > current else -1
+        if self.wanted != side:
+            self.wanted = side
+            self.since_us = now_us
+        if now_us - self.since_us < SETTLE_US:
+            return current
+        return best
--- /dev/null
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -0,0 +1,142 @@
+import trafaret as t
+
+from linkhaven.schema import Trouble
+
+
+
+def whole(gte=None, lte=None):
+    def check(value):
+        if type(value) is not int:
+            return t.DataError("is not a whole number")
+        if gte is not None and value < gte:
+            return t.DataError(f"is below {gte}")
+        if lte is not None and value > lte:
+            return t.DataError(f"is above {lte}")
+        return value
+
+    return t.Call(check)
+
+
+def number(above=None, least=None, most=None):
+    def check(value):
+        if type(value) not in (int, float) or value != value:
+            return t.DataError("is not a number")
+        if above is not None and value <= above or least is not None and value < least:
+            return t.DataError(f"is not {'above' if above is not None else 'at least'} {above if above is not None else least}")
+        if most is not None and value > most:
+            return t.DataError(f"is above {most}")
+        return value
+
+    return t.Call(check)
+
+
+NAME = t.Regexp(r"^[a-z0-9][a-z0-9-]{0,63}$")
+US = whole(gte=1, lte=86_400_000_000)
+SHARE = number(least=0, most=1)
+
+GROUP = t.Dict({
+    t.Key("credit"): t.Dict({t.Key("tokens"): whole(gte=0), t.Key("period_us"): US}),
+    t.Key("weight", default=1.0): number(above=0, most=1000),
+    t.Key("queue", default=dict): t.Dict({
+        t.Key("requests", default=128): whole(gte=1, lte=100_000),
+        t.Key("tokens", default=1_000_000): whole(gte=1),
+    }),
+})
+
+KIND = t.Dict({
+    t.Key("group"): NAME,
+    t.Key("ttft_us"): US,
+    t.Key("tpot_us"): US,
+    t.Key("deadline_us"): US,
+    t.Key("repeatable", default=True): t.Bool(),
+    t.Key("resumable", default=False): t.Bool(),
+    t.Key("prompt_tokens", default=16_000): whole(gte=1),
+    t.Key("answer_tokens", default=2_000): whole(gte=1),
+})
+
+TAICHI = t.Dict({
+    t.Key("prefill_tokens_per_s", default=8_000): whole(gte=1),
+    t.Key("decode_read_share", default=0.5): number(above=0, most=1),
+    t.Key("read_base_us", default=15_000): whole(gte=0),
+    t.Key("kv_bytes_per_token", default=100_000): whole(gte=1),
+    t.Key("link_bytes_per_s", default=5_000_000_000): whole(gte=1),
+    t.Key("decode_tokens_per_s", default=900): whole(gte=1),
+    t.Key("watermark", default=0.95): number(above=0, most=1),
+    t.Key("approach", default=0.96): number(above=0, most=1),
+    t.Key("moves", default=True): t.Bool(),
+    t.Key("search", default=True): t.Bool(),
+    t.Key("dwell_us", default=4_000_000): US,
+})
+
+PLAN = t.Dict({
+    t.Key("groups"): t.Mapping(NAME, GROUP),
+    t.Key("kinds"): t.Mapping(NAME, KIND),
+    t.Key("taichi", default=dict): TAICHI,
+    t.Key("extra", default=dict): t.Dict({
+        t.Key("share", default=0.2): number(least=0, most=0.2),
+        t.Key("margin", default=10): whole(gte=0, lte=1000),
+    }),
+    t.Key("fleet"): t.Dict({t.Key("routers"): whole(gte=1, lte=1000)}),
+    t.Key("floor", default=0.02): SHARE,
+})
+
+
+def _list_places(fault, place, places):
+    if isinstance(fault, dict):
+        for key, inner in fault.items():
+            _list_places(inner, f"{place}/{key}" if place else str(key), places)
+        return places
+    if isinstance(fault, t.DataError):
+        return _list_places(fault.as_dict(), place, places)
+    places.append({"place": place or ".", "fault": str(fault)})
+    return places
+
+
+def _list_clashes(document):
+    places = []
+    groups = document.get("groups") if isinstance(document, dict) else None
+    kinds = document.get("kinds") if isinstance(document, dict) else None
+    if not isinstance(groups, dict) or not isinstance(kinds, dict):
+        return places
+    for name, kind in kinds.items():
+        if not isinstance(kind, dict):
+            continue
+        group = kind.get("group")
+        if isinstance(group, str) and group not in groups:
+            places.append({"place": f"kinds/{name}/group", "fault": f"no group is named {group}"})
+        if kind.get("repeatable") is False and kind.get("resumable"):
+            places.append({"place": f"kinds/{name}/resumable", "fault": "a kind that cannot be repeated cannot be resumed"})
+        ttft_us, deadline_us = kind.get("ttft_us"), kind.get("deadline_us")
+        if isinstance(ttft_us, int) and isinstance(deadline_us, int) and ttft_us > deadline_us:
+            places.append({"place": f"kinds/{name}/ttft_us", "fault": "is beyond the deadline"})
+    floor, fleet = document.get("floor", 0.02), document.get("fleet")
+    routers = fleet.get("routers") if isinstance(fleet, dict) else None
+    if isinstance(floor, (int, float)) and isinstance(routers, int) and floor * routers > 1:
+        places.append({"place": "floor", "fault": "floors of all routers exceed the allowance"})
+    extra = document["extra"] if isinstance(document.get("extra"), dict) else {}
+    margin = extra.get("margin", 10)
+    if isinstance(margin, int) and isinstance(routers, int) and 0 < margin < routers:
+        places.append({"place": "extra/margin", "fault": "is below one for each router; use 0 or at least fleet/routers"})
+    if not groups:
+        places.append({"place": "groups", "fault": "at least one group is needed"})
+    return places
+
+
+def fill_plan(document):
+    places, plan = [], None
+    try:
+        plan = PLAN.check(document)
+    except t.DataError as fault:
+        _list_places(fault, "", places)
+    places += _list_clashes(document)
+    if places:
+        raise Trouble("plan_invalid", places=sorted(places, key=lambda place: place["place"]))
+    return plan
+
+
+def check_plan(document):
+    try:
+        fill_plan(document)
+    except Trouble as trouble:
+        return trouble.detail["places"]
+    return []
--- /dev/null
+++ b/packages/register/src/linkhaven/register/__init__.py
@@ -0,0 +1,4 @@
+from .proposer import Proposer
+from .seat import Seat
+
+__all__ = ["Proposer", "Seat"]
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/__init__.py
@@ -0,0 +1,3 @@
+from .node import RegistryNode
+
+__all__ = ["RegistryNode"]
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -0,0 +1,148 @@
+from linkhaven.clockwork import Table
+from linkhaven.runner import Runner
+
+POLL_US = 500_000
+REPORT_US = 250_000
+ABANDON_US = 1_000_000
+DARK_US = 1_200_000
+SETTLE_US = 700_000
+
+
+class RosterKeeper:
+    """Keeps the list of runners from the platform's list, the runners' reports and the routers'
+    first-hand word. Works while one of the duties that need it is held."""
+
+    __slots__ = (
+        "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
+        "reported_us", "heard_us", "serial", "since_us", "leaving",
+    )
+
+    def __init__(self, node, desk, platform, needs):
+        self.node = node
+        self.desk = desk
+        self.platform = platform
+        self.needs = needs
+        self.runners = Table()
+        self.polled_us = -POLL_US
+        self.listed_us = None
+        self.poll = None
+        self.reports = {}
+        self.reported_us = -REPORT_US
+        self.heard_us = {}
+        self.serial = 0
+        self.since_us = None
+        self.leaving = set()
+        node.systems.append(self.tick)
+
+    def is_ready(self):
+        if self.listed_us is None or self.since_us is None:
+            return False
+        return self.node.now_us() - self.since_us >= SETTLE_US
+
+    def hear_evidence(self, message):
+        for name, incarnation, what in message.get("evidence", []):
+            runner = self.runners.get(name)
+            if what != "leaving":
+                continue
+            self.leaving.add((name, incarnation))
+            if runner is not None and runner.incarnation == incarnation:
+                runner.is_leaving = True
+
+    def document(self):
+        now_us = self.node.now_us()
+        return {
+            "serial": self.serial, "age_us": now_us - self.listed_us,
+            "runners": [runner.as_record(now_us) for runner in self.runners.values() if runner.is_listed],
+        }
+
+    def tick(self, now_us):
+        if not any(duty.is_held() for duty in self.needs):
+            self.since_us = None
+            return
+        if self.since_us is None:
+            self.since_us = now_us
+            self.listed_us = None
+            self.runners.clear()
+            self.heard_us.clear()
+            self.polled_us = self.reported_us = now_us - POLL_US
+        if now_us - self.polled_us >= POLL_US:
+            self._poll(now_us)
+        if now_us - self.reported_us >= REPORT_US:
+            self.reported_us = now_us
+            for runner in self.runners.rows():
+                self._ask_report(runner, now_us)
+
+    def _poll(self, now_us):
+        if self.poll is not None:
+            if now_us - self.polled_us < ABANDON_US:
+                return
+            self.poll.abandon()
+        self.polled_us = now_us
+
+        def done(trouble, document, has_begun):
+            self.poll = None
+            if trouble is None and self.since_us is not None:
+                self._take_list(document, now_us)
+
+        self.poll = self.desk.list_runners(self.platform, done)
+
+    def _take_list(self, document, sent_us):
+        listed = set()
+        for record in document.get("runners", []):
+            name, incarnation = record["name"], record["incarnation"]
+            listed.add(name)
+            runner = self.runners.get(name)
+            if runner is None or incarnation > runner.incarnation:
+                runner = self.runners[name] = Runner(name, record["address"], record["zone"], incarnation)
+                self._ask_report(runner, sent_us)
+            if incarnation == runner.incarnation:
+                runner.address = record["address"]
+                if record["state"] == "leaving" or (name, incarnation) in self.leaving:
+                    self._mark_leaving(runner)
+        for runner in self.runners.values():
+            runner.is_listed = runner.name in listed
+        for name in [runner.name for runner in self.runners.values() if not runner.is_listed]:
+            self.runners.drop(name)
+        self.listed_us = sent_us
+        self.serial += 1
+
+    def _mark_leaving(self, runner):
+        if not runner.is_leaving:
+            self.node.ports.log(1603, runner=runner.name)
+        runner.is_leaving = True
+        self.leaving.add((runner.name, runner.incarnation))
+
+    def _ask_report(self, runner, now_us):
+        asked = self.reports.get(runner.name)
+        if asked is not None:
+            if now_us - asked[0] < ABANDON_US:
+                return
+            asked[1].abandon()
+            del self.reports[runner.name]
+        self._judge_dark(runner, now_us)
+
+        def done(trouble, document, has_begun):
+            self.reports.pop(runner.name, None)
+            if trouble is not None or self.runners.get(runner.name) is not runner:
+                return
+            self._take_report(runner, document)
+
+        self.reports[runner.name] = (now_us, self.desk.report(runner.address, done))
+
+    def _take_report(self, runner, report):
+        now_us = self.node.now_us()
+        runner.take_report(report, now_us)
+        if report["is_leaving"] or (runner.name, runner.incarnation) in self.leaving:
+            self._mark_leaving(runner)
+        self.heard_us[runner.name] = now_us
+        if runner.is_dark:
+            runner.is_dark = False
+            self.node.ports.log(1602, runner=runner.name)
+        self.serial += 1
+
+    def _judge_dark(self, runner, now_us):
+        heard_us = self.heard_us.setdefault(runner.name, now_us)
+        if now_us - heard_us > DARK_US and not runner.is_dark:
+            runner.is_dark = True
+            self.serial += 1
+            self.node.ports.log(1601, runner=runner.name)
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -0,0 +1,150 @@
+from linkhaven.clockwork import Node
+from linkhaven.credit import Bursar
+from linkhaven.duty import Duty
+from linkhaven.plan import NewsDesk, PlanDesk, PlanImage
+from linkhaven.register import Proposer, Seat
+from linkhaven.ring import Ring
+from linkhaven.runner import RunnerDesk
+from linkhaven.schema import Trouble
+
+from .keeper import RosterKeeper
+from .steward import Steward
+
+IMAGE_WAIT_US = 1_000_000
+SEATS = ("a", "b", "c")
+
+
+class RegistryNode(Node):
+    __slots__ = (
+        "ring", "seat", "proposer", "image", "plan_desk", "news", "duties", "desk", "keeper", "steward",
+        "bursar", "is_draining", "told_image", "voted_us", "is_adopting", "incarnation", "adopt_us",
+    )
+
+    def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, seats=SEATS, claim_us=3_600_000_000):
+        super().__init__(name, address, ports)
+        majority = len(seats) // 2 + 1
+        self.incarnation = incarnation
+        self.image = PlanImage()
+        self.is_draining = False
+        self.told_image = None
+        self.voted_us = None
+        self.is_adopting = False
+        self.adopt_us = 0
+        self.ring = Ring(self, "registry", zone, seeds, incarnation, seat, mark_of=lambda: self.image.mark)
+        self.proposer = Proposer(self, self.ring, majority)
+        self.seat = Seat(self, seat, seats, self.ring, self._hear_change, self._hear_votes, claim_us)
+        self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
+        self.news = NewsDesk(self, self.seat, self.proposer, self.image)
+        self.desk = RunnerDesk(self)
+        self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in ("steward", "bursar", "roster")}
+        self.keeper = RosterKeeper(self, self.desk, platform, (self.duties["roster"], self.duties["steward"]))
+        self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
+        self.bursar = Bursar(self, self.duties["bursar"], self.image)
+        self.ring.on_mark.append(self._hear_mark)
+        self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark]
+        self.news.extras += [self._add_roster, self.bursar.add_shares]
+        self.hearers["image"] = self._hear_image
+        self.systems.append(self._adopt_image)
+        self.paths.update({
+            ("GET", "/v1/core"): self.serve_core,
+            ("POST", "/v1/core/restore"): self.serve_restore,
+            ("GET", "/v1/standing"): self.serve_standing,
+        })
+
+    def _hear_change(self, key):
+        if key != "plan":
+            return
+        if self.seat.is_known_chosen(key):
+            self.image.take(self.seat.cell(key).value)
+        self.news.spread()
+
+    def _hear_votes(self):
+        self.voted_us = self.now_us()
+
+    def _hear_mark(self, mark, fellow):
+        self.image.hear_mark(mark)
+        if fellow.kind == "router" and self._is_behind(mark):
+            self.tell(fellow.address, "want_image")
+
+    def _hear_asked_mark(self, message):
+        if self._is_behind(message["mark"]):
+            self.tell(message["back"], "want_image")
+
+    def _is_behind(self, mark):
+        value = self.seat.cell("plan").value
+        return self.seat.is_voting and mark > (value["mark"] if value else 0)
+
+    def _hear_image(self, message):
+        value = message["value"]
+        if self.told_image is None or value["mark"] > self.told_image["mark"]:
+            self.told_image = value
+
+    def _adopt_image(self, now_us):
+        told = self.told_image
+        if told is None or self.is_adopting or now_us - self.adopt_us < IMAGE_WAIT_US:
+            return
+        if self.voted_us is None or now_us - self.voted_us < IMAGE_WAIT_US or told["mark"] < self.image.highest:
+            return
+        if not self._is_behind(told["mark"]):
+            self.told_image = None
+            return
+        self.is_adopting = True
+        self.adopt_us = now_us
+
+        def step(value):
+            if value is not None and value["mark"] >= told["mark"]:
+                return "keep", None
+            return "set", told
+
+        def done(outcome, value):
+            self.is_adopting = False
+            if outcome == "chosen":
+                self.ports.log(1207, mark=value["mark"])
+                self.image.take(value)
+                self.told_image = None
+
+        self.proposer.change("plan", step, done)
+
+    def _add_roster(self, ask, facts):
+        duty = self.duties["roster"]
+        if duty.is_held() and self.keeper.is_ready():
+            facts["roster"] = {"fence": duty.fence, **self.keeper.document()}
+        self.steward.add_news(facts)
+
+    def drain(self, on_drained):
+        self.is_draining = True
+        self.ports.log(1002, running=0)
+        self.ring.say_bye()
+        on_drained()
+
+    def serve_core(self, call):
+        seats = self.ring.seats()
+        call.answer_json(200, {
+            "seat": self.seat.seat, "standing": self.seat.standing, "incarnation": self.seat.incarnation,
+            "is_empty": self.seat.is_empty, "is_failing": self.seat.is_failing, "why": self.seat.wait_reason,
+            "mark": self.news.held_mark(), "highest_mark": self.image.highest,
+            "seats": {seat: {"address": address, "incarnation": incarnation} for seat, (address, incarnation) in seats.items()},
+            "heard": {
+                seat: {"is_voting": state["is_voting"], "is_empty": state["is_empty"]}
+                for seat, state in self.seat.told.items()
+            },
+            "duties": {
+                name: {"held": duty.is_held(), **(duty.holder() or {"holder": None, "fence": 0, "renewal": 0})}
+                for name, duty in self.duties.items()
+            },
+        })
+
+    def serve_restore(self, call):
+        if not self.seat.restore():
+            raise Trouble("seat_not_waiting", standing=self.seat.standing)
+        call.answer_json(200, {"seat": self.seat.seat, "standing": self.seat.standing})
+
+    def serve_standing(self, call):
+        now_us = self.now_us()
+        call.answer_json(200, {
+            "name": self.name, "kind": "registry", "zone": self.ring.me.zone, "mark": self.image.mark,
+            "is_current": self.news.is_current(), "seat": self.seat.seat, "standing": self.seat.standing,
+            "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
+            "runners": [runner.as_record(now_us) for runner in self.keeper.runners.values()],
+            "orders": self.steward.orders,
+        })
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -0,0 +1,121 @@
+from linkhaven.pairing import RatioSearch
+from linkhaven.runner.roster import DECODE, PREFILL
+
+LOOK_US = 500_000
+TOLD_US = 700_000
+QUIET_US = 3_000_000
+
+
+class Steward:
+    """Orders runners' phases while its duty is held: one at a time, routers told before the order
+    leaves, a dwell after it. Wanted is a count of reading runners; the loop works off the difference."""
+
+    __slots__ = (
+        "node", "duty", "keeper", "desk", "image", "search", "rates", "looked_us", "changing",
+        "wanted_phase", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us",
+    )
+
+    def __init__(self, node, duty, keeper, desk, image):
+        self.node = node
+        self.duty = duty
+        self.keeper = keeper
+        self.desk = desk
+        self.image = image
+        self.search = RatioSearch()
+        self.rates = {}
+        self.looked_us = 0
+        self.changing = None
+        self.wanted_phase = None
+        self.told_us = 0
+        self.is_sent = False
+        self.sent_us = 0
+        self.dwell_us = 0
+        self.serial = 0
+        self.orders = 0
+        duty.on_won = self.forget
+        duty.on_lapsed = self.forget
+        node.systems.append(self.tick)
+
+    def forget(self):
+        self.search = RatioSearch()
+        self.changing = None
+        self.is_sent = False
+
+    def hear_ask(self, message):
+        self.rates[message["name"]] = (message.get("rates", [0, 0]), self.node.now_us())
+
+    def add_news(self, facts):
+        if self.duty.is_held():
+            facts["steward"] = {
+                "fence": self.duty.fence, "serial": self.serial,
+                "changing": [self.changing] if self.changing else [],
+            }
+
+    def tick(self, now_us):
+        if not self.duty.is_held() or not self.keeper.is_ready() or self.image.plan is None:
+            return
+        if self.changing is not None:
+            return self._work_off(now_us)
+        if now_us - self.looked_us < LOOK_US or now_us < self.dwell_us:
+            return
+        self.looked_us = now_us
+        self._look(now_us)
+
+    def _demand(self, now_us):
+        told = [rates for rates, told_us in self.rates.values() if now_us - told_us < QUIET_US]
+        return sum(rates[0] for rates in told), sum(rates[1] for rates in told)
+
+    def _look(self, now_us):
+        taichi = self.image.plan["taichi"]
+        fit = [runner for runner in self.keeper.runners.values() if runner.is_open() and runner.reported_us is not None]
+        reading = [runner for runner in fit if runner.phase == PREFILL]
+        decoding = [runner for runner in fit if runner.phase == DECODE]
+        if fit and not decoding:
+            return self._change(min(reading, key=lambda runner: runner.queued), DECODE, now_us)
+        if not taichi["search"] or len(fit) < 2:
+            return
+        prompt_rate, answer_rate = self._demand(now_us)
+        wanted = self.search.settle(len(reading), len(fit), prompt_rate, answer_rate, taichi, now_us)
+        if wanted > len(reading) and len(decoding) > 1:
+            self._change(min(decoding, key=lambda runner: runner.running), PREFILL, now_us)
+        elif wanted < len(reading):
+            self._change(min(reading, key=lambda runner: runner.queued), DECODE, now_us)
+
+    def _change(self, runner, phase, now_us):
+        self.changing = runner.name
+        self.wanted_phase = phase
+        self.told_us = now_us
+        self.is_sent = False
+        self.serial += 1
+
+    def _work_off(self, now_us):
+        runner = self.keeper.runners.get(self.changing)
+        if runner is None or not runner.is_listed or runner.is_leaving or runner.is_dark:
+            return self._finish(now_us)
+        if now_us - self.told_us < TOLD_US:
+            return
+        if not self.is_sent:
+            return self._order(runner, now_us)
+        if runner.phase == self.wanted_phase or now_us - self.sent_us > QUIET_US:
+            self._finish(now_us)
+
+    def _order(self, runner, now_us):
+        if not self.duty.is_held():
+            return
+        self.is_sent = True
+        self.sent_us = now_us
+        fence = self.duty.fence
+        order = {"phase": self.wanted_phase, "fence": fence, "mark": self.image.mark, "holder": self.node.name}
+
+        def done(trouble, document, has_begun):
+            if trouble is not None:
+                self.node.ports.log(1502, runner=runner.name, code=trouble.code)
+
+        self.orders += 1
+        self.node.ports.log(1501, runner=runner.name, phase=self.wanted_phase, fence=fence)
+        self.desk.order_phase(runner.address, order, done)
+
+    def _finish(self, now_us):
+        self.changing = None
+        self.serial += 1
+        self.dwell_us = now_us + self.image.plan["taichi"]["dwell_us"]
--- /dev/null
+++ b/packages/ring/src/linkhaven/ring/__init__.py
@@ -0,0 +1,3 @@
+from .ring import Fellow, Ring
+
+__all__ = ["Fellow", "Ring"]
--- /dev/null
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -0,0 +1,275 @@
+import hashlib
+
+from linkhaven.clockwork import Table
+
+BEAT_US = 250_000
+MISSED_US = 1_000_000
+WATCHERS = 3
+GOSSIP_US = 1_000_000
+FORGET_US = 60_000_000
+
+
+def place_of(name):
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+
+
+class Fellow:
+    __slots__ = (
+        "name", "address", "kind", "zone", "seat", "seat_incarnation", "incarnation",
+        "mark", "heard_us", "spoke_us", "probed_us", "verdicts", "is_up", "down_us", "has_left",
+    )
+
+    def __init__(self, name, incarnation):
+        self.name = name
+        self.incarnation = incarnation
+        self.address = self.kind = self.zone = self.seat = ""
+        self.seat_incarnation = 0
+        self.mark = 0
+        self.heard_us = None
+        self.spoke_us = None
+        self.probed_us = None
+        self.verdicts = {}
+        self.is_up = True
+        self.down_us = 0
+        self.has_left = False
+
+    def as_record(self):
+        return [
+            self.name, self.incarnation, self.address, self.kind, self.zone,
+            self.seat, self.seat_incarnation, self.mark, self.is_up,
+        ]
+
+
+class Ring:
+    """Who exists: hello to the seeds, beats to the watchers that the ring names, verdicts by most of them."""
+
+    __slots__ = (
+        "node", "me", "seeds", "fellows", "beat_us", "gossip_us", "on_standing", "on_mark", "mark_of",
+        "seat_marks", "helloed_us",
+    )
+
+    def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
+        self.node = node
+        self.seeds = seeds
+        self.fellows = Table()
+        self.me = Fellow(node.name, incarnation)
+        self.me.address, self.me.kind, self.me.zone, self.me.seat = node.address, kind, zone, seat
+        self.mark_of = mark_of
+        self.on_standing = []
+        self.on_mark = []
+        self.seat_marks = {}
+        self.beat_us = self.gossip_us = self.helloed_us = 0
+        node.hearers.update(
+            hello=self.hear_hello, members=self.hear_members, beat=self.hear_beat,
+            verdict=self.hear_verdict, bye=self.hear_bye,
+        )
+        node.systems.append(self.tick)
+        node.on_late.append(self.wake)
+        node.on_hear.append(self.note_speaker)
+
+    def note_speaker(self, message):
+        fellow = self.fellows.get(message["name"])
+        if fellow is not None:
+            fellow.spoke_us = self.node.now_us()
+
+    def live(self, kind=None):
+        return [
+            fellow for fellow in self.fellows.values()
+            if fellow.is_up and not fellow.has_left and kind in (None, fellow.kind)
+        ]
+
+    def seats(self):
+        found = {}
+        for fellow in [self.me, *self.fellows.values()]:
+            if not fellow.seat:
+                continue
+            held = found.get(fellow.seat)
+            if held is None or self._outranks(fellow, held):
+                found[fellow.seat] = fellow
+        return {
+            seat: (fellow.address, max(fellow.seat_incarnation, self.seat_marks.get(seat, 0)))
+            for seat, fellow in found.items()
+        }
+
+    def _outranks(self, fellow, held):
+        if fellow.seat_incarnation != held.seat_incarnation:
+            return fellow.seat_incarnation > held.seat_incarnation
+        return fellow.incarnation > held.incarnation
+
+    def learn_seats(self, known):
+        for seat, incarnation in known.items():
+            if incarnation > self.seat_marks.get(seat, 0):
+                self.seat_marks[seat] = incarnation
+        if self.me.seat in known and known[self.me.seat] > self.me.seat_incarnation:
+            self.me.seat_incarnation = self.seat_marks[self.me.seat]
+
+    def watchers_of(self, name):
+        names = [fellow.name for fellow in self.fellows.values() if fellow.is_up and not fellow.has_left]
+        names.append(self.node.name)
+        place = place_of(name)
+        ring = sorted((other for other in names if other != name), key=lambda other: (place_of(other) - place) % (1 << 64))
+        return ring[:WATCHERS]
+
+    def hear_hello(self, message):
+        self._take(message["fellow"], is_first_hand=True)
+        self.node.tell(message["back"], "members", fellows=self._records())
+
+    def _records(self):
+        self.me.mark = self.mark_of()
+        return [self.me.as_record(), *(fellow.as_record() for fellow in self.fellows.values() if not fellow.has_left)]
+
+    def hear_members(self, message):
+        for record in message["fellows"]:
+            self._take(record, is_first_hand=record[0] == message["name"])
+        if message.get("is_asking"):
+            self.node.tell(message["back"], "members", fellows=self._records())
+
+    def hear_beat(self, message):
+        fellow = self._take(message["fellow"], is_first_hand=True)
+        if fellow is None:
+            return
+        fellow.heard_us = self.node.now_us()
+        if fellow.verdicts.get(self.node.name):
+            self._judge(fellow, False)
+
+    def _take(self, record, is_first_hand):
+        name, incarnation, address, kind, zone, seat, seat_incarnation, mark, is_up = record
+        if name == self.node.name:
+            if incarnation > self.me.incarnation:
+                self.me.incarnation = incarnation + 1
+            return None
+        fellow = self.fellows.get(name)
+        if fellow is not None and incarnation < fellow.incarnation:
+            return None
+        if fellow is None or incarnation > fellow.incarnation:
+            if fellow is None and not is_first_hand and not is_up:
+                return None
+            is_known = fellow is not None
+            fellow = self.fellows[name] = Fellow(name, incarnation)
+            self._set_facts(fellow, address, kind, zone, seat)
+            fellow.seat_incarnation = seat_incarnation
+            self.node.ports.log(1101, fellow=name, incarnation=incarnation, is_known=is_known)
+            self._spread(fellow)
+        if is_first_hand:
+            self._set_facts(fellow, address, kind, zone, seat)
+            fellow.has_left = False
+        fellow.seat_incarnation = max(fellow.seat_incarnation, seat_incarnation)
+        if seat:
+            self.learn_seats({seat: fellow.seat_incarnation})
+        if mark > fellow.mark:
+            fellow.mark = mark
+        for hear in self.on_mark:
+            hear(mark, fellow)
+        return fellow
+
+    def _set_facts(self, fellow, address, kind, zone, seat):
+        fellow.address, fellow.kind, fellow.zone, fellow.seat = address, kind, zone, seat
+
+    def _spread(self, fellow):
+        for hear in self.on_standing:
+            hear(fellow)
+
+    def _judge(self, fellow, is_down):
+        fellow.verdicts[self.node.name] = is_down
+        for other in self.live():
+            self.node.tell(other.address, "verdict", about=fellow.name, incarnation=fellow.incarnation, is_down=is_down)
+        self._weigh(fellow)
+
+    def hear_verdict(self, message):
+        fellow = self.fellows.get(message["about"])
+        if fellow is None or fellow.incarnation != message["incarnation"]:
+            return
+        fellow.verdicts[message["name"]] = message["is_down"]
+        self._weigh(fellow)
+
+    def _weigh(self, fellow):
+        watchers = [name for name in self.watchers_of(fellow.name) if self._is_heard_from(name, fellow)]
+        against = sum(1 for watcher in watchers if fellow.verdicts.get(watcher))
+        is_up = against * 2 <= len(watchers)
+        if is_up == fellow.is_up:
+            return
+        fellow.is_up = is_up
+        fellow.down_us = 0 if is_up else self.node.now_us()
+        self.node.ports.log(1101 if is_up else 1102, fellow=fellow.name, incarnation=fellow.incarnation)
+        self._spread(fellow)
+
+    def _is_heard_from(self, name, about):
+        if name == self.node.name or name in about.verdicts:
+            return True
+        now_us = self.node.now_us()
+        watcher = self.fellows[name]
+        if watcher.spoke_us is not None and now_us - watcher.spoke_us <= MISSED_US:
+            return True
+        if watcher.probed_us is None or (watcher.spoke_us or 0) > watcher.probed_us:
+            watcher.probed_us = now_us
+            self.node.tell(watcher.address, "hello", fellow=self.me.as_record())
+            return True
+        return now_us - watcher.probed_us <= MISSED_US
+
+    def hear_bye(self, message):
+        fellow = self.fellows.get(message["name"])
+        if fellow is None:
+            return
+        fellow.has_left = True
+        fellow.is_up = False
+        fellow.down_us = self.node.now_us()
+        self._spread(fellow)
+
+    def say_bye(self):
+        for fellow in self.live():
+            self.node.tell(fellow.address, "bye")
+
+    def wake(self, now_us):
+        for fellow in self.fellows.values():
+            fellow.heard_us = None
+        self.helloed_us = 0
+        self.beat_us = 0
+
+    def tick(self, now_us):
+        if now_us - self.beat_us >= BEAT_US:
+            self.beat_us = now_us
+            self._beat()
+            self._watch(now_us)
+        if now_us - self.gossip_us >= GOSSIP_US:
+            self.gossip_us = now_us
+            self._gossip(now_us)
+
+    def _beat(self):
+        self.me.mark = self.mark_of()
+        record = self.me.as_record()
+        for name in self.watchers_of(self.node.name):
+            self.node.tell(self.fellows[name].address, "beat", fellow=record)
+
+    def _watch(self, now_us):
+        for fellow in self.fellows.rows():
+            if fellow.has_left or not self._is_mine_to_watch(fellow):
+                fellow.heard_us = None
+                continue
+            if fellow.heard_us is None:
+                fellow.heard_us = now_us
+            if now_us - fellow.heard_us > MISSED_US and not fellow.verdicts.get(self.node.name):
+                self._judge(fellow, True)
+        for fellow in self.fellows.rows():
+            if fellow.is_up and any(fellow.verdicts.values()):
+                self._weigh(fellow)
+
+    def _is_mine_to_watch(self, fellow):
+        return self.node.name in self.watchers_of(fellow.name)
+
+    def _gossip(self, now_us):
+        known = {fellow.address for fellow in self.live()}
+        missing = [seed for seed in self.seeds if seed not in known and seed != self.node.address]
+        self.me.mark = self.mark_of()
+        for seed in missing:
+            self.node.tell(seed, "hello", fellow=self.me.as_record())
+        fellows = self.live() or self.fellows.rows()
+        if fellows:
+            other = fellows[self.node.ports.dice.randrange(len(fellows))]
+            self.node.tell(other.address, "members", fellows=self._records(), is_asking=True)
+        downs = [fellow for fellow in self.fellows.values() if not fellow.is_up]
+        for fellow in downs:
+            if now_us - fellow.down_us > FORGET_US:
+                self.fellows.drop(fellow.name)
+        if downs:
+            other = downs[self.node.ports.dice.randrange(len(downs))]
+            self.node.tell(other.address, "hello", fellow=self.me.as_record())
--- /dev/null
+++ b/packages/router/src/linkhaven/router/__init__.py
@@ -0,0 +1,3 @@
+from .node import RouterNode
+
+__all__ = ["RouterNode"]
--- /dev/null
+++ b/packages/router/src/linkhaven/router/chain.py
@@ -0,0 +1,104 @@
+from linkhaven.clockwork import read_json
+from linkhaven.runner.pieces import read_place
+from linkhaven.schema import Trouble, check_document
+
+PASS, HOLD = "pass", "hold"
+
+KEY_AT_MOST = 200
+
+
+class Chain:
+    """The filters a request goes through. Each may pass it on, hold it and pass it on later, or
+    answer it by raising a trouble."""
+
+    __slots__ = ("filters", "answer")
+
+    def __init__(self, filters, answer):
+        self.filters = filters
+        self.answer = answer
+
+    def walk(self, request):
+        while request.place < len(self.filters):
+            step = self.filters[request.place]
+            request.place += 1
+            try:
+                if step(request) is HOLD:
+                    return
+            except Trouble as trouble:
+                return self.answer(request, trouble)
+
+
+def count_tokens(prompt):
+    return len(prompt) // 4 + 1
+
+
+class Filters:
+    __slots__ = ("node",)
+
+    def __init__(self, node):
+        self.node = node
+
+    def chain(self, answer):
+        return Chain([self.bound, self.read, self.fresh, self.kind, self.resume, self.claim, self.queue], answer)
+
+    def bound(self, request):
+        if self.node.is_draining:
+            raise Trouble("draining")
+        if len(self.node.requests) > self.node.requests_at_most:
+            raise Trouble("too_busy", retry_us=1_000_000)
+        return PASS
+
+    def read(self, request):
+        document = check_document("Ask", read_json(request.call.body))
+        request.kind_name = document["kind"]
+        request.prompt = document["prompt"]
+        request.prompt_tokens = count_tokens(request.prompt)
+        request.answer_tokens = document.get("answer_tokens", 0)
+        request.key = request.call.headers.get("idempotency-key") or None
+        if request.key and len(request.key) > KEY_AT_MOST:
+            raise Trouble("bad_request", places=[{"place": "Idempotency-Key", "fault": "is too long"}])
+        return PASS
+
+    def fresh(self, request):
+        self.node.check_fresh()
+        return PASS
+
+    def kind(self, request):
+        plan = self.node.image.plan
+        kind = plan["kinds"].get(request.kind_name)
+        if kind is None:
+            raise Trouble("unknown_kind", kind=request.kind_name)
+        request.kind = kind
+        request.group = kind["group"]
+        request.admitted_mark = self.node.image.mark
+        request.answer_tokens = request.answer_tokens or kind["answer_tokens"]
+        request.deadline_us = request.arrived_us + kind["deadline_us"]
+        if request.prompt_tokens > kind["prompt_tokens"] or request.answer_tokens > kind["answer_tokens"]:
+            raise Trouble(
+                "prompt_too_long", prompt_tokens=request.prompt_tokens, answer_tokens=request.answer_tokens,
+                prompt_tokens_at_most=kind["prompt_tokens"], answer_tokens_at_most=kind["answer_tokens"],
+            )
+        return PASS
+
+    def resume(self, request):
+        told = request.call.headers.get("last-event-id")
+        if not told:
+            return PASS
+        place = read_place(told)
+        if place is None:
+            raise Trouble("bad_resume", told=told[:100])
+        if not request.is_resumable:
+            raise Trouble("not_resumable", kind=request.kind_name)
+        request.run, request.written = place
+        request.resume = place
+        return PASS
+
+    def claim(self, request):
+        if not request.is_one_time or not request.key:
+            return PASS
+        self.node.claim(request)
+        return HOLD
+
+    def queue(self, request):
+        self.node.enqueue(request)
+        return HOLD
--- /dev/null
+++ b/packages/router/src/linkhaven/router/node.py
@@ -0,0 +1,295 @@
+from cachetools import FIFOCache
+
+from linkhaven.clockwork import Node, Table
+from linkhaven.credit import CreditDesk, ExtraBudget
+from linkhaven.pairing import Flow, Pairing
+from linkhaven.plan import NewsReader, PlanImage
+from linkhaven.register import Proposer
+from linkhaven.ring import Ring
+from linkhaven.runner import Roster, RunnerDesk, write_event
+from linkhaven.schema import Trouble
+
+from . import request as states
+from .chain import Filters
+from .request import Request
+from .shots import Shots
+
+DRAIN_US = 10_000_000
+EXPLAINED = 2_000
+RATE_US = 1_000_000
+STREAM_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
+
+
+class RouterNode(Node):
+    __slots__ = (
+        "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "shots", "flow",
+        "requests", "chain", "explained", "is_draining", "drain_us", "on_drained", "serial", "counts",
+        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place",
+    )
+
+    def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, majority=2):
+        super().__init__(name, address, ports)
+        self.incarnation = incarnation
+        self.image = PlanImage()
+        self.ring = Ring(self, "router", zone, seeds, incarnation, mark_of=lambda: self.image.mark)
+        self.ring.on_mark.append(lambda mark, fellow: self.image.hear_mark(mark))
+        self.proposer = Proposer(self, self.ring, majority)
+        self.news = NewsReader(self, self.ring, self.image, majority)
+        self.roster = Roster(self)
+        self.desk = RunnerDesk(self)
+        self.pairing = Pairing(self, self.roster)
+        self.extra = ExtraBudget(self)
+        self.credit = CreditDesk(self)
+        self.requests = Table()
+        self.shots = Shots(self, self.pairing, self.desk, self.roster, self.extra)
+        self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.shots.move)
+        self.chain = Filters(self).chain(self.refuse)
+        self.explained = FIFOCache(EXPLAINED)
+        self.requests_at_most = requests_at_most
+        self.is_draining = False
+        self.drain_us = None
+        self.on_drained = None
+        self.serial = 0
+        self.counts = {"asked": 0, "served": 0, "refused": 0, "troubled": 0}
+        self.arrived = self.produced = 0
+        self.rates = [0.0, 0.0]
+        self.rated_us = self.now_us()
+        self.steward_place = (0, 0)
+        self.image.on_new.append(self._take_plan)
+        self.news.facts.append(self._add_facts)
+        self.news.on_news.append(self._hear_news)
+        self.roster.on_new.append(self.wake_queue)
+        self.hearers["want_image"] = self._hear_want_image
+        self.systems += [self._keep_deadlines, self._serve_queue, self._rate, self._drain]
+        self.paths = {
+            ("POST", "/v1/requests"): self.serve_request,
+            ("GET", "/v1/explain/"): self.serve_explain,
+            ("GET", "/v1/standing"): self.serve_standing,
+        }
+
+    def _take_plan(self):
+        plan = self.image.plan
+        self.pairing.take_plan(plan)
+        self.extra.take_plan(plan)
+        self.credit.take_plan(plan)
+        self.ports.log(2001, mark=self.image.mark)
+
+    def _add_facts(self, facts):
+        facts["credit"] = self.credit.tell_demand()
+        facts["evidence"] = self.roster.tell_evidence()
+        facts["rates"] = self.rates
+
+    def _hear_news(self, message, sent_us):
+        roster = message.get("roster")
+        if roster is not None:
+            self.roster.take(roster, sent_us)
+        steward = message.get("steward")
+        if steward is not None and (steward["fence"], steward["serial"]) >= self.steward_place:
+            self.steward_place = (steward["fence"], steward["serial"])
+            for runner in self.roster.runners.values():
+                runner.is_changing = runner.name in steward["changing"]
+        shares = message.get("shares")
+        if shares is not None:
+            for group, (rate, grant) in shares["rates"].items():
+                book = self.credit.groups.get(group)
+                if book is not None and grant > book.grant:
+                    self.credit.take_share(group, rate, grant, sent_us + 3_000_000)
+        self.wake_queue()
+
+    def _hear_want_image(self, message):
+        if self.image.value is not None:
+            self.tell(message["back"], "image", value=self.image.value)
+
+    def may_start(self):
+        return self.news.is_fresh() and self.roster.is_fresh()
+
+    def check_fresh(self):
+        if self.image.plan is None and not self.image.is_behind and self.news.confirmed_us is not None:
+            raise Trouble("plan_absent", retry_us=2_000_000)
+        if not self.news.is_fresh():
+            raise Trouble("plan_stale", retry_us=1_000_000, mark=self.image.mark)
+        if not self.roster.is_fresh():
+            raise Trouble("roster_stale", retry_us=1_000_000)
+
+    def serve_request(self, call):
+        self.serial += 1
+        now_us = self.now_us()
+        request = Request(f"{self.name}-{self.incarnation}-{self.serial}", call, now_us)
+        self.counts["asked"] += 1
+        self.requests[request.id] = request
+        call.on_gone = lambda: self._lose_caller(request)
+        call.on_room = lambda: self._release(request)
+        self.chain.walk(request)
+
+    def claim(self, request):
+        request.state = states.CLAIMING
+
+        def step(value):
+            if value is None:
+                return "set", {"by": request.id}
+            if value["by"] == request.id:
+                return "keep", None
+            return "stop", value
+
+        def done(outcome, value):
+            if request.state != states.CLAIMING:
+                return
+            if outcome == "chosen":
+                return self.chain.walk(request)
+            if outcome == "stopped":
+                return self.refuse(request, Trouble("key_used"))
+            self.refuse(request, Trouble("claim_unavailable", retry_us=1_000_000))
+
+        self.proposer.change(f"claim/{request.group}/{request.key}", step, done)
+
+    def enqueue(self, request):
+        self.credit.enqueue(request.group, request)
+        request.state = states.QUEUED
+        self.extra.earn()
+        self.arrived += request.prompt_tokens
+        request.note(self.now_us(), "queued")
+        self.wake_queue()
+
+    def wake_queue(self):
+        self.credit.serve(self._begin)
+
+    def _begin(self, request):
+        return self.shots.begin(request)
+
+    def relay_piece(self, request, piece, tokens, now_us):
+        call = request.call
+        if not call.is_begun:
+            request.first_us = now_us
+            request.pace_from_us = now_us
+            call.begin(200, {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)})
+        else:
+            request.pace_tokens += tokens
+        request.written = piece.number
+        request.tokens += tokens
+        self.produced += tokens
+        self.credit.charge(request.group, tokens)
+        has_room = call.write(write_event("piece", piece.document, f"{piece.run}:{piece.number}"))
+        if not has_room and request.part is not None and not call.is_ended:
+            request.is_held = True
+            request.part.outing.hold()
+
+    def _release(self, request):
+        if not request.is_held:
+            return
+        request.is_held = False
+        request.progress_us = self.now_us()
+        if request.part is not None:
+            request.part.outing.release()
+
+    def end_done(self, request, piece):
+        call = request.call
+        if not call.is_begun:
+            call.begin(200, {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)})
+        call.write(write_event("done", {"count": request.written, "tokens": request.tokens}))
+        call.finish()
+        self.counts["served"] += 1
+        self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.shots)
+        self._close(request, "done")
+
+    def refuse(self, request, trouble):
+        self.end_in_trouble(request, trouble)
+
+    def end_in_trouble(self, request, trouble):
+        if request.state == states.ENDED:
+            return
+        self.shots.leave_runner(request)
+        is_refused = trouble.done == "no"
+        self.counts["refused" if is_refused else "troubled"] += 1
+        self.ports.log(2103 if is_refused else 2102, request=request.id, kind=request.kind_name, code=trouble.code)
+        call = request.call
+        self._close(request, trouble.code)
+        if call.is_ended:
+            return
+        if not call.is_begun:
+            call.answer_trouble(trouble)
+            return
+        call.write(write_event("trouble", trouble.as_document()))
+        call.finish()
+
+    def _close(self, request, outcome):
+        if request.state == states.QUEUED:
+            self.credit.leave(request.group, request)
+        request.state = states.ENDED
+        request.parked = None
+        request.outcome = outcome
+        request.prompt = None
+        self.explained[request.id] = request
+        self.requests.drop(request.id)
+        request.note(self.now_us(), outcome)
+        if not self.is_draining:
+            self.wake_queue()
+
+    def _lose_caller(self, request):
+        if request.state != states.ENDED:
+            self.end_in_trouble(request, Trouble("caller_gone"))
+
+    def _keep_deadlines(self, now_us):
+        for request in self.requests.rows():
+            if request.deadline_us is None or now_us < request.deadline_us:
+                continue
+            self.end_in_trouble(request, Trouble("deadline" if request.has_begun else "deadline_unserved", retry_us=1_000_000))
+
+    def _serve_queue(self, now_us):
+        self.wake_queue()
+
+    def _rate(self, now_us):
+        passed_us = now_us - self.rated_us
+        if passed_us < RATE_US:
+            return
+        for place, amount in enumerate((self.arrived, self.produced)):
+            self.rates[place] += 0.4 * (amount * 1_000_000 / passed_us - self.rates[place])
+        self.arrived = self.produced = 0
+        self.rated_us = now_us
+
+    def drain(self, on_drained):
+        if self.is_draining:
+            return
+        self.is_draining = True
+        self.on_drained = on_drained
+        self.drain_us = self.now_us()
+        self.ports.log(1002, running=len(self.requests))
+        self.ring.say_bye()
+        for request in self.requests.rows():
+            if not request.has_begun:
+                self.end_in_trouble(request, Trouble("draining"))
+
+    def _drain(self, now_us):
+        if not self.is_draining or self.on_drained is None:
+            return
+        if now_us - self.drain_us >= DRAIN_US:
+            for request in self.requests.rows():
+                self.end_in_trouble(request, Trouble("cut_by_drain"))
+        if not self.requests:
+            drained, self.on_drained = self.on_drained, None
+            drained()
+
+    def serve_explain(self, call, id):
+        request = self.requests.get(id) or self.explained.get(id)
+        if request is None:
+            raise Trouble("no_such_request", request=id)
+        call.answer_json(200, request.as_record())
+
+    def serve_standing(self, call):
+        now_us = self.now_us()
+        call.answer_json(200, {
+            "name": self.name, "kind": "router", "zone": self.ring.me.zone, "mark": self.image.mark,
+            "is_fresh": self.news.is_fresh(), "is_draining": self.is_draining,
+            "roster_age_us": now_us - self.roster.taken_us if self.roster.taken_us is not None else None,
+            "runners": [runner.as_record(now_us) for runner in self.roster.runners.values()],
+            "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
+            "groups": {
+                book.name: {
+                    "queued": len(book.queue), "queued_tokens": book.queued_tokens, "credit": int(book.bucket.fill(now_us)),
+                    "rate": book.bucket.rate,
+                }
+                for book in self.credit.groups.values()
+            },
+            "extra": {"left": self.extra.bucket.level, "spent": self.extra.spent, "refused": self.extra.refused},
+            "moves": self.flow.moves, "exceptions": self.pairing.exceptions, "counts": self.counts,
+            "running": len(self.requests),
+        })
--- /dev/null
+++ b/packages/router/src/linkhaven/router/request.py
@@ -0,0 +1,76 @@
+WAITING, CLAIMING, QUEUED, READING, DECODING, PARKED, ENDED = (
+    "waiting", "claiming", "queued", "reading", "decoding", "parked", "ended",
+)
+
+
+class Request:
+    __slots__ = (
+        "id", "call", "kind_name", "kind", "group", "prompt", "prompt_tokens", "answer_tokens", "key",
+        "state", "place", "arrived_us", "deadline_us", "admitted_mark", "run", "written", "resume",
+        "shots", "part", "runner", "shot", "shot_begun_us", "has_begun", "failed", "parked", "tokens",
+        "first_us", "pace_tokens", "pace_from_us", "moved_from", "is_moving", "progress_us",
+        "decisions", "steps", "outcome", "handle", "is_held",
+    )
+
+    def __init__(self, id, call, now_us):
+        self.id = id
+        self.call = call
+        self.arrived_us = now_us
+        self.kind_name = self.kind = self.group = self.prompt = self.key = None
+        self.prompt_tokens = self.answer_tokens = 0
+        self.state = WAITING
+        self.place = 0
+        self.deadline_us = None
+        self.admitted_mark = 0
+        self.run = None
+        self.written = 0
+        self.resume = None
+        self.shots = 0
+        self.shot = None
+        self.part = None
+        self.runner = None
+        self.shot_begun_us = 0
+        self.has_begun = False
+        self.failed = []
+        self.parked = None
+        self.tokens = 0
+        self.first_us = None
+        self.pace_tokens = 0
+        self.pace_from_us = 0
+        self.moved_from = None
+        self.is_moving = False
+        self.progress_us = 0
+        self.decisions = []
+        self.steps = []
+        self.outcome = None
+        self.handle = None
+        self.is_held = False
+
+    @property
+    def is_one_time(self):
+        return not self.kind["repeatable"]
+
+    @property
+    def is_resumable(self):
+        return self.kind["resumable"]
+
+    @property
+    def tpot_us(self):
+        return self.kind["tpot_us"]
+
+    def is_movable(self):
+        return self.state == DECODING and self.is_resumable and self.written > 0 and not self.is_moving
+
+    def pace_us(self, now_us):
+        return (now_us - self.pace_from_us) / max(1, self.pace_tokens)
+
+    def note(self, now_us, step, **facts):
+        if len(self.steps) < 64:
+            self.steps.append({"at_us": now_us - self.arrived_us, "step": step, **facts})
+
+    def as_record(self):
+        return {
+            "request": self.id, "kind": self.kind_name, "group": self.group, "mark": self.admitted_mark,
+            "prompt_tokens": self.prompt_tokens, "state": self.state, "shots": self.shots,
+            "decisions": self.decisions, "steps": self.steps, "outcome": self.outcome,
+        }
--- /dev/null
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -0,0 +1,131 @@
+from linkhaven.clockwork import Table
+
+PREFILL, DECODE = "prefill", "decode"
+STALE_US = 3_000_000
+DARK_US = 1_500_000
+
+
+class Runner:
+    __slots__ = (
+        "name", "address", "zone", "incarnation", "phase", "queued", "running", "kv_used", "kv_total",
+        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence",
+    )
+
+    def __init__(self, name, address, zone, incarnation):
+        self.name = name
+        self.address = address
+        self.zone = zone
+        self.incarnation = incarnation
+        self.phase = DECODE
+        self.queued = self.running = 0
+        self.kv_used = 0
+        self.kv_total = 1
+        self.is_leaving = False
+        self.is_listed = True
+        self.reported_us = None
+        self.mark = 0
+        self.fence = 0
+        self.is_dark = False
+        self.is_changing = False
+
+    def take_report(self, report, now_us):
+        if report["incarnation"] < self.incarnation:
+            return
+        if report["incarnation"] > self.incarnation:
+            self.incarnation = report["incarnation"]
+            self.is_leaving = False
+        self.phase = report["phase"]
+        self.queued = report["queued"]
+        self.running = report["running"]
+        self.kv_used = report["kv_used"]
+        self.kv_total = max(1, report["kv_total"])
+        self.mark = report["mark"]
+        self.fence = report["fence"]
+        self.reported_us = now_us - report["age_us"]
+        self.is_leaving = self.is_leaving or report["is_leaving"]
+
+    def is_open(self):
+        return self.is_listed and not self.is_leaving and not self.is_dark and not self.is_changing
+
+    def as_record(self, now_us):
+        return {
+            "name": self.name, "address": self.address, "zone": self.zone, "incarnation": self.incarnation,
+            "phase": self.phase, "queued": self.queued, "running": self.running, "kv_used": self.kv_used,
+            "kv_total": self.kv_total, "is_leaving": self.is_leaving, "is_listed": self.is_listed,
+            "is_dark": self.is_dark, "is_changing": self.is_changing, "mark": self.mark, "fence": self.fence,
+            "age_us": now_us - self.reported_us if self.reported_us is not None else None,
+        }
+
+
+class Roster:
+    """A router's list of runners, told by the roster duty's holder, with its own first-hand word on top."""
+
+    __slots__ = ("node", "runners", "place", "taken_us", "evidence", "on_new")
+
+    def __init__(self, node):
+        self.node = node
+        self.runners = Table()
+        self.place = (0, 0)
+        self.taken_us = None
+        self.evidence = {}
+        self.on_new = []
+
+    def is_fresh(self):
+        return self.taken_us is not None and self.node.now_us() - self.taken_us <= STALE_US
+
+    def take(self, document, sent_us):
+        place = (document["fence"], document["serial"])
+        if place <= self.place:
+            return
+        now_us = self.node.now_us()
+        self.place = place
+        self.taken_us = sent_us - document["age_us"]
+        named = set()
+        for record in document["runners"]:
+            named.add(record["name"])
+            self._take_record(record, now_us)
+        for name in [name for name in self.runners if name not in named]:
+            self.runners.drop(name)
+        for hear in self.on_new:
+            hear()
+
+    def _take_record(self, record, now_us):
+        runner = self.runners.get(record["name"])
+        if runner is None or record["incarnation"] > runner.incarnation:
+            runner = self.runners[record["name"]] = Runner(
+                record["name"], record["address"], record["zone"], record["incarnation"]
+            )
+        elif record["incarnation"] < runner.incarnation:
+            return
+        runner.address = record["address"]
+        runner.is_listed = record["is_listed"]
+        runner.is_changing = record["is_changing"]
+        if record["age_us"] is not None:
+            runner.take_report({**record, "is_leaving": record["is_leaving"]}, now_us)
+        runner.is_leaving = runner.is_leaving or record["is_leaving"]
+        runner.is_dark = record["is_dark"] or self._is_dark_first_hand(runner, now_us)
+
+    def _is_dark_first_hand(self, runner, now_us):
+        seen = self.evidence.get((runner.name, runner.incarnation, "dark"))
+        return seen is not None and now_us - seen <= DARK_US
+
+    def note_dark(self, runner):
+        self.evidence[(runner.name, runner.incarnation, "dark")] = self.node.now_us()
+        runner.is_dark = True
+        self.node.ports.log(1601, runner=runner.name)
+
+    def note_leaving(self, runner):
+        if not runner.is_leaving:
+            self.node.ports.log(1603, runner=runner.name)
+        self.evidence[(runner.name, runner.incarnation, "leaving")] = self.node.now_us()
+        runner.is_leaving = True
+
+    def tell_evidence(self):
+        now_us = self.node.now_us()
+        for key, seen_us in list(self.evidence.items()):
+            if now_us - seen_us > DARK_US:
+                del self.evidence[key]
+        return [list(key) for key in self.evidence]
+
+    def open_runners(self):
+        return [runner for runner in self.runners.values() if runner.is_open()]
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -0,0 +1,278 @@
+from linkhaven.registry import RegistryNode
+from linkhaven.router import RouterNode
+
+from .people import Caller, Operator
+from .standins import Speeds, StandInPlatform, StandInRunner
+from .world import Host, SimDisk, World
+
+SECOND = 1_000_000
+FILLER = "seat plan audit lecture chapter clause review licence "
+
+
+def make_prompt(tokens):
+    return (FILLER * (tokens * 4 // len(FILLER) + 1))[: max(1, tokens * 4 - 12)]
+
+
+class Deployment:
+    __slots__ = ("name", "zones", "routers", "runners", "prefills", "kinds", "groups", "mix", "rate")
+
+    def __init__(self, name, zones, routers, runners, prefills, groups, kinds, mix, rate):
+        self.name = name
+        self.zones = zones
+        self.routers = routers
+        self.runners = runners
+        self.prefills = prefills
+        self.groups = groups
+        self.kinds = kinds
+        self.mix = mix
+        self.rate = rate
+
+    def plan(self, **changed):
+        plan = {
+            "groups": self.groups, "kinds": self.kinds,
+            "fleet": {"routers": self.routers}, "extra": {"share": 0.2, "margin": self.routers},
+        }
+        plan.update(changed)
+        return plan
+
+
+def _kind(group, ttft_s, tpot_ms, deadline_s, prompt, answer, **more):
+    return {
+        "group": group, "ttft_us": int(ttft_s * SECOND), "tpot_us": tpot_ms * 1000, "deadline_us": deadline_s * SECOND,
+        "prompt_tokens": prompt, "answer_tokens": answer, **more,
+    }
+
+
+def _group(tokens, weight=1.0):
+    return {"credit": {"tokens": tokens, "period_us": 10 * SECOND}, "weight": weight}
+
+
+LICENSING = Deployment(
+    "licensing", ("ba-dinh", "cau-giay", "long-bien"), 7, 5, 2,
+    {"audit": _group(300_000), "seats": _group(200_000), "entitlement": _group(100_000)},
+    {
+        "audit-digest": _kind("audit", 4, 60, 60, 16_000, 800, resumable=True),
+        "seat-question": _kind("seats", 1.5, 60, 30, 4_000, 400, resumable=True),
+        "entitlement-check": _kind("entitlement", 1, 80, 10, 2_000, 8, repeatable=False),
+    },
+    {"seat-question": (0.6, 400, 120), "entitlement-check": (0.3, 300, 4), "audit-digest": (0.1, 6_000, 400)},
+    6.0,
+)
+
+ARCHIVE = Deployment(
+    "archive", ("north-quay", "harbour", "east-shore", "island"), 9, 9, 3,
+    {"faculty": _group(600_000), "editors": _group(400_000), "voices": _group(200_000)},
+    {
+        "lecture-summary": _kind("faculty", 5, 60, 60, 16_000, 800, resumable=True),
+        "chapter-heading": _kind("editors", 1.5, 60, 30, 4_000, 400, resumable=True),
+        "voice-flag": _kind("voices", 1, 80, 10, 2_000, 8, repeatable=False),
+    },
+    {"chapter-heading": (0.6, 400, 120), "voice-flag": (0.3, 300, 4), "lecture-summary": (0.1, 6_000, 400)},
+    12.0,
+)
+
+DEPLOYMENTS = {"licensing": LICENSING, "archive": ARCHIVE}
+
+
+class SimFleet:
+    """A whole deployment in a simulated world: core, edge, runners, platform, callers and operators."""
+
+    __slots__ = (
+        "world", "deployment", "registries", "routers", "runners", "platform", "caller", "operators", "seeds",
+        "is_loading", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan",
+    )
+
+    def __init__(self, deployment, seed, speeds=None, runner_given=None, plan=None, routers=None, platform_lag_us=500_000):
+        self.world = World(seed)
+        self.deployment = deployment
+        self.speeds = speeds or Speeds()
+        self.runner_given = runner_given or {}
+        self.rate = deployment.rate
+        self.mix = dict(deployment.mix)
+        self.plan = plan or deployment.plan()
+        self.is_loading = False
+        self.prompts = {}
+        self.moved = 0
+        zones = deployment.zones
+        self.registries = {}
+        self.routers = {}
+        self.runners = {}
+        self.seeds = [f"10.0.0.{place + 1}:7000" for place in range(3)]
+        self.platform = self._host("platform", zones[0], "10.9.0.1:80", self._build_platform(platform_lag_us))
+        for place, seat in enumerate("abc"):
+            self.registries[seat] = self._host(
+                f"core-{seat}", zones[place % len(zones)], self.seeds[place], self._build_registry(seat), SimDisk(self.world)
+            )
+        for place in range(routers or deployment.routers):
+            name = f"edge-{place + 1}"
+            self.routers[name] = self._host(name, zones[place % len(zones)], f"10.1.0.{place + 1}:7000", self._build_router)
+        for place in range(deployment.runners):
+            self._add_runner(f"runner-{place + 1}", zones[place % len(zones)], f"10.2.0.{place + 1}:80")
+        self.caller = self._host("callers", "outside", "10.8.0.1:1", self._build_caller)
+        self.operators = [self._host(f"operator-{n}", zones[0], f"10.8.1.{n}:1", self._build_operator) for n in (1, 2)]
+
+    def _host(self, name, zone, address, build, disk=None):
+        return Host(self.world, name, zone, address, build, disk)
+
+    def _build_registry(self, seat):
+        def build(host, ports):
+            return RegistryNode(
+                host.name, host.address, ports, host.zone, self.seeds, self.world.now_us + host.starts, seat, self.platform.address,
+            )
+        return build
+
+    def _build_router(self, host, ports):
+        return RouterNode(host.name, host.address, ports, host.zone, self.seeds, self.world.now_us + host.starts)
+
+    def _build_platform(self, lag_us):
+        return lambda host, ports: StandInPlatform(host.name, host.address, ports, lag_us)
+
+    def _add_runner(self, name, zone, address):
+        host = self._host(name, zone, address, self._build_runner)
+        self.runners[name] = host
+        return host
+
+    def _build_runner(self, host, ports):
+        place = int(host.name.rpartition("-")[2])
+        phase = "prefill" if place <= self.deployment.prefills else "decode"
+        return StandInRunner(
+            host.name, host.address, ports, self.world.now_us + host.starts, phase, record=self.world.note, speeds=self.speeds, **self.runner_given
+        )
+
+    def _build_caller(self, host, ports):
+        return Caller(host.name, host.address, ports, self.world.note, self.deployment.kinds)
+
+    def _build_operator(self, host, ports):
+        return Operator(host.name, host.address, ports, self.world.note)
+
+    def list_runners(self, at_once=False, **states):
+        listed = {}
+        for name, host in self.runners.items():
+            if states.get(name.replace("-", "_")) == "gone":
+                continue
+            if host.node is None and name not in self.platform.node.now():
+                continue
+            before = self.platform.node.now().get(name)
+            listed[name] = {
+                "name": name, "address": host.address, "zone": host.zone,
+                "incarnation": host.node.incarnation if host.node else before["incarnation"],
+                "state": states.get(name.replace("-", "_"), "leaving" if host.node and host.node.is_leaving else "serving"),
+            }
+        self.world.note("listed", runners={name: record["state"] for name, record in listed.items()})
+        self.platform.node.set(listed, at_once)
+
+    def start(self, ready=True):
+        for host in [self.platform, *self.runners.values(), *self.registries.values(), *self.routers.values(), self.caller, *self.operators]:
+            host.start()
+        self.list_runners(at_once=True)
+        if not ready:
+            return self
+        if not self.world.wait_for(lambda: any(host.node.seat.is_voting for host in self.registries.values())):
+            raise AssertionError("no seat votes")
+        self.world.run_for(SECOND)
+        self.put_plan(self.plan, 0)
+        if not self.world.wait_for(self.is_ready):
+            raise AssertionError("the fleet did not become ready")
+        return self
+
+    def is_ready(self):
+        return all(host.node.may_start() for host in self.routers.values() if host.node and not host.is_frozen)
+
+    def live_registry(self):
+        for host in self.registries.values():
+            if host.node is not None and not host.is_frozen and host.node.seat.is_voting:
+                return host
+        return self.registries["a"]
+
+    def put_plan(self, plan, expect, seat=None, operator=0, done=None):
+        registry = self.registries[seat] if seat else self.live_registry()
+        self.operators[operator].node.put(registry.address, plan, expect, done)
+
+    def pick_routers(self, first=None):
+        names = list(self.routers)
+        self.world.dice.shuffle(names)
+        if first:
+            names.remove(first)
+            names.insert(0, first)
+        return [self.routers[name].address for name in names[:3]]
+
+    def prompt(self, tokens):
+        if tokens not in self.prompts:
+            self.prompts[tokens] = make_prompt(tokens)
+        return self.prompts[tokens]
+
+    def ask(self, kind, routers=None, key=None, tokens=None, answer=None):
+        _, prompt_tokens, answer_tokens = self.mix.get(kind) or self.deployment.mix[kind]
+        return self.caller.node.ask(
+            kind, self.prompt(tokens or prompt_tokens), answer or answer_tokens, routers or self.pick_routers(), key,
+        )
+
+    def _pick_kind(self):
+        roll = self.world.dice.random() * sum(share for share, _, _ in self.mix.values())
+        for kind, (share, _, _) in self.mix.items():
+            roll -= share
+            if roll <= 0:
+                return kind
+        return kind
+
+    def load(self, rate=None):
+        self.rate = rate or self.rate
+        if self.is_loading:
+            return
+        self.is_loading = True
+        self._load_next()
+
+    def _load_next(self):
+        if not self.is_loading:
+            return
+        kind = self._pick_kind()
+        _, prompt_tokens, _ = self.mix[kind]
+        spread = self.world.dice.choice((0.5, 0.75, 1.0, 1.25, 1.5))
+        self.ask(kind, tokens=int(prompt_tokens * spread))
+        self.world.after(int(self.world.dice.expovariate(self.rate) * SECOND) + 1, self._load_next)
+
+    def stop_load(self):
+        self.is_loading = False
+
+    def settle(self, most_s=75):
+        self.stop_load()
+        asked = self.caller.node.asked
+        return self.world.wait_for(lambda: all(one.ended_us is not None for one in asked.values()), most_s * SECOND)
+
+    def summary(self, since_us=0, until_us=None):
+        return summarise(
+            [one for one in self.caller.node.asked.values() if since_us <= one.asked_us < (until_us or self.world.now_us + 1)],
+            self.deployment.kinds,
+        )
+
+
+def percentile(values, share):
+    if not values:
+        return None
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
+
+
+def summarise(asked, kinds):
+    counts = {"asked": len(asked), "served": 0, "refused": 0, "troubled": 0, "cut": 0, "waiting": 0, "good": 0}
+    ttfts, tpots, codes = [], [], {}
+    places = {"done": "served", "refused": "refused", "trouble": "troubled", "cut": "cut", "unmade": "refused", None: "waiting"}
+    for one in asked:
+        place = places.get(one.how if one.ended_us is not None else None, "troubled")
+        counts[place] += 1
+        if one.code:
+            codes[one.code] = codes.get(one.code, 0) + 1
+        if place != "served":
+            continue
+        kind = kinds[one.kind]
+        ttft_us = one.first_us - one.asked_us
+        tpot_us = (one.ended_us - one.first_us) / max(1, one.tokens - one.tokens // max(1, one.pieces))
+        ttfts.append(ttft_us)
+        tpots.append(tpot_us)
+        if ttft_us <= kind["ttft_us"] and tpot_us <= kind["tpot_us"]:
+            counts["good"] += 1
+    return {
+        **counts, "codes": codes, "goodput_share": round(counts["good"] / len(asked), 4) if asked else None,
+        "ttft_ms": {f"p{int(share * 100)}": ttfts and int(percentile(ttfts, share) / 1000) for share in (0.5, 0.9, 0.99)},
+        "tpot_ms": {f"p{int(share * 100)}": tpots and int(percentile(tpots, share) / 1000) for share in (0.5, 0.9, 0.99)},
+    }
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/people.py
@@ -0,0 +1,204 @@
+from linkhaven.clockwork import Hearer, Node, read_json, write_json
+from linkhaven.runner import PieceReader
+
+JSON = {"content-type": "application/json"}
+ANSWER_BYTES = 1_000_000
+
+
+class Asked:
+    """One request as its caller sees it, over all the conns it took."""
+
+    __slots__ = (
+        "id", "kind", "body", "headers", "router", "outing", "status", "error", "reader", "asked_us", "first_us",
+        "ended_us", "run", "last", "pieces", "tokens", "how", "code", "done", "request", "resumes", "is_clean", "count", "is_hung_up",
+    )
+
+    def __init__(self, id, kind, body, headers, asked_us):
+        self.id = id
+        self.kind = kind
+        self.body = body
+        self.headers = headers
+        self.asked_us = asked_us
+        self.router = self.outing = None
+        self.first_us = self.ended_us = None
+        self.run = None
+        self.last = 0
+        self.pieces = 0
+        self.tokens = 0
+        self.how = self.code = self.done = self.request = self.count = None
+        self.resumes = 0
+        self.is_hung_up = False
+        self.reset()
+
+    def reset(self):
+        self.status = 0
+        self.error = b""
+        self.reader = PieceReader()
+        self.is_clean = False
+
+
+class Caller(Node):
+    """Plays callers: posts requests, reads every piece, resumes where the kind allows it, and writes down all it saw."""
+
+    __slots__ = ("record", "asked", "serial", "kinds", "resumes_at_most", "on_end")
+
+    def __init__(self, name, address, ports, record, kinds, resumes_at_most=2, on_end=None):
+        super().__init__(name, address, ports)
+        self.record = record
+        self.asked = {}
+        self.serial = 0
+        self.kinds = kinds
+        self.resumes_at_most = resumes_at_most
+        self.on_end = on_end
+
+    def ask(self, kind, prompt, answer_tokens, routers, key=None, last_event_id=None):
+        self.serial += 1
+        id = f"{self.name}-{self.serial}"
+        body = write_json({"kind": kind, "prompt": f"{id} {prompt}", "answer_tokens": answer_tokens})
+        headers = dict(JSON)
+        if key:
+            headers["idempotency-key"] = key
+        if last_event_id:
+            headers["last-event-id"] = last_event_id
+        asked = self.asked[id] = Asked(id, kind, body, headers, self.now_us())
+        self._send(asked, routers)
+        return asked
+
+    def _send(self, asked, routers):
+        asked.reset()
+        asked.router = routers[0]
+        self.record(
+            "asked", id=asked.id, kind=asked.kind, router=asked.router, resume=asked.headers.get("last-event-id"),
+            key=asked.headers.get("idempotency-key"), answer_tokens=read_json(asked.body)["answer_tokens"],
+        )
+        hearer = Hearer(
+            lambda status, headers: self._head(asked, status, headers),
+            lambda data: self._data(asked, data),
+            lambda: self._end(asked, routers),
+            lambda has_begun: self._lost(asked, routers, has_begun),
+        )
+        asked.outing = self.ports.wire.open(asked.router, "POST", "/v1/requests", asked.headers, asked.body, hearer)
+
+    def hang_up(self, asked):
+        if asked.ended_us is None:
+            asked.outing.close()
+            asked.is_hung_up = True
+            self._close(asked, "hung-up", None, None)
+
+    def _head(self, asked, status, headers):
+        asked.status = status
+        asked.request = headers.get("request-id") or asked.request
+
+    def _data(self, asked, data):
+        if asked.status != 200:
+            asked.error += data[:ANSWER_BYTES]
+            return
+        for piece in asked.reader.feed(data):
+            if piece.event == "piece":
+                if asked.first_us is None:
+                    asked.first_us = self.now_us()
+                self.record("piece", id=asked.id, run=piece.run, number=piece.number, text=piece.document.get("text"))
+                asked.run, asked.last = piece.run, piece.number
+                asked.pieces += 1
+                asked.tokens += piece.document.get("tokens", 0)
+            elif piece.event == "done":
+                asked.is_clean = True
+                asked.how, asked.count = "done", piece.document.get("count")
+            else:
+                asked.is_clean = True
+                asked.how, asked.code, asked.done = "trouble", piece.document.get("code"), piece.document.get("done")
+
+    def _end(self, asked, routers):
+        if asked.status != 200:
+            try:
+                document = read_json(asked.error)
+            except Exception:
+                document = {}
+            asked.code, asked.done = document.get("code"), document.get("done")
+            return self._conclude(asked, routers, "refused" if asked.done == "no" else "trouble")
+        if not asked.is_clean:
+            return self._conclude(asked, routers, "cut")
+        self._conclude(asked, routers, asked.how)
+
+    def _lost(self, asked, routers, has_begun):
+        if asked.is_clean:
+            return self._conclude(asked, routers, asked.how)
+        self._conclude(asked, routers, "cut" if has_begun else "unmade")
+
+    def _conclude(self, asked, routers, how):
+        may_go_on = len(routers) > 1 and asked.resumes < self.resumes_at_most
+        if how == "unmade" and may_go_on:
+            asked.resumes += 1
+            self.record("unmade", id=asked.id, router=asked.router)
+            return self._send(asked, routers[1:])
+        if how in ("cut", "trouble") and may_go_on and asked.last and self.kinds[asked.kind]["resumable"] and asked.code not in ("run_unknown", "stream_broken"):
+            asked.resumes += 1
+            self.record("broken", id=asked.id, how=how, code=asked.code, done=asked.done)
+            asked.headers["last-event-id"] = f"{asked.run}:{asked.last}"
+            asked.code = asked.done = None
+            return self._send(asked, routers[1:])
+        self._close(asked, how, asked.code, asked.done)
+
+    def _close(self, asked, how, code, done):
+        asked.how = how
+        asked.ended_us = self.now_us()
+        self.record("ended", id=asked.id, how=how, code=code, done=done, count=asked.count, status=asked.status)
+        if self.on_end:
+            self.on_end(asked)
+
+
+class Operator(Node):
+    """Plays an operator: puts and reads plans, and writes down what was acknowledged."""
+
+    __slots__ = ("record", "serial", "answers")
+
+    def __init__(self, name, address, ports, record):
+        super().__init__(name, address, ports)
+        self.record = record
+        self.serial = 0
+        self.answers = []
+
+    def _call(self, address, method, path, document, done):
+        told = {"status": 0, "body": b""}
+
+        def on_head(status, headers):
+            told["status"] = status
+
+        def on_data(data):
+            told["body"] += data
+
+        body = write_json(document) if document is not None else b""
+        return self.ports.wire.open(address, method, path, JSON, body, Hearer(
+            on_head, on_data, lambda: done(told["status"], read_json(told["body"])), lambda has_begun: done(0, None),
+        ))
+
+    def put(self, registry, plan, expect, done=None):
+        self.serial += 1
+        put_id = f"{self.name}-{self.serial}"
+        self.record("put", put_id=put_id, expect=expect, plan=plan)
+
+        def hear(status, document):
+            answer = {"put_id": put_id, "status": status, "document": document, "expect": expect}
+            self.answers.append(answer)
+            if status == 200:
+                self.record("acked", put_id=put_id, mark=document["mark"])
+            else:
+                self.record("unacked", put_id=put_id, status=status, code=(document or {}).get("code"), done=(document or {}).get("done"))
+            if done:
+                done(status, document)
+
+        self._call(registry, "PUT", "/v1/plan", {"expect": expect, "put_id": put_id, "plan": plan}, hear)
+
+    def show(self, registry, done):
+        def hear(status, document):
+            if status == 200:
+                self.record("shown", mark=document["mark"], put_id=document["put_id"])
+            done(status, document)
+
+        self._call(registry, "GET", "/v1/plan", None, hear)
+
+    def get(self, address, path, done):
+        self._call(address, "GET", path, None, done)
+
+    def post(self, address, path, document, done):
+        self._call(address, "POST", path, document, done)
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/standins.py
@@ -0,0 +1,369 @@
+import hashlib
+from collections import OrderedDict, deque
+
+from linkhaven.clockwork import Hearer, Node, read_json, write_json
+from linkhaven.runner import write_event
+from linkhaven.runner.roster import DECODE, PREFILL
+from linkhaven.schema import Trouble, check_document
+
+
+def digest(text, size=8):
+    return hashlib.blake2b(text.encode(), digest_size=size).hexdigest()
+
+
+def piece_text(run, number):
+    return f"{run[-4:]}.{number}"
+
+
+def count_pieces(run, answer_tokens, piece_tokens):
+    most = max(1, answer_tokens // piece_tokens)
+    return 1 + int(digest(run, 4), 16) % most
+
+
+class Speeds:
+    __slots__ = ("prefill_rate", "read_share", "read_base_us", "step_us", "step_each_us", "kv_bytes", "link_rate", "piece_tokens")
+
+    def __init__(self, **given):
+        self.prefill_rate = 8_000
+        self.read_share = 0.5
+        self.read_base_us = 15_000
+        self.step_us = 16_000
+        self.step_each_us = 400
+        self.kv_bytes = 100_000
+        self.link_rate = 5_000_000_000
+        self.piece_tokens = 4
+        for name, value in given.items():
+            setattr(self, name, value)
+
+
+class Job:
+    __slots__ = ("call", "ask", "tokens", "run", "number", "count", "kv", "is_gone")
+
+    def __init__(self, call, ask):
+        self.call = call
+        self.ask = ask
+        self.tokens = len(ask["prompt"]) // 4 + 1
+        self.run = None
+        self.number = 0
+        self.count = 0
+        self.kv = 0
+        self.is_gone = False
+
+
+class StandInRunner(Node):
+    """Plays a model runner: the protocol of the schema file over made-up work that takes the time real work would."""
+
+    __slots__ = (
+        "incarnation", "phase", "speeds", "kv_total", "hold_us", "report_every_us", "queue_most", "reads", "is_reading",
+        "streams", "waiting", "handles", "mark", "fence", "is_leaving", "report", "reported_us", "is_stepping",
+        "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute",
+    )
+
+    def __init__(self, name, address, ports, incarnation, phase, record=None, **given):
+        super().__init__(name, address, ports)
+        self.incarnation = incarnation
+        self.phase = phase
+        self.speeds = given.pop("speeds", None) or Speeds()
+        self.kv_total = given.pop("kv_total", 120_000)
+        self.hold_us = given.pop("hold_us", 5_000_000)
+        self.report_every_us = given.pop("report_every_us", 500_000)
+        self.queue_most = given.pop("queue_most", 256)
+        self.can_resume = given.pop("can_resume", True)
+        self.record = record or (lambda kind, **facts: None)
+        self.reads = deque()
+        self.is_reading = False
+        self.streams = []
+        self.waiting = deque()
+        self.handles = OrderedDict()
+        self.mark = 0
+        self.fence = 0
+        self.is_leaving = False
+        self.is_stepping = False
+        self.link_slowness = 1.0
+        self.kv_fails = 0
+        self.is_mute = False
+        self.serial = 0
+        self.started_us = self.now_us()
+        self.reported_us = self.started_us
+        self.report = self._look()
+        self.systems += [self._make_report, self._sweep_handles]
+        self.paths = {
+            ("POST", "/v1/prefill"): self.serve_prefill,
+            ("POST", "/v1/decode"): self.serve_decode,
+            ("POST", "/v1/kv"): self.serve_kv,
+            ("POST", "/v1/phase"): self.serve_phase,
+            ("GET", "/v1/report"): self.serve_report,
+        }
+
+    @property
+    def kv_used(self):
+        return sum(job.kv for job in self.streams) + sum(held[2] for held in self.handles.values())
+
+    def _look(self):
+        return {
+            "name": self.name, "incarnation": self.incarnation, "phase": self.phase, "fence": self.fence, "mark": self.mark,
+            "queued": len(self.reads), "running": len(self.streams), "kv_used": self.kv_used,
+            "kv_total": self.kv_total, "is_leaving": self.is_leaving,
+        }
+
+    def _make_report(self, now_us):
+        if now_us - self.reported_us >= self.report_every_us:
+            self.reported_us = now_us
+            self.report = self._look()
+
+    def serve_report(self, call):
+        call.answer_json(200, {**self.report, "age_us": self.now_us() - self.reported_us})
+
+    def _admit(self, call, name):
+        ask = check_document(name, read_json(call.body))
+        if ask["mark"] < self.mark:
+            raise Trouble("mark_old", mark=self.mark)
+        self.mark = ask["mark"]
+        if self.is_leaving:
+            raise Trouble("runner_leaving")
+        if len(self.reads) + len(self.waiting) >= self.queue_most:
+            raise Trouble("runner_full")
+        return ask
+
+    def _begin(self, what, ask):
+        self.record(
+            "begin", what=what, runner=self.name, incarnation=self.incarnation, request=ask["request"], shot=ask["shot"],
+            mark=ask["mark"], one_time=ask["one_time"], asked=ask["prompt"].partition(" ")[0],
+            resume=ask.get("resume"), handle=ask.get("handle"),
+        )
+
+    def serve_prefill(self, call):
+        ask = self._admit(call, "Prefill")
+        if self.phase != PREFILL:
+            raise Trouble("phase_wrong", phase=self.phase)
+        self._begin("prefill", ask)
+        job = self._job(call, ask)
+        self._queue_read(job, self._finish_prefill)
+
+    def _job(self, call, ask):
+        job = Job(call, ask)
+
+        def leave():
+            job.is_gone = True
+            if job in self.streams:
+                self.streams.remove(job)
+                self._admit_waiting()
+
+        call.on_gone = leave
+        return job
+
+    def _queue_read(self, job, then):
+        self.reads.append((job, then))
+        self._read_next()
+
+    def _read_next(self):
+        if self.is_reading:
+            return
+        while self.reads and self.reads[0][0].is_gone:
+            self.reads.popleft()
+        if not self.reads:
+            return
+        self.is_reading = True
+        job, _ = self.reads[0]
+        rate = self.speeds.prefill_rate * (self.speeds.read_share if self.phase == DECODE else 1.0)
+        cost_us = int(self.speeds.read_base_us + job.tokens * 1_000_000 / rate)
+        self.ports.clock.call_in(cost_us, self._read_done)
+
+    def _read_done(self):
+        self.is_reading = False
+        job, then = self.reads.popleft()
+        if not job.is_gone:
+            then(job)
+        self._read_next()
+
+    def _finish_prefill(self, job):
+        self.serial += 1
+        handle = f"{self.name}/{self.incarnation}/{self.serial}"
+        self.handles[handle] = (job.ask["request"], job.ask["shot"], job.tokens, self.now_us() + self.hold_us)
+        job.call.answer_json(200, {
+            "request": job.ask["request"], "shot": job.ask["shot"], "handle": handle,
+            "incarnation": self.incarnation, "prompt_tokens": job.tokens,
+        })
+
+    def _sweep_handles(self, now_us):
+        for handle, held in list(self.handles.items()):
+            if now_us >= held[3]:
+                del self.handles[handle]
+
+    def serve_kv(self, call):
+        ask = check_document("KvAsk", read_json(call.body))
+        held = self.handles.get(ask["handle"])
+        if held is None or self.now_us() >= held[3]:
+            raise Trouble("handle_lapsed")
+        if held[0] != ask["request"] or held[1] != ask["shot"]:
+            raise Trouble("handle_foreign")
+        del self.handles[ask["handle"]]
+        cost_us = int(held[2] * self.speeds.kv_bytes * 1_000_000 / self.speeds.link_rate * self.link_slowness)
+
+        def send():
+            if self.kv_fails > 0:
+                self.kv_fails -= 1
+                return call.cut()
+            call.answer_json(200, {"request": held[0], "shot": held[1], "tokens": held[2]})
+
+        self.ports.clock.call_in(cost_us, send)
+
+    def serve_decode(self, call):
+        ask = self._admit(call, "Decode")
+        if self.phase != DECODE:
+            raise Trouble("phase_wrong", phase=self.phase)
+        resume = ask.get("resume")
+        job = self._job(call, ask)
+        own = digest(ask["prompt"], 6)
+        if resume and (not self.can_resume or not resume["run"].startswith(own + "-")):
+            raise Trouble("run_unknown")
+        fresh = digest("/".join((ask["request"], str(ask["shot"]), self.name)))
+        job.run = resume["run"] if resume else f"{own}-{fresh}"
+        job.count = count_pieces(job.run, ask["answer_tokens"], self.speeds.piece_tokens)
+        job.number = resume["after"] if resume else 0
+        if job.number > job.count:
+            raise Trouble("run_unknown")
+        self._begin("decode", ask)
+        if ask.get("handle"):
+            return self._fetch(job)
+        self._queue_read(job, self._wait_for_memory)
+
+    def _fetch(self, job):
+        ask = job.ask
+        told = {"status": 0, "body": b""}
+
+        def on_head(status, headers):
+            told["status"] = status
+
+        def on_data(data):
+            told["body"] += data
+
+        def on_end():
+            if job.is_gone:
+                return
+            document = read_json(told["body"] or b"null")
+            if told["status"] != 200:
+                code = document.get("code") if isinstance(document, dict) else None
+                return job.call.answer_trouble(Trouble(code if code in ("handle_lapsed", "handle_foreign") else "hand_over_failed"))
+            self.record("kv", runner=self.name, wanted=ask["request"], shot=ask["shot"], got=document["request"], got_shot=document["shot"])
+            if document["request"] != ask["request"] or document["shot"] != ask["shot"]:
+                return job.call.answer_trouble(Trouble("handle_foreign"))
+            self._wait_for_memory(job)
+
+        def on_trouble(has_begun):
+            if not job.is_gone:
+                job.call.answer_trouble(Trouble("hand_over_failed"))
+
+        body = write_json({"handle": ask["handle"], "request": ask["request"], "shot": ask["shot"]})
+        self.ports.wire.open(
+            ask["source"], "POST", "/v1/kv", {"content-type": "application/json"}, body,
+            Hearer(on_head, on_data, on_end, on_trouble),
+        )
+
+    def _wait_for_memory(self, job):
+        self.waiting.append(job)
+        self._admit_waiting()
+
+    def _admit_waiting(self):
+        while self.waiting:
+            job = self.waiting[0]
+            if job.is_gone:
+                self.waiting.popleft()
+                continue
+            if self.streams and self.kv_used + job.tokens > self.kv_total:
+                return
+            self.waiting.popleft()
+            job.kv = job.tokens + job.number * self.speeds.piece_tokens
+            self.streams.append(job)
+            job.call.begin(200, {
+                "content-type": "text/event-stream", "request-id": job.ask["request"], "run": job.run, "after": str(job.number),
+            })
+        self._step()
+
+    def _step(self):
+        if self.is_stepping or not self.streams:
+            return
+        self.is_stepping = True
+        speeds = self.speeds
+        cost_us = speeds.piece_tokens * (speeds.step_us + speeds.step_each_us * len(self.streams))
+        if self.is_reading:
+            cost_us = cost_us * 5 // 4
+        self.ports.clock.call_in(cost_us, self._step_done)
+
+    def _step_done(self):
+        self.is_stepping = False
+        for job in list(self.streams):
+            self._produce(job)
+        self._admit_waiting()
+        self._step()
+
+    def _produce(self, job):
+        if self.is_mute:
+            return
+        tokens = self.speeds.piece_tokens
+        if job.number < job.count:
+            job.number += 1
+            job.kv += tokens
+            document = {"text": piece_text(job.run, job.number), "tokens": tokens}
+            job.call.write(write_event("piece", document, f"{job.run}:{job.number}"))
+        if job.number >= job.count and not job.is_gone:
+            self.streams.remove(job)
+            job.is_gone = True
+            self.record("finished", runner=self.name, request=job.ask["request"], shot=job.ask["shot"], asked=job.ask["prompt"].partition(" ")[0])
+            job.call.write(write_event("done", {"count": job.number}))
+            job.call.finish()
+
+    def serve_phase(self, call):
+        order = check_document("PhaseOrder", read_json(call.body))
+        if order["fence"] < self.fence:
+            self.record("order", runner=self.name, incarnation=self.incarnation, fence=order["fence"], holder=order["holder"], is_taken=False)
+            raise Trouble("fence_old", fence=self.fence)
+        if order["mark"] < self.mark:
+            raise Trouble("mark_old", mark=self.mark)
+        self.mark = order["mark"]
+        self.fence = order["fence"]
+        self.record("order", runner=self.name, incarnation=self.incarnation, fence=order["fence"], holder=order["holder"], is_taken=True, phase=order["phase"])
+        self.phase = order["phase"]
+        if self.phase == DECODE:
+            self._refuse_reads()
+        call.answer_json(200, {"phase": self.phase, "fence": self.fence})
+
+    def _refuse_reads(self):
+        kept = deque(list(self.reads)[:1] if self.is_reading else [])
+        for job, then in list(self.reads)[len(kept):]:
+            if then != self._finish_prefill:
+                kept.append((job, then))
+            elif not job.is_gone:
+                job.call.answer_trouble(Trouble("phase_wrong", phase=self.phase))
+        self.reads = kept
+
+
+class StandInPlatform(Node):
+    """Plays the platform: keeps the list of runners, some way behind reality."""
+
+    __slots__ = ("lag_us", "history")
+
+    def __init__(self, name, address, ports, lag_us=500_000):
+        super().__init__(name, address, ports)
+        self.lag_us = lag_us
+        self.history = [(self.now_us() - lag_us, {})]
+        self.paths = {("GET", "/v1/runners"): self.serve_runners, ("PUT", "/v1/runners"): self.serve_put}
+
+    def set(self, runners, at_once=False):
+        self.history.append((self.now_us() - (self.lag_us if at_once else 0), runners))
+
+    def now(self):
+        return {name: dict(record) for name, record in self.history[-1][1].items()}
+
+    def serve_runners(self, call):
+        limit_us = self.now_us() - self.lag_us
+        shown = {}
+        for at_us, runners in self.history:
+            if at_us <= limit_us:
+                shown = runners
+        call.answer_json(200, {"runners": list(shown.values()), "age_us": self.lag_us})
+
+    def serve_put(self, call):
+        document = check_document("RunnerList", read_json(call.body))
+        self.set({record["name"]: record for record in document["runners"]}, at_once=not self.history[-1][1])
+        call.answer_json(200, {"runners": document["runners"]})
