--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -111,7 +111,7 @@
     """Router side: one open ask at every core seat; the plan is confirmed as of the sending
     of the asks that a majority of seats has answered."""
 
-    __slots__ = ("node", "directory", "image", "majority", "told", "serial", "facts", "on_news", "is_stale", "confirmed_us")
+    __slots__ = ("node", "directory", "image", "majority", "told", "serial", "facts", "on_news", "confirmed_us")
 
     def __init__(self, node, directory, image, majority=2):
         self.node = node
@@ -122,7 +122,6 @@
         self.serial = 0
         self.facts = []
         self.on_news = []
-        self.is_stale = True
         self.confirmed_us = None
         node.hearers["news"] = self.hear_news
         node.systems.append(self.tick)
@@ -181,7 +180,3 @@
             told = self.told.get(seat)
             if told is None or told.id is None or now_us - told.sent_us > ANEW_US:
                 self._ask(seat, address, now_us)
-        is_stale = not self.is_fresh()
-        if is_stale != self.is_stale:
-            self.is_stale = is_stale
-            self.node.ports.log(2002 if is_stale else 2003, mark=self.image.mark, highest=self.image.highest)
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -0,0 +1,138 @@
+import uuid
+
+from cleo.helpers import argument, option
+
+from linkhaven.plan import check_plan
+from linkhaven.schema import Trouble
+from linkhaven.wire import Shell
+from linkhaven.wire.console import PLACE_OPTIONS, CodedCommand, call_json, read_document, run_application
+
+from .disk import LmdbDisk
+from .node import RegistryNode
+
+REGISTRY_OPTION = option("registry", "r", "HTTP address of a registry", flag=False, default="127.0.0.1:8001")
+CORE_OPTIONS = [
+    *PLACE_OPTIONS,
+    option("data", None, "the data folder", flag=False),
+    option("seat", None, "the core seat: a, b or c", flag=False),
+    option("platform", None, "HTTP address of the platform's list of runners", flag=False),
+]
+
+
+class CoreCommand(CodedCommand):
+    options = CORE_OPTIONS
+
+    def read_core(self):
+        return self.read_place("registry", data=self.option("data"), seat=self.option("seat"), platform=self.option("platform"))
+
+
+class ServeCommand(CoreCommand):
+    name = "serve"
+    description = "Run this core seat until SIGTERM."
+
+    def act(self):
+        settings = self.read_core()
+        disk = LmdbDisk(settings["data"])
+
+        def build(ports, incarnation):
+            return RegistryNode(
+                settings["name"], settings["lines"], ports, settings["zone"], settings["seeds"], incarnation,
+                settings["seat"], settings["platform"],
+            )
+
+        try:
+            shell = Shell(
+                settings["name"], settings["lines"], settings["http"], build, disk, settings["log"]["level"],
+                settings["log"].get("file"), settings["body_bytes"], settings["conns"],
+            )
+            return shell.run_to_end()
+        finally:
+            disk.close()
+
+
+class CheckCommand(CoreCommand):
+    name = "check"
+    description = "Check the settings without starting."
+
+    def act(self):
+        self.show(self.read_core())
+
+
+class PlanCheckCommand(CodedCommand):
+    name = "plan check"
+    description = "Check a plan file without putting it."
+    arguments = [argument("file", "the plan as JSON")]
+
+    def act(self):
+        places = check_plan(read_document(self.argument("file")))
+        if places:
+            raise Trouble("plan_invalid", places=places)
+        self.line("The plan fits.")
+
+
+class PlanPutCommand(CodedCommand):
+    name = "plan put"
+    description = "Put a plan file in the place of the plan with the expected mark."
+    arguments = [argument("file", "the plan as JSON")]
+    options = [
+        REGISTRY_OPTION,
+        option("expect", "e", "the mark of the plan that this one replaces (0 for the first)", flag=False),
+        option("put-id", None, "id of this put, to repeat one whose outcome is unknown", flag=False),
+    ]
+
+    def act(self):
+        expect = self.option("expect")
+        if expect is None or not expect.isdigit():
+            raise Trouble("bad_request", places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}])
+        document = {
+            "expect": int(expect), "put_id": self.option("put-id") or str(uuid.uuid4()),
+            "plan": read_document(self.argument("file")),
+        }
+        self.line_error(f"put id {document['put_id']}")
+        chosen = call_json(self.option("registry"), "PUT", "/v1/plan", document)
+        self.show(chosen)
+
+
+class PlanShowCommand(CodedCommand):
+    name = "plan show"
+    description = "Show the plan in force and its mark, read at a majority of the core."
+    options = [REGISTRY_OPTION]
+
+    def act(self):
+        self.show(call_json(self.option("registry"), "GET", "/v1/plan"))
+
+
+class CoreStatusCommand(CodedCommand):
+    name = "core status"
+    description = "Show a seat's standing, the other seats and the holders of the duties."
+    options = [REGISTRY_OPTION]
+
+    def act(self):
+        self.show(call_json(self.option("registry"), "GET", "/v1/core"))
+
+
+class SeatRestoreCommand(CodedCommand):
+    name = "seat restore"
+    description = "Let a waiting seat vote with what its disk and the seats that answered hold. May lose acknowledged plans."
+    options = [REGISTRY_OPTION, option("yes", None, "do it: plans that only the lost seats held are given up")]
+
+    def act(self):
+        if not self.option("yes"):
+            raise Trouble("bad_request", places=[{"place": "--yes", "fault": "is needed: plans that only the lost seats held are given up"}])
+        self.show(call_json(self.option("registry"), "POST", "/v1/core/restore", {}))
+
+
+class StandingCommand(CodedCommand):
+    name = "standing"
+    description = "Show what a registry knows of its fellows and the runners."
+    options = [REGISTRY_OPTION]
+
+    def act(self):
+        self.show(call_json(self.option("registry"), "GET", "/v1/standing"))
+
+
+def main():
+    run_application("linkhaven-registry", [
+        ServeCommand(), CheckCommand(), PlanCheckCommand(), PlanPutCommand(), PlanShowCommand(),
+        CoreStatusCommand(), SeatRestoreCommand(), StandingCommand(),
+    ])
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -1,3 +1,5 @@
+import hashlib
+
 from cachetools import FIFOCache
 
 from linkhaven.clockwork import Node, Table
@@ -24,7 +26,7 @@
     __slots__ = (
         "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "shots", "flow",
         "requests", "chain", "explained", "is_draining", "drain_us", "on_drained", "serial", "counts",
-        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place",
+        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open",
     )
 
     def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, majority=2):
@@ -55,12 +57,13 @@
         self.rates = [0.0, 0.0]
         self.rated_us = self.now_us()
         self.steward_place = (0, 0)
+        self.is_open = False
         self.image.on_new.append(self._take_plan)
         self.news.facts.append(self._add_facts)
         self.news.on_news.append(self._hear_news)
         self.roster.on_new.append(self.wake_queue)
         self.hearers["want_image"] = self._hear_want_image
-        self.systems += [self._keep_deadlines, self._serve_queue, self._rate, self._drain]
+        self.systems += [self._keep_deadlines, self._serve_queue, self._rate, self._watch_openness, self._drain]
         self.paths = {
             ("POST", "/v1/requests"): self.serve_request,
             ("GET", "/v1/explain/"): self.serve_explain,
@@ -140,7 +143,8 @@
                 return self.refuse(request, Trouble("key_used"))
             self.refuse(request, Trouble("claim_unavailable", retry_us=1_000_000))
 
-        self.proposer.change(f"claim/{request.group}/{request.key}", step, done)
+        digest = hashlib.blake2b(request.key.encode(), digest_size=20).hexdigest()
+        self.proposer.change(f"claim/{request.group}/{digest}", step, done)
 
     def enqueue(self, request):
         self.credit.enqueue(request.group, request)
@@ -237,6 +241,16 @@
     def _serve_queue(self, now_us):
         self.wake_queue()
 
+    def _watch_openness(self, now_us):
+        is_open = self.may_start()
+        if is_open == self.is_open:
+            return
+        self.is_open = is_open
+        if is_open:
+            return self.ports.log(2003, mark=self.image.mark)
+        why = "roster" if self.news.is_fresh() else "plan"
+        self.ports.log(2002, why=why, mark=self.image.mark, highest=self.image.highest)
+
     def _rate(self, now_us):
         passed_us = now_us - self.rated_us
         if passed_us < RATE_US:
--- /dev/null
+++ b/packages/router/src/linkhaven/router/program.py
@@ -0,0 +1,60 @@
+from cleo.helpers import argument, option
+
+from linkhaven.wire import Shell
+from linkhaven.wire.console import PLACE_OPTIONS, CodedCommand, call_json, run_application
+
+from .node import RouterNode
+
+ROUTER_OPTION = option("router", "r", "HTTP address of the router", flag=False, default="127.0.0.1:8101")
+
+
+class ServeCommand(CodedCommand):
+    name = "serve"
+    description = "Run this router until SIGTERM, then drain."
+    options = PLACE_OPTIONS
+
+    def act(self):
+        settings = self.read_place("router")
+
+        def build(ports, incarnation):
+            return RouterNode(
+                settings["name"], settings["lines"], ports, settings["zone"], settings["seeds"], incarnation, settings["requests"],
+            )
+
+        shell = Shell(
+            settings["name"], settings["lines"], settings["http"], build, level=settings["log"]["level"],
+            log_path=settings["log"].get("file"), body_bytes=settings["body_bytes"], conns=settings["conns"],
+        )
+        return shell.run_to_end()
+
+
+class CheckCommand(CodedCommand):
+    name = "check"
+    description = "Check the settings without starting."
+    options = PLACE_OPTIONS
+
+    def act(self):
+        self.show(self.read_place("router"))
+
+
+class ExplainCommand(CodedCommand):
+    name = "explain"
+    description = "Show how a recent request was placed: candidates, Q, E, T, choice, exceptions."
+    arguments = [argument("request", "the request's id, as in the answer's request-id header")]
+    options = [ROUTER_OPTION]
+
+    def act(self):
+        self.show(call_json(self.option("router"), "GET", f"/v1/explain/{self.argument('request')}"))
+
+
+class StandingCommand(CodedCommand):
+    name = "standing"
+    description = "Show what a router knows of itself, its fellows, the runners and its groups."
+    options = [ROUTER_OPTION]
+
+    def act(self):
+        self.show(call_json(self.option("router"), "GET", "/v1/standing"))
+
+
+def main():
+    run_application("linkhaven-router", [ServeCommand(), CheckCommand(), ExplainCommand(), StandingCommand()])
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -0,0 +1,225 @@
+import json
+import os
+import random
+import signal
+import subprocess
+import sys
+import threading
+import time
+
+from linkhaven.schema import Trouble
+from linkhaven.wire import Shell
+from linkhaven.wire.console import call_json
+
+from .fleet import make_prompt, summarise
+from .people import Caller
+
+READY_S = 60
+STOP_S = 20
+
+
+class Watched:
+    """One process of the fleet; its log is kept and its numbered events can be waited for."""
+
+    __slots__ = ("name", "process", "lines", "seen", "thread")
+
+    def __init__(self, name, command, log_path):
+        self.name = name
+        self.lines = []
+        self.seen = threading.Condition()
+        self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True)
+        self.thread = threading.Thread(target=self._read, args=(log_path,), daemon=True)
+        self.thread.start()
+
+    def _read(self, log_path):
+        with open(log_path, "a", encoding="utf-8") as log:
+            for line in self.process.stderr:
+                log.write(line)
+                with self.seen:
+                    self.lines.append(line)
+                    self.seen.notify_all()
+            log.flush()
+        with self.seen:
+            self.lines.append("")
+            self.seen.notify_all()
+
+    def count(self, number):
+        return sum(1 for line in self.lines if f"LH{number} " in line)
+
+    def wait_event(self, number, seconds=READY_S, times=1):
+        with self.seen:
+            is_seen = self.seen.wait_for(lambda: self.count(number) >= times or self.process.poll() is not None, seconds)
+        if not is_seen or self.count(number) < times:
+            raise RuntimeError(f"{self.name} did not report event {number}: {''.join(self.lines[-5:])}")
+
+    def stop(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+
+    def wait_end(self):
+        try:
+            return self.process.wait(STOP_S)
+        except subprocess.TimeoutExpired:
+            self.process.kill()
+            return self.process.wait()
+
+
+class LoopbackFleet:
+    """A whole deployment as processes on loopback. A test tool: the one thing here that starts processes."""
+
+    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "given")
+
+    def __init__(self, deployment, folder, port):
+        self.deployment = deployment
+        self.folder = folder
+        self.port = port
+        self.processes = {}
+        self.registries = {}
+        self.routers = {}
+        self.runners = {}
+        self.platform = self._address(90)
+        self.seeds = [self._address(place + 1) for place in range(3)]
+        self.given = {}
+
+    def _address(self, place):
+        return f"127.0.0.1:{self.port + place}"
+
+    def _run(self, name, program, *words):
+        command = [os.path.join(os.path.dirname(sys.executable), program), *words]
+        self.given[name] = (program, words)
+        self.processes[name] = Watched(name, command, os.path.join(self.folder, f"{name}.log"))
+        return self.processes[name]
+
+    def run_again(self, name):
+        program, words = self.given[name]
+        return self._run(name, program, *words)
+
+    def _serve(self, name, program, settings):
+        path = os.path.join(self.folder, f"{name}.json")
+        with open(path, "w", encoding="utf-8") as file:
+            json.dump(settings, file, indent=2)
+        self._run(name, program, "serve", "--settings", path)
+
+    def start(self):
+        zones = self.deployment.zones
+        listed = []
+        for place in range(self.deployment.runners):
+            name, address = f"runner-{place + 1}", self._address(60 + place)
+            phase = "prefill" if place < self.deployment.prefills else "decode"
+            self.runners[name] = address
+            zone = zones[place % len(zones)]
+            self._run(name, "linkhaven-stage", "runner", "--name", name, "--http", address, "--phase", phase)
+            listed += ["--runner", f"{name}={address}={zone}"]
+        self._run("platform", "linkhaven-stage", "platform", "--http", self.platform, *listed)
+        for place, seat in enumerate("abc"):
+            name = f"core-{seat}"
+            self.registries[name] = self._address(11 + place)
+            self._serve(name, "linkhaven-registry", {
+                "name": name, "zone": zones[place % len(zones)], "lines": self.seeds[place], "http": self.registries[name],
+                "seeds": self.seeds, "seat": seat, "platform": self.platform, "data": os.path.join(self.folder, f"{name}-data"),
+            })
+        for place in range(self.deployment.routers):
+            name = f"edge-{place + 1}"
+            self.routers[name] = self._address(41 + place)
+            self._serve(name, "linkhaven-router", {
+                "name": name, "zone": zones[place % len(zones)], "lines": self._address(21 + place), "http": self.routers[name],
+                "seeds": self.seeds,
+            })
+        for name in self.registries:
+            self.processes[name].wait_event(1202)
+        return self
+
+    def put_plan(self, plan, expect):
+        for address in [*self.registries.values()] * 3:
+            try:
+                return call_json(address, "PUT", "/v1/plan", {"expect": expect, "put_id": f"fleet-{expect}", "plan": plan})
+            except Trouble as trouble:
+                if trouble.done != "no" or trouble.code == "mark_conflict":
+                    raise
+        raise RuntimeError("no registry took the plan")
+
+    def wait_ready(self):
+        for name in self.routers:
+            self.processes[name].wait_event(2003)
+
+    def kill(self, name):
+        self.processes[name].process.kill()
+        self.processes[name].process.wait()
+
+    def stop(self):
+        order = [*self.routers, *self.registries, "platform", *self.runners]
+        for name in order:
+            if name in self.processes:
+                self.processes[name].stop()
+        return {name: self.processes[name].wait_end() for name in order if name in self.processes}
+
+
+class LoadRun:
+    """A bounded load of callers on one loop, against routers on real sockets."""
+
+    __slots__ = ("deployment", "routers", "rate", "seconds", "dice", "caller", "shell", "prompts", "end_us", "stop_us", "left", "record", "only")
+
+    def __init__(self, deployment, routers, rate, seconds, seed, record=None, only=None):
+        self.deployment = deployment
+        self.routers = list(routers)
+        self.rate = rate
+        self.seconds = seconds
+        self.dice = random.Random(seed)
+        self.prompts = {}
+        self.record = record or (lambda kind, /, **facts: None)
+        self.only = only
+        self.left = 0
+        self.shell = Shell("callers", None, None, self._build, level="warning")
+
+    def _build(self, ports, incarnation):
+        self.caller = Caller("callers", "", ports, self.record, self.deployment.kinds, on_end=self._note_end)
+        self.caller.systems.append(self._watch)
+        return self.caller
+
+    def run(self):
+        now_us = self.shell.ticker.now_us()
+        self.end_us = now_us + self.seconds * 1_000_000
+        self.stop_us = self.end_us + 75_000_000
+        self._next()
+        self.shell.run()
+        return summarise(list(self.caller.asked.values()), self.deployment.kinds)
+
+    def _pick(self):
+        if self.only:
+            return self.only
+        kinds, shares = zip(*((kind, share) for kind, (share, _, _) in self.deployment.mix.items()))
+        return self.dice.choices(kinds, shares)[0]
+
+    def _next(self):
+        if self.shell.ticker.now_us() >= self.end_us:
+            return
+        kind = self._pick()
+        _, prompt_tokens, answer_tokens = self.deployment.mix[kind]
+        tokens = int(prompt_tokens * self.dice.choice((0.5, 0.75, 1.0, 1.25, 1.5)))
+        prompt = self.prompts.setdefault(tokens, make_prompt(tokens))
+        self.dice.shuffle(self.routers)
+        self.left += 1
+        self.caller.ask(kind, prompt, answer_tokens, self.routers[:3])
+        self.shell.ticker.call_in(int(self.dice.expovariate(self.rate) * 1_000_000) + 1, self._next)
+
+    def _note_end(self, asked):
+        self.left -= 1
+
+    def _watch(self, now_us):
+        if now_us >= self.stop_us or now_us >= self.end_us and not self.left:
+            self.shell.stop()
+
+
+def run_fleet(deployment, folder, port, rate, seconds, seed):
+    os.makedirs(folder, exist_ok=True)
+    fleet = LoopbackFleet(deployment, folder, port)
+    begun = time.monotonic()
+    try:
+        fleet.start()
+        fleet.put_plan(deployment.plan(), 0)
+        fleet.wait_ready()
+        ready_s = time.monotonic() - begun
+        told = LoadRun(deployment, fleet.routers.values(), rate, seconds, seed).run()
+    finally:
+        codes = fleet.stop()
+    return {"deployment": deployment.name, "seed": seed, "rate": rate, "seconds": seconds, "ready_s": round(ready_s, 1), **told, "exit_codes": sorted(set(codes.values()))}
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -0,0 +1,113 @@
+import tempfile
+
+from cleo.helpers import option
+
+from linkhaven.schema import Trouble
+from linkhaven.wire import Shell
+from linkhaven.wire.console import CodedCommand, run_application
+
+from .fleet import DEPLOYMENTS
+from .loopback import LoadRun, run_fleet
+from .standins import StandInPlatform, StandInRunner
+
+DEPLOYMENT_OPTION = option("deployment", "d", "licensing or archive", flag=False, default="licensing")
+
+
+def whole(command, name, least, most):
+    text = command.option(name)
+    if not str(text).isdigit() or not least <= int(text) <= most:
+        raise Trouble("settings_invalid", places=f"--{name}: is not a whole number from {least} to {most}")
+    return int(text)
+
+
+def deployment_of(command):
+    deployment = DEPLOYMENTS.get(command.option("deployment"))
+    if deployment is None:
+        raise Trouble("settings_invalid", places=f"--deployment: is not one of {', '.join(DEPLOYMENTS)}")
+    return deployment
+
+
+class RunnerCommand(CodedCommand):
+    name = "runner"
+    description = "Run a stand-in model runner."
+    options = [
+        option("name", None, "the runner's name", flag=False, default="runner-1"),
+        option("http", None, "IP number and port", flag=False, default="127.0.0.1:9001"),
+        option("phase", None, "prefill or decode", flag=False, default="decode"),
+    ]
+
+    def act(self):
+        if self.option("phase") not in ("prefill", "decode"):
+            raise Trouble("settings_invalid", places="--phase: is neither prefill nor decode")
+
+        def build(ports, incarnation):
+            return StandInRunner(self.option("name"), self.option("http"), ports, incarnation, self.option("phase"))
+
+        return Shell(self.option("name"), None, self.option("http"), build).run_to_end()
+
+
+class PlatformCommand(CodedCommand):
+    name = "platform"
+    description = "Run a stand-in platform that lists runners, behind reality."
+    options = [
+        option("http", None, "IP number and port", flag=False, default="127.0.0.1:9000"),
+        option("runner", None, "name=address=zone, once for each runner", flag=False, multiple=True),
+    ]
+
+    def act(self):
+        listed = {}
+        for text in self.option("runner"):
+            parts = text.split("=")
+            if len(parts) != 3:
+                raise Trouble("settings_invalid", places=f"--runner: {text} is not name=address=zone")
+            name, address, zone = parts
+            listed[name] = {"name": name, "address": address, "zone": zone, "incarnation": 1, "state": "serving"}
+
+        def build(ports, incarnation):
+            platform = StandInPlatform("platform", self.option("http"), ports)
+            platform.set(listed, at_once=True)
+            return platform
+
+        return Shell("platform", None, self.option("http"), build).run_to_end()
+
+
+class LoadCommand(CodedCommand):
+    name = "load"
+    description = "Put a bounded load of callers on routers and print a summary."
+    options = [
+        DEPLOYMENT_OPTION,
+        option("router", "r", "HTTP address of a router (repeat)", flag=False, multiple=True),
+        option("rate", None, "requests a second", flag=False, default="6"),
+        option("seconds", None, "how long", flag=False, default="20"),
+        option("seed", None, "seed of the load", flag=False, default="1"),
+    ]
+
+    def act(self):
+        routers = self.option("router") or ["127.0.0.1:8101"]
+        run = LoadRun(deployment_of(self), routers, whole(self, "rate", 1, 500), whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9))
+        self.show(run.run())
+
+
+class FleetCommand(CodedCommand):
+    name = "fleet"
+    description = "Start a whole deployment on loopback, put a plan and a bounded load on it, print a summary, stop it."
+    options = [
+        DEPLOYMENT_OPTION,
+        option("port", None, "first of a hundred ports on 127.0.0.1", flag=False, default="17000"),
+        option("rate", None, "requests a second", flag=False, default="6"),
+        option("seconds", None, "how long", flag=False, default="20"),
+        option("seed", None, "seed of the load", flag=False, default="1"),
+        option("folder", None, "where settings, data and logs go (default: a new temporary folder)", flag=False),
+    ]
+
+    def act(self):
+        folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-")
+        self.line_error(f"settings, data and logs in {folder}")
+        self.show(run_fleet(
+            deployment_of(self), folder, whole(self, "port", 1024, 65_000), whole(self, "rate", 1, 500),
+            whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9),
+        ))
+
+
+def main():
+    run_application("linkhaven-stage", [RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand()])
--- a/packages/wire/src/linkhaven/wire/__init__.py
+++ b/packages/wire/src/linkhaven/wire/__init__.py
@@ -0,0 +1,5 @@
+from .log import make_log
+from .settings import check_settings, read_settings
+from .shell import Shell
+
+__all__ = ["Shell", "check_settings", "make_log", "read_settings"]
--- /dev/null
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -0,0 +1,200 @@
+from circuits import BaseComponent, handler
+from circuits.net.events import close, write
+from circuits.net.sockets import TCPServer
+from circuits.web.events import response, stream
+from circuits.web.http import HTTP
+
+from linkhaven.clockwork import Call, read_json, write_json
+from linkhaven.schema import Trouble
+
+from .settings import split_address
+
+LINE_BYTES = 16_000_000
+READ_BYTES = 65_536
+ROOM_BYTES = 65_536
+CODES = {404: "unknown_path", 413: "too_large"}
+
+
+class LinesInlet(BaseComponent):
+    """JSON lines from fellows."""
+
+    channel = "lines"
+
+    def __init__(self, address, on_line):
+        super().__init__()
+        self.on_line = on_line
+        self.rests = {}
+        TCPServer(split_address(address), channel="lines", bufsize=READ_BYTES).register(self)
+
+    @handler("read")
+    def _on_read(self, sock, data):
+        lines = (self.rests.pop(sock, b"") + data).split(b"\n")
+        rest = lines.pop()
+        for line in lines:
+            if not line.strip():
+                continue
+            try:
+                message = read_json(line)
+            except Trouble:
+                self.fire(close(sock))
+                return
+            if isinstance(message, dict):
+                self.on_line(message)
+        if len(rest) > LINE_BYTES:
+            self.fire(close(sock))
+        elif rest:
+            self.rests[sock] = rest
+
+    @handler("disconnect")
+    def _on_disconnect(self, sock):
+        self.rests.pop(sock, None)
+
+
+class WebCall(Call):
+    __slots__ = ("inlet", "request", "response", "sock", "is_full")
+
+    def __init__(self, inlet, request, response_, headers):
+        path = request.path + (f"?{request.qs}" if request.qs else "")
+        super().__init__(request.method, path, headers, request.body.read(), str(request.sock.fileno()))
+        self.inlet = inlet
+        self.request = request
+        self.response = response_
+        self.sock = request.sock
+        self.is_full = False
+
+    def _set_head(self, status, headers):
+        self.response.status = status
+        for name, value in headers.items():
+            self.response.headers[name] = value
+
+    def answer(self, status, headers, body):
+        if self.is_ended:
+            return
+        self.is_begun = self.is_ended = True
+        self._set_head(status, headers)
+        self.response.body = body
+        self.inlet.end_call(self)
+        self.inlet.fire(response(self.response))
+
+    def begin(self, status, headers):
+        if self.is_ended or self.is_begun:
+            return
+        self.is_begun = True
+        self._set_head(status, headers)
+        self.response.stream = True
+        self.response._body = ()
+        self.inlet.fire(response(self.response))
+
+    def write(self, data):
+        if self.is_ended:
+            return False
+        self.inlet.fire(stream(self.response, data))
+        if self.inlet.waiting_bytes(self.sock) < ROOM_BYTES:
+            return True
+        self.is_full = True
+        return False
+
+    def finish(self):
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.inlet.end_call(self)
+        self.inlet.fire(stream(self.response, None))
+
+    def cut(self):
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.inlet.end_call(self)
+        self.inlet.fire(close(self.sock))
+
+
+class WebInlet(BaseComponent):
+    """HTTP in, by circuits.web's HTTP component over a TCP server; answers are pushed as events."""
+
+    channel = "web"
+    secure = False
+    display_banner = False
+
+    def __init__(self, address, on_call, body_bytes, conns_at_most):
+        super().__init__()
+        self.on_call = on_call
+        self.body_bytes = body_bytes
+        self.conns_at_most = conns_at_most
+        self.calls = {}
+        self.taken = {}
+        self.server = TCPServer(split_address(address), channel="web", bufsize=READ_BYTES).register(self)
+        self.http = HTTP(self, channel="web").register(self)
+
+    @property
+    def host(self):
+        return self.server.host
+
+    @property
+    def port(self):
+        return self.server.port
+
+    def waiting_bytes(self, sock):
+        return sum(len(data) for data in self.server._buffers.get(sock, ()))
+
+    def end_call(self, call):
+        self.calls.pop(call.sock, None)
+
+    def look_for_room(self):
+        for call in list(self.calls.values()):
+            if call.is_full and self.waiting_bytes(call.sock) < ROOM_BYTES // 2:
+                call.is_full = False
+                if call.on_room:
+                    call.on_room()
+
+    @handler("connect", priority=1)
+    def _on_connect(self, sock, host, port):
+        if len(self.server._clients) > self.conns_at_most:
+            self._answer_raw(sock, Trouble("too_busy", retry_us=1_000_000))
+
+    @handler("read", priority=10)
+    def _on_read(self, event, sock, data):
+        if sock in self.calls:
+            event.stop()
+            return
+        taken = self.taken[sock] = self.taken.get(sock, 0) + len(data)
+        if taken > self.body_bytes:
+            event.stop()
+            self._answer_raw(sock, Trouble("too_large", body_bytes=self.body_bytes))
+            return
+        if taken == len(data) and b"100-continue" in data[:4096].lower():
+            self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"))
+
+    def _answer_raw(self, sock, trouble):
+        body = write_json(trouble.as_document())
+        head = f"HTTP/1.1 {trouble.status} Refused\r\ncontent-type: application/json\r\ncontent-length: {len(body)}\r\nconnection: close\r\n\r\n"
+        self.fire(write(sock, head.encode() + body))
+        self.fire(close(sock))
+        self.http._buffers.pop(sock, None)
+
+    @handler("request", priority=1)
+    def _on_request(self, event, req, res):
+        event.stop()
+        self.taken.pop(req.sock, None)
+        headers = {name.lower(): value for name, value in req.headers.items()}
+        call = self.calls[req.sock] = WebCall(self, req, res, headers)
+        self.on_call(call)
+        return True
+
+    @handler("httperror", priority=1)
+    def _on_fault(self, event, req, res, code=None, **kwargs):
+        event.stop()
+        trouble = Trouble(CODES.get(code, "bad_request"))
+        res.status = trouble.status
+        res.headers["content-type"] = "application/json"
+        res.body = write_json(trouble.as_document())
+        res.close = True
+        self.fire(response(res))
+
+    @handler("disconnect", priority=1)
+    def _on_gone(self, sock):
+        self.taken.pop(sock, None)
+        self.http._buffers.pop(sock, None)
+        call = self.calls.pop(sock, None)
+        if call is not None:
+            call.has_gone()
--- /dev/null
+++ b/packages/wire/src/linkhaven/wire/ticker.py
@@ -0,0 +1,46 @@
+import heapq
+import time
+
+from circuits import BaseComponent, handler
+
+TICK_US = 20_000
+
+
+def monotonic_us():
+    return time.monotonic_ns() // 1_000
+
+
+class Ticker(BaseComponent):
+    """The loop's clock: monotonic time, the tick, and calls put off to later."""
+
+    channel = "ticker"
+
+    def __init__(self, on_tick):
+        super().__init__()
+        self.on_tick = on_tick
+        self.agenda = []
+        self.serial = 0
+        self.due_us = monotonic_us()
+
+    def now_us(self):
+        return monotonic_us()
+
+    def call_in(self, delay_us, deed):
+        self.serial += 1
+        heapq.heappush(self.agenda, (monotonic_us() + delay_us, self.serial, deed))
+
+    @handler("generate_events", channel="*", priority=1)
+    def _on_generate_events(self, event):
+        try:
+            self._run_due()
+        finally:
+            until_us = min(self.due_us, self.agenda[0][0]) if self.agenda else self.due_us
+            event.reduce_time_left(max(0.0, (until_us - monotonic_us()) / 1_000_000))
+
+    def _run_due(self):
+        now_us = monotonic_us()
+        while self.agenda and self.agenda[0][0] <= now_us:
+            heapq.heappop(self.agenda)[2]()
+        if now_us >= self.due_us:
+            self.due_us = now_us + TICK_US
+            self.on_tick()
