--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -0,0 +1,217 @@
+from collections import defaultdict
+
+from .standins import count_pieces, piece_text
+
+SECOND = 1_000_000
+
+
+def _of(record, kind):
+    return [(at_us, facts) for at_us, noted, facts in record if noted == kind]
+
+
+def one_time_work_runs_once(record, **terms):
+    """A one-time request, or one idempotency key, never has two shots begun at runners."""
+    keys = {facts["id"]: facts["key"] for _, facts in _of(record, "asked") if facts["key"]}
+    shots, decodes = defaultdict(set), defaultdict(int)
+    for _, facts in _of(record, "begin"):
+        if not facts["one_time"]:
+            continue
+        shots[keys.get(facts["asked"], facts["asked"])].add((facts["request"], facts["shot"]))
+        if facts["what"] == "decode":
+            decodes[(facts["request"], facts["shot"])] += 1
+    for work, begun in shots.items():
+        if len(begun) > 1:
+            yield f"one-time work {work} was begun {len(begun)} times: {sorted(begun)}"
+    for shot, count in decodes.items():
+        if count > 1:
+            yield f"shot {shot} was decoded {count} times"
+
+
+def a_refusal_means_not_done(record, **terms):
+    """After a refusal nothing of that call was or will be begun."""
+    sent, refused = {}, {}
+    for at_us, kind, facts in record:
+        if kind == "asked":
+            sent[facts["id"]] = at_us
+        elif kind == "ended" and facts["how"] == "refused":
+            refused[facts["id"]] = sent[facts["id"]]
+    for at_us, facts in _of(record, "begin"):
+        if facts["asked"] in refused and at_us >= refused[facts["asked"]]:
+            yield f"{facts['asked']} was refused and yet {facts['what']} began at {at_us}"
+
+
+def every_caller_hears_back(record, deadlines=None, hindered=(), **terms):
+    """Each call ends, and by its deadline unless its router was itself hindered."""
+    asked, ended = {}, {}
+    for at_us, kind, facts in record:
+        if kind == "asked":
+            asked[facts["id"]] = (at_us, facts)
+        elif kind == "ended":
+            ended[facts["id"]] = at_us
+    for id, (at_us, facts) in asked.items():
+        if id not in ended:
+            yield f"{id} never heard back from {facts['router']}"
+        elif deadlines and facts["router"] not in hindered and ended[id] - at_us > deadlines[facts["kind"]] + 1_500_000:
+            yield f"{id} heard back {ended[id] - at_us} us after it asked {facts['router']}"
+
+
+def streams_are_whole(record, **terms):
+    """Pieces of one run, in order, none skipped or repeated, as the runner made them; done only when whole."""
+    asked, runs, last = {}, {}, {}
+    for at_us, kind, facts in record:
+        if kind == "asked":
+            asked.setdefault(facts["id"], facts)
+            if facts["resume"] and facts["id"] not in runs:
+                run, _, number = facts["resume"].rpartition(":")
+                runs[facts["id"]], last[facts["id"]] = run, int(number)
+        elif kind == "piece":
+            id = facts["id"]
+            if runs.setdefault(id, facts["run"]) != facts["run"]:
+                yield f"{id} joins run {facts['run']} to {runs[id]}"
+            if facts["number"] != last.get(id, 0) + 1:
+                yield f"{id} has piece {facts['number']} after {last.get(id, 0)}"
+            if facts["text"] != piece_text(facts["run"], facts["number"]):
+                yield f"{id} has a piece {facts['number']} that its run did not make"
+            last[id] = facts["number"]
+        elif kind == "ended" and facts["how"] == "done":
+            id = facts["id"]
+            whole = count_pieces(runs[id], asked[id]["answer_tokens"], terms.get("piece_tokens", 4)) if id in runs else None
+            if facts["count"] != last.get(id, 0) or facts["count"] != whole:
+                yield f"{id} looks complete with {last.get(id, 0)} pieces, told {facts['count']}, whole {whole}"
+
+
+def memory_is_never_shared(record, **terms):
+    """A request's KV memory goes to no other request or shot."""
+    for at_us, facts in _of(record, "kv"):
+        if facts["wanted"] != facts["got"] or facts["shot"] != facts["got_shot"]:
+            yield f"{facts['runner']} got memory of {facts['got']} for {facts['wanted']}"
+
+
+def plans_are_in_force(record, within_us=2_200_000, **terms):
+    """After an acknowledged put, no shot is begun under an older plan past the bound."""
+    acked = _of(record, "acked")
+    for at_us, facts in _of(record, "begin"):
+        for acked_us, told in acked:
+            if at_us > acked_us + within_us and facts["mark"] < told["mark"]:
+                yield f"{facts['request']} began at {at_us} under mark {facts['mark']}; {told['mark']} was acknowledged at {acked_us}"
+                break
+
+
+def marks_never_go_back(record, slack_us=500_000, **terms):
+    """Once a runner has seen a mark from a node, that node offers no older one."""
+    highest = {}
+    for at_us, facts in _of(record, "offered"):
+        node = facts["request"].rsplit("-", 2)[0]
+        mark, seen_us = highest.get(node, (0, 0))
+        if facts["mark"] < mark and at_us - seen_us > slack_us:
+            yield f"{node} went back from mark {mark} to {facts['mark']} at {at_us}"
+        if facts["mark"] > mark:
+            highest[node] = (facts["mark"], at_us)
+
+
+def acknowledged_plans_survive(record, **terms):
+    """What was acknowledged is there at the end, and no mark was acknowledged for two puts."""
+    acked = _of(record, "acked")
+    puts = {}
+    for _, facts in acked:
+        if puts.setdefault(facts["mark"], facts["put_id"]) != facts["put_id"]:
+            yield f"mark {facts['mark']} was acknowledged for {puts[facts['mark']]} and {facts['put_id']}"
+    shown = [facts for at_us, facts in _of(record, "shown")]
+    if not acked or not shown:
+        return
+    top = max(puts)
+    last = shown[-1]
+    if last["mark"] < top or last["mark"] == top and last["put_id"] != puts[top]:
+        yield f"mark {top} of {puts[top]} was acknowledged; the core shows mark {last['mark']} of {last['put_id']}"
+
+
+def leaving_runners_get_no_work(record, within_us=3_200_000, **terms):
+    """No work is offered to a runner later than the bound after it was listed as leaving."""
+    leaving = {}
+    for at_us, kind, facts in record:
+        if kind == "listed":
+            for name, state in facts["runners"].items():
+                if state == "leaving":
+                    leaving.setdefault(name, at_us)
+                else:
+                    leaving.pop(name, None)
+        elif kind == "offered" and facts["runner"] in leaving and at_us > leaving[facts["runner"]] + within_us:
+            yield f"{facts['runner']} is leaving since {leaving[facts['runner']]} and was offered {facts['request']} at {at_us}"
+
+
+def extra_shots_keep_to_the_budget(record, share=0.2, margin=10, span_us=10 * SECOND, **terms):
+    """In every span, extra shots stay within the share of the requests plus the margin."""
+    asked = [at_us for at_us, facts in _of(record, "asked")]
+    extra, seen = [], set()
+    for at_us, facts in _of(record, "offered"):
+        if facts["shot"] > 1 and (facts["request"], facts["shot"]) not in seen:
+            seen.add((facts["request"], facts["shot"]))
+            extra.append(at_us)
+    for edge in extra:
+        for begin in (edge, edge - span_us):
+            tries = sum(1 for at_us in extra if begin <= at_us <= begin + span_us)
+            requests = sum(1 for at_us in asked if begin <= at_us <= begin + span_us)
+            if tries > share * requests + margin:
+                yield f"{tries} extra shots over {requests} requests in the span from {begin}"
+                return
+
+
+def one_holder_orders(record, slack_us=SECOND, **terms):
+    """Fences name one holder each, never go back at a runner, and an old holder falls silent."""
+    holders, fences, newest = {}, {}, (0, 0)
+    for at_us, facts in _of(record, "order"):
+        if not facts["is_taken"]:
+            continue
+        fence = facts["fence"]
+        if holders.setdefault(fence, facts["holder"]) != facts["holder"]:
+            yield f"fence {fence} was used by {holders[fence]} and {facts['holder']}"
+        runner = (facts["runner"], facts["incarnation"])
+        if fence < fences.get(runner, 0):
+            yield f"{facts['runner']} took fence {fence} after {fences[runner]}"
+        fences[runner] = max(fence, fences.get(runner, 0))
+        if fence < newest[0] and at_us > newest[1] + slack_us:
+            yield f"{facts['holder']} ordered with fence {fence} at {at_us}, after fence {newest[0]} at {newest[1]}"
+        if fence > newest[0]:
+            newest = (fence, at_us)
+
+
+def work_is_served_again(record, after_us=12 * SECOND, for_us=8 * SECOND, most=0.9, **terms):
+    """Past the bound after the last fault closed, most requests are served."""
+    closed = [at_us for at_us, facts in _of(record, "closed")]
+    if not closed:
+        return
+    begin_us = max(closed) + after_us
+    asked, served = set(), set()
+    for at_us, kind, facts in record:
+        if kind == "asked" and begin_us <= at_us < begin_us + for_us and not facts["resume"]:
+            asked.add(facts["id"])
+        elif kind == "ended" and facts["how"] == "done":
+            served.add(facts["id"])
+    if asked and len(asked & served) < most * len(asked):
+        yield f"{len(asked & served)} of {len(asked)} requests were served from {begin_us} on"
+
+
+def shares_stay_within_the_allowance(record, **terms):
+    """Credit rates held by routers never sum above the group's allowance."""
+    for at_us, facts in _of(record, "shares"):
+        for group, (held, allowance) in facts["groups"].items():
+            if held > allowance * 1.0001:
+                yield f"routers hold {held:.1f} of {allowance:.1f} tokens a second of {group} at {at_us}"
+                return
+
+
+CHECKERS = (
+    one_time_work_runs_once, a_refusal_means_not_done, every_caller_hears_back, streams_are_whole, memory_is_never_shared,
+    plans_are_in_force, marks_never_go_back, acknowledged_plans_survive, leaving_runners_get_no_work,
+    extra_shots_keep_to_the_budget, one_holder_orders, work_is_served_again, shares_stay_within_the_allowance,
+)
+
+
+def judge(record, **terms):
+    """Every breach in a run's record, by the name of its checker."""
+    breaches = {}
+    for checker in CHECKERS:
+        found = list(checker(record, **terms))
+        if found:
+            breaches[checker.__name__] = found
+    return breaches
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -1,3 +1,4 @@
+import json
 import tempfile
 
 from cleo.helpers import option
@@ -8,6 +9,7 @@
 
 from .fleet import DEPLOYMENTS
 from .loopback import LoadRun, run_fleet
+from .sweep import sweep
 from .standins import StandInPlatform, StandInRunner
 
 DEPLOYMENT_OPTION = option("deployment", "d", "licensing or archive", flag=False, default="licensing")
@@ -109,5 +111,23 @@
         ))
 
 
+class SweepCommand(CodedCommand):
+    name = "sweep"
+    description = "Run many seeds of mixed faults in the simulated world and judge each on every rule."
+    options = [
+        DEPLOYMENT_OPTION,
+        option("first", None, "first seed", flag=False, default="1"),
+        option("count", None, "how many seeds", flag=False, default="20"),
+    ]
+
+    def act(self):
+        told = sweep(
+            deployment_of(self).name, whole(self, "first", 0, 10**9), whole(self, "count", 1, 100_000),
+            lambda breach: self.line(json.dumps(breach)),
+        )
+        self.show(told)
+        return 1 if told["breached"] else 0
+
+
 def main():
-    run_application("linkhaven-stage", [RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand()])
+    run_application("linkhaven-stage", [RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand(), SweepCommand()])
--- a/packages/stage/src/linkhaven/stage/standins.py
+++ b/packages/stage/src/linkhaven/stage/standins.py
@@ -116,6 +116,7 @@
 
     def _admit(self, call, name):
         ask = check_document(name, read_json(call.body))
+        self.record("offered", runner=self.name, request=ask["request"], shot=ask["shot"], mark=ask["mark"])
         if ask["mark"] < self.mark:
             raise Trouble("mark_old", mark=self.mark)
         self.mark = ask["mark"]
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -28,7 +28,7 @@
         self.slow = {}
         self.links = {}
         self.record = []
-        self.conns = set()
+        self.conns = {}
         self.events = []
         self.is_tracing = False
 
@@ -279,7 +279,7 @@
         world = self.world
         if self.server is None:
             return world.after(LATENCY_US, lambda: self._tell_trouble(False))
-        world.conns.add(self)
+        world.conns[self] = True
         world.after(CONNECT_US, self._give_up)
 
         def reach():
@@ -314,7 +314,7 @@
 
     def _end(self):
         self.is_over = True
-        self.world.conns.discard(self)
+        self.world.conns.pop(self, None)
 
     def lose(self, dead):
         if dead is self.client:
