--- a/packages/clockwork/src/linkhaven/clockwork/ports.py
+++ b/packages/clockwork/src/linkhaven/clockwork/ports.py
@@ -59,8 +59,8 @@
     def answer_json(self, status, document, headers=None):
         self.answer(status, {"content-type": "application/json", **(headers or {})}, write_json(document))
 
-    def answer_trouble(self, trouble):
-        headers = {}
+    def answer_trouble(self, trouble, headers=None):
+        headers = dict(headers or {})
         if trouble.retry_us is not None:
             headers["retry-after"] = str(max(1, -(-trouble.retry_us // 1_000_000)))
         self.answer_json(trouble.status, trouble.as_document(), headers)
--- a/packages/clockwork/src/linkhaven/clockwork/text.py
+++ b/packages/clockwork/src/linkhaven/clockwork/text.py
@@ -9,6 +9,6 @@
 
 def read_json(body):
     try:
-        return json.loads(body)
+        return json.loads(body.decode() if isinstance(body, bytes) else body)
     except (ValueError, RecursionError) as fault:
         raise Trouble("bad_request", places=[{"place": ".", "fault": f"not JSON: {fault}"[:200]}]) from None
--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -1,4 +1,5 @@
 GAIN = 0.15
+IDLE = 0.25
 SETTLE_US = 2_000_000
 
 
@@ -32,7 +33,7 @@
         best = self.search(runners, prompt_rate, answer_rate, taichi)
         here = self.busy(min(current, runners - 1), runners, prompt_rate, answer_rate, taichi)
         there = self.busy(best, runners, prompt_rate, answer_rate, taichi)
-        if best == current or there > here * (1 - GAIN):
+        if best == current or here < IDLE or there > here * (1 - GAIN):
             self.wanted = None
             return current
         side = 1 if best > current else -1
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -210,8 +210,7 @@
         if call.is_ended:
             return
         if not call.is_begun:
-            call.answer_trouble(trouble)
-            return
+            return call.answer_trouble(trouble, {"request-id": request.id})
         call.write(write_event("trouble", trouble.as_document()))
         call.finish()
 
--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -88,23 +88,24 @@
 
 
 def plans_are_in_force(record, within_us=2_200_000, **terms):
-    """After an acknowledged put, no shot is begun under an older plan past the bound."""
+    """After an acknowledged put, no shot that runners begin was sent under an older plan past the bound."""
     acked = _of(record, "acked")
-    for at_us, facts in _of(record, "begin"):
+    for _, facts in _of(record, "begin"):
         for acked_us, told in acked:
-            if at_us > acked_us + within_us and facts["mark"] < told["mark"]:
-                yield f"{facts['request']} began at {at_us} under mark {facts['mark']}; {told['mark']} was acknowledged at {acked_us}"
+            if facts["sent_us"] > acked_us + within_us and facts["mark"] < told["mark"]:
+                yield f"{facts['request']} was sent at {facts['sent_us']} under mark {facts['mark']}; {told['mark']} was acknowledged at {acked_us}"
                 break
 
 
 def marks_never_go_back(record, slack_us=500_000, **terms):
     """Once a runner has seen a mark from a node, that node offers no older one."""
     highest = {}
-    for at_us, facts in _of(record, "offered"):
+    for at_us, facts in sorted(_of(record, "offered"), key=lambda noted: noted[1]["sent_us"]):
+        sent_us = facts["sent_us"]
         node = facts["request"].rsplit("-", 2)[0]
         mark, seen_us = highest.get(node, (0, 0))
-        if facts["mark"] < mark and at_us - seen_us > slack_us:
-            yield f"{node} went back from mark {mark} to {facts['mark']} at {at_us}"
+        if facts["mark"] < mark and sent_us - seen_us > slack_us:
+            yield f"{node} went back from mark {mark} to {facts['mark']} at {sent_us}"
         if facts["mark"] > mark:
             highest[node] = (facts["mark"], at_us)
 
--- a/packages/stage/src/linkhaven/stage/faults.py
+++ b/packages/stage/src/linkhaven/stage/faults.py
@@ -255,7 +255,7 @@
     def collide_plans(self):
         """Two operators put at once, through two seats, a few times."""
         mark = max([facts["mark"] for _, kind, facts in self.world.record if kind == "acked"], default=0)
-        live = [seat for seat, host in self.fleet.registries.items() if host.node and not host.is_frozen]
+        live = [seat for seat, host in self.fleet.registries.items() if host.node and not host.is_frozen] or ["a"]
         for operator in (0, 1):
             self.fleet.put_plan(self.fleet.plan, mark, live[operator % len(live)], operator)
 
--- a/packages/wire/src/linkhaven/wire/inlet.py
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -165,6 +165,11 @@
         if taken == len(data) and b"100-continue" in data[:4096].lower():
             self.fire(write(sock, b"HTTP/1.1 100 Continue\r\n\r\n"))
 
+    @handler("write", priority=10)
+    def _on_write(self, event, sock, data):
+        if sock not in self.server._clients:
+            event.stop()
+
     def _answer_raw(self, sock, trouble):
         body = write_json(trouble.as_document())
         head = f"HTTP/1.1 {trouble.status} Refused\r\ncontent-type: application/json\r\ncontent-length: {len(body)}\r\nconnection: close\r\n\r\n"
--- /dev/null
+++ b/tests/test_checkers.py
@@ -0,0 +1,100 @@
+import pytest
+
+from linkhaven.stage import checkers
+from linkhaven.stage.standins import count_pieces, piece_text
+
+S = 1_000_000
+
+
+def asked(id, at=0, kind="check", router="r", resume=None, key=None, tokens=4):
+    return (at, "asked", {"id": id, "kind": kind, "router": router, "resume": resume, "key": key, "answer_tokens": tokens})
+
+
+def ended(id, how, at=S, count=None, code=None):
+    return (at, "ended", {"id": id, "how": how, "code": code, "done": None, "count": count, "status": 200})
+
+
+def begin(id, shot=1, at=10, what="decode", one_time=True, mark=1, request=None):
+    return (at, "begin", {"asked": id, "request": request or f"edge-1-9-{id}", "shot": shot, "what": what, "one_time": one_time, "mark": mark, "sent_us": at})
+
+
+def offered(shot=1, at=10, runner="runner-1", mark=1, request="edge-1-9-1"):
+    return (at, "offered", {"runner": runner, "request": request, "shot": shot, "mark": mark, "sent_us": at})
+
+
+def piece(id, number, run="run-abcd", text=None):
+    return (5, "piece", {"id": id, "run": run, "number": number, "text": text or piece_text(run, number)})
+
+
+def order(fence, holder, at, runner="runner-1"):
+    return (at, "order", {"runner": runner, "incarnation": 1, "fence": fence, "holder": holder, "is_taken": True})
+
+
+def acked(mark, put_id, at=0):
+    return (at, "acked", {"mark": mark, "put_id": put_id})
+
+
+def shown(mark, put_id):
+    return (9 * S, "shown", {"mark": mark, "put_id": put_id})
+
+
+WHOLE = count_pieces("run-abcd", 4, 4)
+STREAM = [asked("a"), *[piece("a", number + 1) for number in range(WHOLE)]]
+LONG = [asked("a", tokens=400), piece("a", 1)]
+RECORDS = [
+    (checkers.one_time_work_runs_once, [asked("a"), begin("a", what="prefill"), begin("a")], [begin("a"), begin("a", shot=2)]),
+    (checkers.one_time_work_runs_once, [asked("a", key="k"), begin("a")], [asked("a", key="k"), asked("b", key="k"), begin("a"), begin("b")]),
+    (checkers.one_time_work_runs_once, [begin("a")], [begin("a"), begin("a")]),
+    (checkers.a_refusal_means_not_done, [asked("a"), ended("a", "refused")], [asked("a"), ended("a", "refused"), begin("a", at=2 * S)]),
+    (checkers.every_caller_hears_back, [asked("a"), ended("a", "done")], [asked("a")]),
+    (checkers.every_caller_hears_back, [asked("a"), ended("a", "done", at=2 * S)], [asked("a"), ended("a", "done", at=9 * S)]),
+    (checkers.streams_are_whole, [*STREAM, ended("a", "done", count=WHOLE)], [*STREAM[:-1], ended("a", "done", count=WHOLE)]),
+    (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 3)]),
+    (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 1)]),
+    (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 2, run="run-other")]),
+    (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 2, text="made up")]),
+    (checkers.streams_are_whole, [asked("a", resume="run-abcd:4"), piece("a", 5)], [asked("a", resume="run-abcd:4"), piece("a", 6)]),
+    (
+        checkers.memory_is_never_shared,
+        [(1, "kv", {"runner": "x", "wanted": "a", "got": "a", "shot": 1, "got_shot": 1})],
+        [(1, "kv", {"runner": "x", "wanted": "a", "got": "b", "shot": 1, "got_shot": 1})],
+    ),
+    (checkers.plans_are_in_force, [acked(2, "p"), begin("a", at=S, mark=1)], [acked(2, "p"), begin("a", at=3 * S, mark=1)]),
+    (checkers.marks_never_go_back, [offered(mark=1), offered(mark=2, at=S)], [offered(mark=2), offered(mark=1, at=S)]),
+    (checkers.acknowledged_plans_survive, [acked(1, "p"), shown(1, "p")], [acked(2, "p"), shown(1, "o")]),
+    (checkers.acknowledged_plans_survive, [acked(1, "p"), acked(2, "q"), shown(2, "q")], [acked(1, "p"), acked(1, "q"), shown(1, "q")]),
+    (checkers.acknowledged_plans_survive, [acked(1, "p"), shown(2, "q")], [acked(1, "p"), shown(1, "q")]),
+    (
+        checkers.leaving_runners_get_no_work,
+        [(0, "listed", {"runners": {"runner-1": "leaving"}}), offered(at=3 * S)],
+        [(0, "listed", {"runners": {"runner-1": "leaving"}}), offered(at=4 * S)],
+    ),
+    (
+        checkers.extra_shots_keep_to_the_budget,
+        [offered(shot=2, at=n, request=f"edge-1-9-{n}") for n in range(10)],
+        [offered(shot=2, at=n, request=f"edge-1-9-{n}") for n in range(11)],
+    ),
+    (checkers.one_holder_orders, [order(1, "x", 0), order(2, "y", S)], [order(2, "y", 0), order(1, "x", S)]),
+    (checkers.one_holder_orders, [order(1, "x", 0), order(1, "x", S)], [order(1, "x", 0), order(1, "y", S)]),
+    (checkers.one_holder_orders, [order(1, "x", 0), order(2, "y", S)], [order(2, "y", 0), order(1, "x", 3 * S, runner="runner-2")]),
+    (
+        checkers.work_is_served_again,
+        [(0, "closed", {}), asked("a", at=13 * S), ended("a", "done", at=14 * S)],
+        [(0, "closed", {}), asked("a", at=13 * S), ended("a", "refused", at=14 * S)],
+    ),
+    (
+        checkers.shares_stay_within_the_allowance,
+        [(0, "shares", {"groups": {"g": (10.0, 10.0)}})],
+        [(0, "shares", {"groups": {"g": (11.0, 10.0)}})],
+    ),
+]
+
+
+@pytest.mark.parametrize("checker, good, bad", RECORDS, ids=[f"{row[0].__name__}-{place}" for place, row in enumerate(RECORDS)])
+def test_a_checker_passes_a_good_record_and_fails_a_bad_one(checker, good, bad):
+    assert list(checker(good, deadlines={"check": 5 * S})) == []
+    assert list(checker(bad, deadlines={"check": 5 * S}))
+
+
+def test_every_checker_is_shown_to_fail():
+    assert {row[0] for row in RECORDS} == set(checkers.CHECKERS)
--- /dev/null
+++ b/tests/test_register.py
@@ -0,0 +1,221 @@
+import pytest
+
+from linkhaven.stage.faults import Faults
+from linkhaven.stage.fleet import LICENSING, SimFleet
+from linkhaven.stage.world import Host, SimDisk
+
+SECOND = 1_000_000
+
+
+def make_core(seed=1):
+    fleet = SimFleet(LICENSING, seed, routers=1).start()
+    fleet.world.is_tracing = True
+    return fleet, Faults(fleet)
+
+
+def put(fleet, expect, seat, most_s=5):
+    told = []
+    fleet.put_plan(fleet.plan, expect, seat, 0, lambda status, document: told.append((status, document)))
+    fleet.world.wait_for(lambda: told, most_s * SECOND, 10_000)
+    return told[0] if told else None
+
+
+def show(fleet, seat):
+    told = []
+    fleet.operators[0].node.show(fleet.registries[seat].address, lambda status, document: told.append((status, document)))
+    fleet.world.wait_for(lambda: told, 5 * SECOND, 10_000)
+    return told[0]
+
+
+def standing(fleet, seat):
+    return fleet.registries[seat].node.seat.standing
+
+
+def test_two_operators_at_once_one_wins_and_the_other_learns_the_mark():
+    fleet, _ = make_core()
+    told = []
+    for operator, seat in ((0, "a"), (1, "b")):
+        fleet.put_plan(fleet.plan, 1, seat, operator, lambda status, document: told.append((status, document)))
+    assert fleet.world.wait_for(lambda: len(told) == 2)
+    (won, _), (lost, conflict) = sorted(told, key=lambda answer: answer[0])
+    assert (won, lost) == (200, 409)
+    assert conflict["code"] == "mark_conflict"
+    assert conflict["done"] == "no"
+    assert conflict["detail"]["mark"] == 2
+
+
+def test_a_put_without_a_majority_is_refused_before_any_accept():
+    fleet, _ = make_core()
+    fleet.registries["b"].kill()
+    fleet.registries["c"].kill()
+    status, document = put(fleet, 1, "a")
+    assert (status, document["code"], document["done"]) == (503, "core_unready", "no")
+
+
+def test_a_put_that_loses_its_majority_between_the_rounds_says_it_does_not_know():
+    fleet, _ = make_core()
+    world = fleet.world
+    lone = fleet.registries["a"]
+    others = [fleet.registries[seat] for seat in "bc"]
+    proposer = lone.node.proposer
+    told = []
+    hear = proposer.node.hearers["promise"]
+
+    def cut_before_accepts(message):
+        change = proposer.changes.get(message["id"])
+        if change is not None and change.key == "plan" and message["seat"] != "a":
+            for other in others:
+                world.cuts.add((lone.name, other.name))
+        hear(message)
+
+    proposer.node.hearers["promise"] = cut_before_accepts
+    fleet.put_plan(fleet.plan, 1, "a", 0, lambda status, document: told.append((status, document)))
+    assert world.wait_for(lambda: told, 5 * SECOND, 10_000)
+    status, document = told[0]
+    assert (status, document["code"], document["done"]) == (504, "put_unknown", "unknown")
+
+
+@pytest.mark.parametrize("seat", ["a", "b", "c"])
+@pytest.mark.parametrize("after_us", [0, 500, 1_500, 3_000, 6_000, 12_000])
+def test_one_core_loss_at_any_point_of_a_put_keeps_what_was_acknowledged(seat, after_us):
+    fleet, faults = make_core(seed=after_us + ord(seat))
+    told = []
+    fleet.put_plan(fleet.plan, 1, "a", 0, lambda status, document: told.append((status, document)))
+    fleet.world.run_for(after_us)
+    faults.empty_core(seat)
+    fleet.world.run_for(8 * SECOND)
+    assert all(standing(fleet, name) == "voting" for name in "abc")
+    shown = show(fleet, "b")[1]
+    if told and told[0][0] == 200:
+        assert shown["mark"] == 2
+        assert shown["put_id"] == told[0][1]["put_id"]
+    assert put(fleet, shown["mark"], "c")[0] == 200
+
+
+def test_an_empty_seat_gives_no_vote_while_it_cannot_hear_both_others():
+    fleet, _ = make_core()
+    lost = fleet.registries["a"]
+    lost.kill()
+    lost.disk.wipe()
+    fleet.registries["b"].kill()
+    lost.start()
+    fleet.world.run_for(10 * SECOND)
+    assert standing(fleet, "a") == "waiting"
+    assert put(fleet, 1, "c")[1]["code"] == "core_unready"
+    fleet.registries["b"].start()
+    assert fleet.world.wait_for(lambda: standing(fleet, "b") == "voting", 12 * SECOND)
+    assert fleet.world.wait_for(lambda: standing(fleet, "a") == "voting", 12 * SECOND)
+    assert show(fleet, "a")[1]["mark"] == 1
+
+
+def test_the_operator_restores_a_seat_when_more_was_lost_than_a_rejoin_rebuilds():
+    fleet, _ = make_core()
+    for seat in "ab":
+        fleet.registries[seat].kill()
+        fleet.registries[seat].disk.wipe()
+    fleet.registries["a"].start()
+    fleet.world.run_for(8 * SECOND)
+    assert standing(fleet, "a") == "waiting"
+    told = []
+    operator = fleet.operators[0].node
+    operator.post(fleet.registries["c"].address, "/v1/core/restore", {}, lambda status, document: told.append(document["code"]))
+    operator.post(fleet.registries["a"].address, "/v1/core/restore", {}, lambda status, document: told.append(status))
+    fleet.world.run_for(2 * SECOND)
+    assert sorted(told, key=str) == [200, "seat_not_waiting"]
+    assert standing(fleet, "a") == "voting"
+    assert show(fleet, "a")[1]["mark"] == 1
+
+
+def test_a_woken_former_occupant_of_a_seat_has_no_vote():
+    fleet, faults = make_core()
+    old = fleet.registries["a"]
+    faults.begin("exchange_awake_core", "a")
+    fleet.world.run_for(6 * SECOND)
+    assert standing(fleet, "a") == "voting"
+    assert put(fleet, 1, "a")[0] == 200
+    faults.close()
+    fleet.world.run_for(3 * SECOND)
+    assert put(fleet, 2, "b")[0] == 200
+    fleet.world.run_for(SECOND)
+    assert not old.node.seat.is_voting or old.node.seat.cell("plan").value["mark"] < 3
+    assert not old.node.news.is_current()
+    router = next(iter(fleet.routers.values())).node
+    assert router.image.mark == 3
+
+
+def test_a_seat_that_lost_acknowledged_writes_rebuilds_them_before_it_votes():
+    fleet, faults = make_core()
+    assert put(fleet, 1, "a")[0] == 200
+    seat = fleet.registries["b"]
+    faults.begin("lossy_core", "b")
+    assert seat.disk.synced.get("cell/plan", [0, 0, {"mark": 0}])[2]["mark"] < 2
+    faults.close()
+    assert fleet.world.wait_for(lambda: standing(fleet, "b") == "voting", 10 * SECOND)
+    assert seat.node.seat.cell("plan").value["mark"] == 2
+
+
+@pytest.mark.parametrize("fault", ["is_full", "is_stalled"])
+def test_a_failing_disk_gives_no_vote_and_two_good_ones_go_on(fault):
+    fleet, _ = make_core()
+    setattr(fleet.registries["c"].disk, fault, True)
+    assert put(fleet, 1, "c")[0] == 200
+    assert "cell/plan" in fleet.registries["a"].disk.synced
+    setattr(fleet.registries["b"].disk, fault, True)
+    assert put(fleet, 2, "a")[1]["done"] in ("unknown", "no")
+    assert fleet.registries["b"].disk.synced["cell/plan"][2]["mark"] == 2
+    assert fleet.registries["c"].disk.synced["cell/plan"][2]["mark"] == 1
+
+
+def test_the_whole_core_restarted_serves_the_highest_plan_of_its_disks():
+    fleet, faults = make_core()
+    assert put(fleet, 1, "a")[0] == 200
+    faults.begin("restart_core")
+    fleet.world.run_for(SECOND)
+    faults.close()
+    assert fleet.world.wait_for(lambda: all(standing(fleet, seat) == "voting" for seat in "abc"), 10 * SECOND)
+    assert show(fleet, "c")[1]["mark"] == 2
+
+
+def test_after_the_loss_of_the_whole_core_the_plan_comes_back_from_the_routers():
+    fleet, _ = make_core()
+    assert put(fleet, 1, "a")[0] == 200
+    fleet.world.run_for(SECOND)
+    for host in fleet.registries.values():
+        host.kill()
+        host.disk.wipe()
+    for host in fleet.registries.values():
+        host.start()
+    fleet.world.run_for(12 * SECOND)
+    assert show(fleet, "a")[1]["mark"] == 2
+    assert put(fleet, 2, "b")[0] == 200
+
+
+def test_a_first_start_goes_on_whatever_the_order_of_the_seats():
+    fleet = SimFleet(LICENSING, 3, routers=1)
+    world = fleet.world
+    for pause_us, seat in ((0, "c"), (7 * SECOND, "a"), (3 * SECOND, "b")):
+        world.run_for(pause_us)
+        fleet.registries[seat].start()
+    assert world.wait_for(lambda: all(standing(fleet, seat) == "voting" for seat in "abc"), 10 * SECOND)
+
+
+def test_a_put_repeated_under_its_id_is_one_put():
+    fleet, _ = make_core()
+    node = fleet.operators[0].node
+    first = put(fleet, 1, "a")
+    told = []
+    body = {"expect": 1, "put_id": first[1]["put_id"], "plan": fleet.plan}
+    node._call(fleet.registries["b"].address, "PUT", "/v1/plan", body, lambda status, document: told.append((status, document)))
+    fleet.world.run_for(SECOND)
+    assert told == [first]
+
+
+def test_hosts_of_one_name_at_two_addresses_are_told_apart():
+    fleet, _ = make_core()
+    seat = fleet.registries["a"]
+    seat.kill()
+    host = Host(fleet.world, seat.name, seat.zone, "10.0.9.9:7000", seat.build, SimDisk(fleet.world))
+    fleet.registries["a"] = host
+    host.start()
+    assert fleet.world.wait_for(lambda: standing(fleet, "a") == "voting", 10 * SECOND)
+    assert fleet.registries["b"].node.ring.seats()["a"][0] == "10.0.9.9:7000"
