Sabotage tests: each rule is shown to break without its mechanism and to hold with it

Measured: 9 mechanisms taken out one at a time, each breaks the rule it is for; with it in place none breaks. Ruled out: judging force of plans by work begun (runners' own refusals hide it); judged by what is sent now.

--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -88,9 +88,9 @@
 
 
 def plans_are_in_force(record, within_us=2_200_000, **terms):
-    """After an acknowledged put, no shot that runners begin was sent under an older plan past the bound."""
+    """After an acknowledged put, nothing is sent to a runner under an older plan past the bound."""
     acked = _of(record, "acked")
-    for _, facts in _of(record, "begin"):
+    for _, facts in _of(record, "offered"):
         for acked_us, told in acked:
             if facts["sent_us"] > acked_us + within_us and facts["mark"] < told["mark"]:
                 yield f"{facts['request']} was sent at {facts['sent_us']} under mark {facts['mark']}; {told['mark']} was acknowledged at {acked_us}"
--- a/packages/stage/src/linkhaven/stage/faults.py
+++ b/packages/stage/src/linkhaven/stage/faults.py
@@ -83,6 +83,24 @@
                 self.world.cuts.add((other, name))
         return self.world.heal
 
+    def cut_router_from_core(self, name=None):
+        """A router loses the core and its fellows, and still reaches runners and callers."""
+        name = name or self.pick(self.fleet.routers)
+        runners = [*self.fleet.runners, name]
+        self.world.cut([name], [other for other in self._inside() if other not in runners])
+        return self.world.heal
+
+    def garble_streams(self, how="skip"):
+        nodes = [host.node for host in self.fleet.runners.values() if host.node]
+        for node in nodes:
+            node.garble = how
+
+        def mend():
+            for node in nodes:
+                node.garble = None
+
+        return mend
+
     def kill_core(self, seat=None):
         host = self.fleet.registries[seat or self.pick(self.fleet.registries)]
         host.kill()
@@ -270,10 +288,10 @@
 
 
 ALL = (
-    "kill_router", "kill_many_routers", "freeze_router", "jump_clock", "cut_router", "cut_router_one_way", "kill_core", "freeze_core",
+    "kill_router", "kill_many_routers", "freeze_router", "jump_clock", "cut_router", "cut_router_one_way", "cut_router_from_core", "kill_core", "freeze_core",
     "freeze_holder", "empty_core", "exchange_awake_core", "lossy_core", "restart_core", "full_disk", "stall_disk", "slow_disk",
     "cut_core", "crash_runner", "dark_runner", "freeze_runner", "replace_runner", "lapse_handles", "fail_hand_overs",
-    "slow_links", "break_conns", "crowd", "collide_plans", "burst_plans",
+    "slow_links", "garble_streams", "break_conns", "crowd", "collide_plans", "burst_plans",
 )
 CORE_FAULTS = {
     "kill_core", "freeze_core", "freeze_holder", "empty_core", "exchange_awake_core", "lossy_core", "restart_core", "full_disk",
--- a/packages/stage/src/linkhaven/stage/people.py
+++ b/packages/stage/src/linkhaven/stage/people.py
@@ -131,7 +131,7 @@
             asked.resumes += 1
             self.record("unmade", id=asked.id, router=asked.router)
             return self._send(asked, routers[1:])
-        if how in ("cut", "trouble") and may_go_on and asked.last and self.kinds[asked.kind]["resumable"] and asked.code not in ("run_unknown", "stream_broken"):
+        if how in ("cut", "trouble") and may_go_on and asked.last and self.kinds[asked.kind].get("resumable") and asked.code not in ("run_unknown", "stream_broken"):
             asked.resumes += 1
             self.record("broken", id=asked.id, how=how, code=asked.code, done=asked.done)
             asked.headers["last-event-id"] = f"{asked.run}:{asked.last}"
--- a/packages/stage/src/linkhaven/stage/standins.py
+++ b/packages/stage/src/linkhaven/stage/standins.py
@@ -56,7 +56,7 @@
     __slots__ = (
         "incarnation", "phase", "speeds", "kv_total", "hold_us", "report_every_us", "queue_most", "reads", "is_reading",
         "streams", "waiting", "handles", "mark", "fence", "is_leaving", "report", "reported_us", "is_stepping",
-        "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute",
+        "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute", "garble",
     )
 
     def __init__(self, name, address, ports, incarnation, phase, record=None, **given):
@@ -82,6 +82,7 @@
         self.link_slowness = 1.0
         self.kv_fails = 0
         self.is_mute = False
+        self.garble = None
         self.serial = 0
         self.started_us = self.now_us()
         self.reported_us = self.started_us
@@ -185,8 +186,9 @@
         self.serial += 1
         handle = f"{self.name}/{self.incarnation}/{self.serial}"
         self.handles[handle] = (job.ask["request"], job.ask["shot"], job.tokens, self.now_us() + self.hold_us)
+        told = job.ask["request"] if self.garble != "request" else "edge-0-0-0"
         job.call.answer_json(200, {
-            "request": job.ask["request"], "shot": job.ask["shot"], "handle": handle,
+            "request": told, "shot": job.ask["shot"], "handle": handle,
             "incarnation": self.incarnation, "prompt_tokens": job.tokens,
         })
 
@@ -310,8 +312,7 @@
         if job.number < job.count:
             job.number += 1
             job.kv += tokens
-            document = {"text": piece_text(job.run, job.number), "tokens": tokens}
-            job.call.write(write_event("piece", document, f"{job.run}:{job.number}"))
+            self._write_piece(job, tokens)
         if job.number >= job.count and not job.is_gone:
             self.streams.remove(job)
             job.is_gone = True
@@ -319,6 +320,25 @@
             job.call.write(write_event("done", {"count": job.number}))
             job.call.finish()
 
+    def _write_piece(self, job, tokens):
+        document = {"text": piece_text(job.run, job.number), "tokens": tokens}
+        event = write_event("piece", document, f"{job.run}:{job.number}")
+        if self.garble and job.number == 3:
+            if self.garble == "skip":
+                return
+            if self.garble == "repeat":
+                job.call.write(event)
+            if self.garble == "foreign":
+                event = write_event("piece", document, f"{job.run}0:{job.number}")
+            if self.garble == "end":
+                job.is_gone = True
+                self.streams.remove(job)
+                return job.call.finish()
+            if self.garble == "early":
+                job.count = job.number
+                return job.call.write(write_event("done", {"count": job.number}))
+        job.call.write(event)
+
     def serve_phase(self, call):
         order = check_document("PhaseOrder", read_json(call.body))
         if order["fence"] < self.fence:
--- a/tests/features/never.feature
+++ b/tests/features/never.feature
@@ -14,6 +14,7 @@
       | archive    | 14   | jump_clock           | 4       |
       | licensing  | 15   | cut_router           | 6       |
       | archive    | 16   | cut_router_one_way   | 6       |
+      | licensing  | 17   | cut_router_from_core | 6       |
 
     Examples: Core
       | deployment | seed | fault                | seconds |
@@ -38,6 +39,7 @@
       | licensing  | 45   | lapse_handles        | 5       |
       | archive    | 46   | fail_hand_overs      | 4       |
       | licensing  | 47   | slow_links           | 6       |
+      | archive    | 48   | garble_streams       | 4       |
 
     Examples: Callers and operators
       | deployment | seed | fault                | seconds |
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -59,7 +59,7 @@
         [(1, "kv", {"runner": "x", "wanted": "a", "got": "a", "shot": 1, "got_shot": 1})],
         [(1, "kv", {"runner": "x", "wanted": "a", "got": "b", "shot": 1, "got_shot": 1})],
     ),
-    (checkers.plans_are_in_force, [acked(2, "p"), begin("a", at=S, mark=1)], [acked(2, "p"), begin("a", at=3 * S, mark=1)]),
+    (checkers.plans_are_in_force, [acked(2, "p"), offered(at=S)], [acked(2, "p"), offered(at=3 * S)]),
     (checkers.marks_never_go_back, [offered(mark=1), offered(mark=2, at=S)], [offered(mark=2), offered(mark=1, at=S)]),
     (checkers.acknowledged_plans_survive, [acked(1, "p"), shown(1, "p")], [acked(2, "p"), shown(1, "o")]),
     (checkers.acknowledged_plans_survive, [acked(1, "p"), acked(2, "q"), shown(2, "q")], [acked(1, "p"), acked(1, "q"), shown(1, "q")]),
--- /dev/null
+++ b/tests/test_sabotage.py
@@ -0,0 +1,200 @@
+"""Each mechanism is taken out in turn: the failure it is meant for then breaks its rule, so the tests that
+pass with it in place do cause that failure."""
+
+import pytest
+
+from linkhaven.credit import Bursar, ExtraBudget
+from linkhaven.plan import NewsReader
+from linkhaven.register import Seat
+from linkhaven.register.seat import REJOINING
+from linkhaven.registry.keeper import RosterKeeper
+from linkhaven.router import RouterNode
+from linkhaven.router.chain import Chain
+from linkhaven.router.shots import Relay, Shots
+from linkhaven.stage.fleet import LICENSING, SimFleet
+from linkhaven.stage.scenario import Scenario
+
+SECOND = 1_000_000
+
+
+def forget_one_time(monkeypatch):
+    fail = Shots._fail
+
+    def forgetful(self, request, runner, trouble, has_begun):
+        request.has_begun = False
+        fail(self, request, runner, trouble, has_begun)
+
+    monkeypatch.setattr(Shots, "_fail", forgetful)
+
+
+def crash_under_checks(fleet_of):
+    scenario = fleet_of("licensing", 2)
+    scenario.fleet.mix = {"entitlement-check": (1.0, 300, 8)}
+    scenario.load(2, 40.0)
+    for name in ("runner-3", "runner-4", "runner-5"):
+        scenario.fault("crash_runner", name)
+        scenario.load(1)
+    scenario.close().end(calm_s=3)
+    return scenario
+
+
+def let_keys_pass(monkeypatch):
+    monkeypatch.setattr(RouterNode, "claim", lambda self, request: self.chain.walk(request))
+
+
+def one_key_through_two_routers(fleet_of):
+    scenario = fleet_of("licensing", 3)
+    routers = [host.address for host in scenario.fleet.routers.values()]
+    for place in range(4):
+        for router in routers[:2]:
+            scenario.fleet.ask("entitlement-check", [router], key=f"key-{place}")
+        scenario.load(0.2)
+    return scenario.close().end(calm_s=2)
+
+
+def trust_any_plan(monkeypatch):
+    monkeypatch.setattr(NewsReader, "is_fresh", lambda self: self.image.plan is not None)
+    monkeypatch.setattr("linkhaven.runner.Roster.is_fresh", lambda self: True)
+
+
+def put_while_a_router_is_cut_off(fleet_of):
+    scenario = fleet_of("licensing", 4).load(2)
+    scenario.fault("cut_router_from_core", "edge-2").fault("burst_plans").load(6)
+    return scenario.close().end(calm_s=3)
+
+
+def spend_freely(monkeypatch):
+    monkeypatch.setattr(ExtraBudget, "spend", lambda self, why, keep=0.0: True)
+
+
+def lapse_under_load(fleet_of):
+    scenario = fleet_of("licensing", 5).load(2, 16.0)
+    return scenario.fault("lapse_handles").load(8).close().end(calm_s=3)
+
+
+def overlook_leaving(monkeypatch):
+    monkeypatch.setattr(RosterKeeper, "_mark_leaving", lambda self, runner: None)
+
+
+def leave_slowly(fleet_of):
+    scenario = fleet_of("licensing", 6).load(2)
+    return scenario.fault("replace_runner", "runner-4").load(8).close().end(calm_s=3)
+
+
+def relay_anything(monkeypatch):
+    def on_piece(self, piece):
+        self.request.written = piece.number
+        self.shots.node.relay_piece(self.request, piece, 4, self.shots.node.now_us())
+
+    monkeypatch.setattr(Relay, "on_piece", on_piece)
+
+
+def skip_pieces(fleet_of):
+    scenario = fleet_of("licensing", 7).load(2)
+    return scenario.fault("garble_streams", "skip").load(4).close().end(calm_s=3)
+
+
+def refuse_what_was_begun(monkeypatch):
+    monkeypatch.setattr(Shots, "_unknown", lambda self, trouble: type(trouble)("no_runner"))
+
+
+def share_without_counting(monkeypatch):
+    monkeypatch.setattr(Bursar, "_most_out", lambda self, group, router, now_us: 0.0)
+    monkeypatch.setattr(Bursar, "_rate_for", lambda self, group, router, total, now_us: total / 2)
+
+
+def plain_load(fleet_of):
+    return fleet_of("licensing", 8).load(10).close().end(calm_s=3)
+
+
+def vote_from_an_empty_disk(monkeypatch):
+    tick = Seat.tick
+
+    def hasty(self, now_us):
+        if self.is_empty and self.standing == REJOINING and now_us > 3 * SECOND:
+            return self._adopt([])
+        tick(self, now_us)
+
+    monkeypatch.setattr(Seat, "tick", hasty)
+
+
+def lose_a_seat_that_alone_shared_the_put(fleet_of):
+    scenario = fleet_of("licensing", 9)
+    fleet = scenario.fleet
+    fleet.registries["c"].kill()
+    fleet.put_plan(fleet.plan, 1, "a")
+    fleet.world.run_for(2 * SECOND)
+    fleet.registries["b"].kill()
+    fleet.registries["b"].disk.wipe()
+    for host in fleet.routers.values():
+        host.kill()
+    fleet.registries["a"].freeze()
+    fleet.registries["c"].start()
+    fleet.registries["b"].start()
+    fleet.world.run_for(8 * SECOND)
+    fleet.operators[0].node.show(fleet.registries["c"].address, lambda status, document: None)
+    fleet.world.run_for(4 * SECOND)
+    return scenario
+
+
+CASES = [
+    (forget_one_time, crash_under_checks, "one_time_work_runs_once"),
+    (let_keys_pass, one_key_through_two_routers, "one_time_work_runs_once"),
+    (trust_any_plan, put_while_a_router_is_cut_off, "plans_are_in_force"),
+    (spend_freely, lapse_under_load, "extra_shots_keep_to_the_budget"),
+    (overlook_leaving, leave_slowly, "leaving_runners_get_no_work"),
+    (relay_anything, skip_pieces, "streams_are_whole"),
+    (refuse_what_was_begun, crash_under_checks, "a_refusal_means_not_done"),
+    (share_without_counting, plain_load, "shares_stay_within_the_allowance"),
+    (vote_from_an_empty_disk, lose_a_seat_that_alone_shared_the_put, "acknowledged_plans_survive"),
+]
+
+
+def make(deployment, seed):
+    return Scenario(deployment, seed)
+
+
+@pytest.mark.parametrize("sabotage, run, rule", CASES, ids=[case[0].__name__ for case in CASES])
+def test_a_rule_breaks_without_its_mechanism_and_holds_with_it(monkeypatch, sabotage, run, rule):
+    with monkeypatch.context() as patch:
+        def make_sabotaged(deployment, seed):
+            scenario = make(deployment, seed)
+            sabotage(patch)
+            return scenario
+
+        assert rule in run(make_sabotaged).breaches()
+    assert run(make).breaches() == {}
+
+
+@pytest.mark.parametrize("how", ["skip", "repeat", "foreign", "end", "early", "request"])
+def test_a_runner_that_garbles_its_stream_is_cut_off_honestly(how):
+    scenario = Scenario("licensing", 10).load(1)
+    scenario.fault("garble_streams", how).load(4)
+    scenario.close().end(calm_s=3)
+    assert scenario.breaches() == {}
+    codes = scenario.summary()["codes"]
+    assert codes.get("stream_broken") or codes.get("runner_lost") or codes.get("extra_spent")
+
+
+def test_a_full_queue_and_a_busy_node_refuse_at_once():
+    fleet = SimFleet(LICENSING, 11).start()
+    router = fleet.routers["edge-1"]
+    router.node.requests_at_most = 3
+    asked = [fleet.ask("audit-digest", [router.address]) for _ in range(8)]
+    fleet.world.run_for(100_000)
+    assert [one.code for one in asked if one.code] == ["too_busy"] * 5
+
+
+def test_a_filter_that_raises_answers_and_ends_the_chain():
+    from linkhaven.schema import Trouble
+
+    answers, walked = [], []
+
+    def refuse(request):
+        raise Trouble("queue_full")
+
+    class Walker:
+        place = 0
+
+    Chain([refuse, walked.append], lambda request, trouble: answers.append(trouble.code)).walk(Walker())
+    assert (answers, walked) == (["queue_full"], [])
