--- /dev/null
+++ b/tests/test_coordination.py
@@ -0,0 +1,352 @@
+import pytest
+
+from linkhaven.stage.faults import Faults
+from linkhaven.stage.fleet import ARCHIVE, LICENSING, SimFleet
+
+SECOND = 1_000_000
+
+
+def make(deployment=LICENSING, seed=1, **given):
+    fleet = SimFleet(deployment, seed, **given)
+    fleet.world.is_tracing = True
+    fleet.start()
+    return fleet, Faults(fleet)
+
+
+def events(fleet, number, since_us=0):
+    return [event for event in fleet.world.events if event[2] == number and event[0] >= since_us]
+
+
+def noted(fleet, kind):
+    return [(at_us, facts) for at_us, known, facts in fleet.world.record if known == kind]
+
+
+def holder_of(fleet, duty):
+    return next((host for host in fleet.registries.values() if host.node and not host.is_frozen and host.node.duties[duty].is_held()), None)
+
+
+def test_a_router_cut_from_the_core_stops_within_the_bound_and_says_so():
+    fleet, faults = make()
+    cut_us = fleet.world.now_us
+    faults.begin("cut_router_from_core", "edge-2")
+    fleet.world.run_for(1_600_000)
+    router = fleet.routers["edge-2"]
+    asked = fleet.ask("seat-question", [router.address])
+    fleet.world.run_for(SECOND)
+    assert (asked.how, asked.code, asked.status) == ("refused", "plan_stale", 503)
+    stopped = [event for event in events(fleet, 2002, cut_us) if event[1] == "edge-2"]
+    assert stopped[0][0] - cut_us < 1_600_000
+    faults.close()
+    assert fleet.world.wait_for(router.node.may_start, 5 * SECOND)
+
+
+def test_a_router_told_of_a_newer_mark_by_a_runner_takes_no_work_until_it_has_that_plan():
+    fleet, faults = make()
+    router = fleet.routers["edge-1"]
+    for _ in range(6):
+        fleet.ask("seat-question", [router.address])
+    fleet.world.run_for(2 * SECOND)
+    faults.begin("cut_router_from_core", "edge-1")
+    fleet.put_plan(fleet.plan, 1)
+    fleet.world.run_for(200_000)
+    for host in fleet.runners.values():
+        host.node.mark = 2
+    first = fleet.ask("seat-question", [router.address])
+    fleet.world.run_for(100_000)
+    second = fleet.ask("seat-question", [router.address])
+    fleet.world.run_for(100_000)
+    assert router.node.image.is_behind
+    assert first.ended_us is None
+    assert second.code == "plan_stale"
+    assert not [facts for _, facts in noted(fleet, "begin") if facts["asked"] in (first.id, second.id)]
+    faults.close()
+    assert fleet.world.wait_for(lambda: first.ended_us, 10 * SECOND)
+    assert first.how == "done"
+
+
+def test_an_acknowledged_plan_reaches_every_router_with_a_seat_dead():
+    fleet, faults = make(ARCHIVE, 2)
+    faults.begin("kill_core", "c")
+    fleet.world.run_for(SECOND)
+    told = []
+    fleet.put_plan(fleet.plan, 1, "a", 0, lambda status, document: told.append(fleet.world.now_us))
+    assert fleet.world.wait_for(lambda: told, SECOND, 5_000)
+    assert fleet.world.wait_for(lambda: all(host.node.image.mark == 2 for host in fleet.routers.values()), 2 * SECOND, 5_000)
+    assert fleet.world.now_us - told[0] < 500_000
+
+
+def test_a_dead_node_is_found_by_its_watchers_and_a_live_one_is_not_accused():
+    fleet, _ = make(ARCHIVE, 3)
+    fleet.world.run_for(10 * SECOND)
+    assert events(fleet, 1102) == []
+    killed_us = fleet.world.now_us
+    fleet.routers["edge-4"].kill()
+    fleet.world.run_for(4 * SECOND)
+    told = {event[1]: event[0] for event in events(fleet, 1102, killed_us) if event[3]["fellow"] == "edge-4"}
+    assert len(told) == len(fleet.routers) - 1 + len(fleet.registries)
+    assert max(told.values()) - killed_us < 2_500_000
+    assert {event[3]["fellow"] for event in events(fleet, 1102, killed_us)} == {"edge-4"}
+
+
+def test_many_nodes_killed_at_once_are_all_found_though_they_watched_each_other():
+    fleet, _ = make(ARCHIVE, 4)
+    dead = [f"edge-{place}" for place in range(2, 10)]
+    for name in dead:
+        fleet.routers[name].kill()
+    fleet.world.run_for(8 * SECOND)
+    for host in [*fleet.registries.values(), fleet.routers["edge-1"]]:
+        assert [name for name in dead if host.node.ring.fellows[name].is_up] == []
+
+
+def test_a_node_that_cannot_hear_does_not_talk_others_down():
+    fleet, faults = make(LICENSING, 5)
+    since_us = fleet.world.now_us
+    faults.begin("cut_router_one_way", "edge-3")
+    fleet.world.run_for(6 * SECOND)
+    accused = {event[3]["fellow"] for event in events(fleet, 1102, since_us) if event[1] != "edge-3"}
+    assert accused <= {"edge-3"}
+
+
+def test_a_restarted_node_with_its_wall_clock_set_back_is_known_again():
+    fleet, _ = make(LICENSING, 6)
+    host = fleet.routers["edge-1"]
+    host.kill()
+    fleet.world.run_for(3 * SECOND)
+    build = host.build
+
+    def build_with_old_clock(host, ports):
+        node = build(host, ports)
+        node.ring.me.incarnation = 0
+        return node
+
+    host.build = build_with_old_clock
+    host.start()
+    fleet.world.run_for(6 * SECOND)
+    assert fleet.registries["a"].node.ring.fellows["edge-1"].is_up
+
+
+@pytest.mark.parametrize("duty", ["steward", "bursar", "roster"])
+def test_a_vacant_duty_is_filled_by_exactly_one_with_a_higher_fence(duty):
+    fleet, _ = make(LICENSING, 7)
+    old = holder_of(fleet, duty)
+    fence = old.node.duties[duty].fence
+    old.kill()
+    killed_us = fleet.world.now_us
+    assert fleet.world.wait_for(lambda: holder_of(fleet, duty), 10 * SECOND, 10_000)
+    assert fleet.world.now_us - killed_us < 4_500_000
+    new = holder_of(fleet, duty)
+    assert new.node.duties[duty].fence > fence
+    fleet.world.run_for(5 * SECOND)
+    held = [host for host in fleet.registries.values() if host.node and host.node.duties[duty].is_held()]
+    assert held == [new]
+
+
+def test_a_holder_that_slept_past_its_grant_orders_nothing_when_it_wakes():
+    fleet, _ = make(LICENSING, 8)
+    old = holder_of(fleet, "steward")
+    steward = old.node.steward
+    fleet.world.run_for(SECOND)
+    steward._change(old.node.keeper.runners["runner-3"], "prefill", fleet.world.now_us)
+    fleet.world.run_for(300_000)
+    old.freeze()
+    assert fleet.world.wait_for(lambda: holder_of(fleet, "steward"), 10 * SECOND)
+    fence = holder_of(fleet, "steward").node.duties["steward"].fence
+    fleet.world.run_for(2 * SECOND)
+    woke_us = fleet.world.now_us
+    old.wake()
+    fleet.world.run_for(4 * SECOND)
+    assert [facts for at_us, facts in noted(fleet, "order") if at_us >= woke_us and facts["fence"] < fence] == []
+    assert events(fleet, 1402, woke_us)
+
+
+def test_an_order_with_an_old_fence_is_refused_by_the_runner():
+    fleet, _ = make(LICENSING, 9)
+    runner = fleet.runners["runner-3"]
+    runner.node.fence = 1_000
+    steward = holder_of(fleet, "steward").node.steward
+    steward._change(steward.keeper.runners["runner-3"], "prefill", fleet.world.now_us)
+    fleet.world.run_for(3 * SECOND)
+    assert runner.node.phase == "decode"
+    assert events(fleet, 1502)
+
+
+def test_the_ratio_of_phases_follows_a_swing_and_comes_back_without_flapping():
+    fleet, _ = make(ARCHIVE, 10)
+    world = fleet.world
+
+    def reading():
+        return sum(host.node.phase == "prefill" for host in fleet.runners.values())
+
+    fleet.mix = {"lecture-summary": (1.0, 12_000, 40)}
+    fleet.load(4.0)
+    world.run_for(40 * SECOND)
+    long_prompts = reading()
+    fleet.mix = {"chapter-heading": (1.0, 100, 400)}
+    fleet.rate = 30.0
+    world.run_for(45 * SECOND)
+    long_answers = reading()
+    orders = len(noted(fleet, "order"))
+    world.run_for(20 * SECOND)
+    assert long_prompts > long_answers
+    assert 1 <= sum(host.node.phase == "decode" for host in fleet.runners.values())
+    assert len(noted(fleet, "order")) - orders <= 2
+
+
+def test_a_runner_being_changed_gets_no_new_work():
+    fleet, _ = make(LICENSING, 11)
+    fleet.load(10.0)
+    fleet.world.run_for(2 * SECOND)
+    steward = holder_of(fleet, "steward").node.steward
+    steward._change(steward.keeper.runners["runner-4"], "prefill", fleet.world.now_us)
+    fleet.world.run_for(2 * SECOND)
+    ordered_us = next(at_us for at_us, facts in noted(fleet, "order") if facts["runner"] == "runner-4")
+    late = [
+        facts for at_us, facts in noted(fleet, "offered")
+        if facts["runner"] == "runner-4" and ordered_us - 50_000 < facts["sent_us"] < ordered_us
+    ]
+    assert late == []
+
+
+def test_a_group_that_floods_delays_neither_of_the_others():
+    def waits(is_flooded):
+        fleet, _ = make(LICENSING, 14)
+        fleet.load(4.0)
+        if is_flooded:
+            for step in range(400):
+                fleet.world.after(step * 20_000, lambda: fleet.ask("audit-digest"))
+        fleet.world.run_for(8 * SECOND)
+        fleet.settle(120)
+        checks = [one for one in fleet.caller.node.asked.values() if one.kind == "entitlement-check"]
+        return [(one.first_us or one.ended_us) - one.asked_us for one in checks], [one.how for one in checks]
+
+    (calm, _), (flooded, hows) = waits(False), waits(True)
+    assert set(hows) == {"done"}
+    assert sorted(flooded)[len(flooded) // 2] < 6 * sorted(calm)[len(calm) // 2]
+    assert max(flooded) < 5 * SECOND
+
+
+def test_a_group_without_credit_waits_alone_and_its_overflow_is_refused():
+    plan = LICENSING.plan()
+    plan["groups"] = {**plan["groups"], "audit": {"credit": {"tokens": 1_000, "period_us": 10 * SECOND}, "weight": 1.0, "queue": {"requests": 2, "tokens": 20_000}}}
+    fleet, _ = make(LICENSING, 13, plan=plan)
+    router = [fleet.routers["edge-1"].address]
+    digests = [fleet.ask("audit-digest", router) for _ in range(6)]
+    questions = [fleet.ask("seat-question", router) for _ in range(6)]
+    fleet.world.run_for(10 * SECOND)
+    assert all(one.how == "done" for one in questions)
+    refused = [one for one in digests if one.how == "refused"]
+    assert refused
+    assert {one.code for one in refused} == {"credit_spent"}
+    assert all(one.ended_us - one.asked_us < 50_000 for one in refused)
+
+
+def test_credit_follows_demand_between_zones_and_never_sums_above_the_allowance():
+    fleet, faults = make(LICENSING, 14)
+    world = fleet.world
+    worst = []
+
+    def rates():
+        return {name: host.node.credit.groups["seats"].bucket.rate for name, host in fleet.routers.items() if host.node}
+
+    def ask_at(names, seconds):
+        for step in range(seconds * 10):
+            for name in names:
+                world.after(step * 100_000, lambda name=name: fleet.ask("seat-question", [fleet.routers[name].address]))
+        for _ in range(seconds * 10):
+            world.run_for(100_000)
+            worst.append(sum(rates().values()))
+
+    ask_at(["edge-1", "edge-4"], 8)
+    first = rates()
+    holder_of(fleet, "bursar").kill()
+    ask_at(["edge-2", "edge-5"], 16)
+    second = rates()
+    assert first["edge-1"] > 2 * first["edge-2"]
+    assert second["edge-2"] > 2 * second["edge-1"]
+    assert max(worst) <= 20_000 * 1.0001
+
+
+def test_one_key_is_never_run_again_after_its_router_died():
+    fleet, _ = make(LICENSING, 15)
+    first = fleet.ask("entitlement-check", [fleet.routers["edge-1"].address], key="form-17")
+    assert fleet.world.wait_for(lambda: noted(fleet, "begin"), 2 * SECOND, 1_000)
+    fleet.routers["edge-1"].kill()
+    second = fleet.ask("entitlement-check", [fleet.routers["edge-2"].address], key="form-17")
+    fleet.world.run_for(3 * SECOND)
+    assert first.how == "cut"
+    assert (second.how, second.code, second.done) == ("trouble", "key_used", "unknown")
+    assert len({facts["asked"] for _, facts in noted(fleet, "begin")}) == 1
+
+
+def test_a_stream_goes_on_through_another_router_from_the_last_piece_received():
+    fleet, _ = make(LICENSING, 16)
+    routers = [fleet.routers[name].address for name in ("edge-1", "edge-2")]
+    asked = fleet.ask("audit-digest", routers, answer=400)
+    assert fleet.world.wait_for(lambda: asked.pieces >= 1 or asked.ended_us, 10 * SECOND, 10_000)
+    fleet.routers["edge-1"].kill()
+    assert fleet.world.wait_for(lambda: asked.ended_us, 60 * SECOND)
+    if asked.resumes:
+        assert asked.how == "done"
+        assert asked.count == asked.last
+        assert len({facts["run"] for _, facts in noted(fleet, "piece")}) == 1
+
+
+def test_a_deadline_is_answered_while_the_runner_hangs():
+    fleet, faults = make(LICENSING, 17)
+    for name in fleet.runners:
+        faults.begin("freeze_runner", name)
+    asked = fleet.ask("entitlement-check")
+    queued = fleet.ask("entitlement-check", tokens=700)
+    fleet.world.run_for(11 * SECOND)
+    assert asked.code in ("deadline", "runner_lost")
+    assert asked.done == "unknown"
+    assert queued.ended_us is not None
+
+
+def test_a_caller_that_goes_away_ends_its_shot():
+    fleet, _ = make(LICENSING, 18)
+    asked = fleet.ask("audit-digest", answer=800)
+    assert fleet.world.wait_for(lambda: asked.pieces >= 1 or asked.ended_us, 10 * SECOND, 10_000)
+    fleet.caller.node.hang_up(asked)
+    fleet.world.run_for(SECOND)
+    assert sum(len(host.node.streams) for host in fleet.runners.values()) == 0
+
+
+def test_a_slow_reader_holds_its_runner_back_and_loses_nothing():
+    fleet, _ = make(LICENSING, 19)
+    asked = fleet.ask("audit-digest", answer=800)
+    assert fleet.world.wait_for(lambda: asked.pieces >= 1, 10 * SECOND, 10_000)
+    asked.outing.hold()
+    fleet.world.run_for(6 * SECOND)
+    asked.outing.release()
+    assert fleet.world.wait_for(lambda: asked.ended_us, 60 * SECOND)
+    assert asked.how == "done"
+    assert asked.pieces == asked.count
+
+
+def test_draining_refuses_new_work_and_ends_running_streams_honestly():
+    fleet, _ = make(LICENSING, 20)
+    router = fleet.routers["edge-1"]
+    running = fleet.ask("audit-digest", [router.address], answer=800)
+    assert fleet.world.wait_for(lambda: running.pieces >= 1, 10 * SECOND, 10_000)
+    drained = []
+    router.node.drain(lambda: drained.append(fleet.world.now_us))
+    late = fleet.ask("seat-question", [router.address])
+    fleet.world.run_for(12 * SECOND)
+    assert late.code == "draining"
+    assert drained
+    assert running.how == "done" or running.code == "cut_by_drain"
+
+
+def test_shedding_moves_the_longest_resumable_stream_and_keeps_it_whole():
+    fleet, _ = make(LICENSING, 21, runner_given={"kv_total": 40_000})
+    fleet.mix = {"audit-digest": (0.5, 6_000, 800), "seat-question": (0.5, 400, 120)}
+    fleet.load(6.0)
+    fleet.world.run_for(40 * SECOND)
+    fleet.settle(120)
+    moves = sum(host.node.flow.moves["shed"] for host in fleet.routers.values())
+    assert moves >= 1
+    assert {one.how for one in fleet.caller.node.asked.values()} <= {"done", "refused", "trouble"}
+    from linkhaven.stage.checkers import extra_shots_keep_to_the_budget, streams_are_whole
+    assert list(streams_are_whole(fleet.world.record)) == []
+    assert list(extra_shots_keep_to_the_budget(fleet.world.record, margin=7)) == []
