--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -0,0 +1,272 @@
+from linkhaven.pairing import Decision, Pairing
+from linkhaven.runner.roster import PREFILL
+
+from .faults import Faults
+from .fleet import DEPLOYMENTS, SimFleet, percentile
+from .scenario import Scenario
+
+SECOND = 1_000_000
+
+
+class RandomPairing(Pairing):
+    """Baseline: any open runner reads, any decode runner decodes."""
+
+    __slots__ = ()
+
+    def choose(self, tokens, ttft_us, without=()):
+        candidates = self.weigh(tokens, ttft_us, without)
+        if not candidates or not self.has_decode(without):
+            return Decision(candidates, None)
+        return Decision(candidates, candidates[self.node.ports.dice.randrange(len(candidates))])
+
+    def choose_decode(self, without=()):
+        runners = [runner for runner in self.roster.open_runners() if runner.phase != PREFILL and runner.name not in without]
+        return runners[self.node.ports.dice.randrange(len(runners))] if runners else None
+
+
+class StrictPairing(Pairing):
+    """Baseline: strict disaggregation, only prefill runners read."""
+
+    __slots__ = ()
+
+    def weigh(self, tokens, ttft_us, without=()):
+        candidates = super().weigh(tokens, ttft_us, without)
+        return [candidate for candidate in candidates if candidate.runner.phase == PREFILL] or candidates
+
+
+POLICIES = {"taichi": Pairing, "random": RandomPairing, "strict": StrictPairing}
+
+
+def make_fleet(deployment, seed, policy="taichi", **given):
+    fleet = SimFleet(DEPLOYMENTS[deployment], seed, **given)
+    fleet.start()
+    for host in fleet.routers.values():
+        host.node.pairing.__class__ = POLICIES[policy]
+    return fleet
+
+
+def run_load(fleet, rate, seconds, settle_s=90):
+    begun_us = fleet.world.now_us
+    fleet.load(rate)
+    fleet.world.run_for(int(seconds * SECOND))
+    fleet.settle(settle_s)
+    return fleet.summary(begun_us)
+
+
+def fixed_plan(deployment, **taichi):
+    return DEPLOYMENTS[deployment].plan(taichi=taichi)
+
+
+def measure_placement(deployment, seeds, tell):
+    """TaiChi, random placement and strict disaggregation: share of requests within both targets, by rate."""
+    base = DEPLOYMENTS[deployment].rate
+    for factor in (1, 2, 3, 4):
+        row = {"rate": base * factor}
+        for policy in POLICIES:
+            shares = []
+            for seed in range(1, seeds + 1):
+                fleet = make_fleet(deployment, seed, policy, plan=fixed_plan(deployment, search=False))
+                shares.append(run_load(fleet, base * factor, 20)["goodput_share"])
+            row[policy] = round(sum(shares) / len(shares), 4)
+        tell(row)
+
+
+def measure_herding(deployment, seeds, tell):
+    """Goodput by number of routers and by how late runners report, at three times the usual rate."""
+    rate = DEPLOYMENTS[deployment].rate * 3
+    for routers in (1, 3, 7, 14):
+        row = {"routers": routers}
+        for every_ms in (100, 500, 2000):
+            shares = []
+            for seed in range(1, seeds + 1):
+                plan = fixed_plan(deployment, search=False)
+                plan["fleet"], plan["extra"] = {"routers": routers}, {"share": 0.2, "margin": routers}
+                fleet = make_fleet(deployment, seed, plan=plan, routers=routers, runner_given={"report_every_us": every_ms * 1000})
+                shares.append(run_load(fleet, rate, 20)["goodput_share"])
+            row[f"report_{every_ms}ms"] = round(sum(shares) / len(shares), 4)
+        tell(row)
+
+
+def measure_news(deployment, seeds, tell):
+    """From an operator's acknowledgement to the plan being in force at each router."""
+    for fault in (None, "kill_core", "freeze_core", "slow_disk"):
+        delays = []
+        for seed in range(1, seeds + 1):
+            fleet = make_fleet(deployment, seed)
+            faults = Faults(fleet)
+            if fault:
+                faults.begin(fault, "c")
+                fleet.world.run_for(SECOND)
+            for mark in range(1, 6):
+                delays += _time_put(fleet, mark)
+        tell({"fault": fault or "none", "samples": len(delays), **_spread_ms(delays)})
+
+
+def _time_put(fleet, mark):
+    world, acked = fleet.world, []
+    fleet.put_plan(fleet.plan, mark, "a", 0, lambda status, document: acked.append(world.now_us))
+    world.wait_for(lambda: acked, 5 * SECOND, 1_000)
+    left, delays = dict(fleet.routers), []
+    while left and world.now_us < acked[0] + 5 * SECOND:
+        for name in [name for name, host in left.items() if host.node.image.mark > mark]:
+            del left[name]
+            delays.append(max(0, world.now_us - acked[0]))
+        world.run_for(1_000)
+    return delays
+
+
+def _spread_ms(delays):
+    return {f"p{int(share * 100)}_ms": round(percentile(delays, share) / 1000, 1) for share in (0.5, 0.9, 0.99)} | {"max_ms": round(max(delays) / 1000, 1)}
+
+
+def measure_membership(deployment, seeds, tell):
+    """Time until every other node takes a killed node for down, and accusations of live ones."""
+    for kill in (1, 3):
+        delays, false_alarms = [], 0
+        for seed in range(1, seeds + 1):
+            fleet = make_fleet(deployment, seed)
+            world = fleet.world
+            world.is_tracing = True
+            fleet.load()
+            names = sorted(fleet.routers)
+            world.dice.shuffle(names)
+            dead, live = names[:kill], names[kill:]
+            world.run_for(20 * SECOND)
+            killed_us = world.now_us
+            for name in dead:
+                fleet.routers[name].kill()
+            world.run_for(6 * SECOND)
+            for at_us, host, number, facts in world.events:
+                if number == 1102 and facts["fellow"] in dead and host not in dead:
+                    delays.append(at_us - killed_us)
+                elif number == 1102:
+                    false_alarms += 1
+        tell({"killed": kill, "samples": len(delays), **_spread_ms(delays), "false_alarms": false_alarms, "seconds_watched": 26 * seeds})
+
+
+def measure_duties(deployment, seeds, tell):
+    """Time a duty stands vacant after its holder is killed or frozen."""
+    for deed in ("kill", "freeze"):
+        delays = []
+        for seed in range(1, seeds + 1):
+            fleet = make_fleet(deployment, seed)
+            for duty in ("steward", "bursar", "roster"):
+                holder = _holder(fleet, duty)
+                begun_us = fleet.world.now_us
+                getattr(holder, deed)()
+                fleet.world.wait_for(lambda: _holder(fleet, duty), 12 * SECOND, 10_000)
+                delays.append(fleet.world.now_us - begun_us)
+                holder.wake() if deed == "freeze" else holder.start()
+                fleet.world.run_for(8 * SECOND)
+        tell({"holder": deed, "samples": len(delays), **_spread_ms(delays)})
+
+
+def _holder(fleet, duty):
+    for host in fleet.registries.values():
+        if host.node and not host.is_frozen and host.node.duties[duty].is_held():
+            return host
+    return None
+
+
+RECOVERIES = (
+    "kill_router", "kill_many_routers", "freeze_router", "cut_router", "cut_router_one_way", "kill_core", "freeze_holder",
+    "empty_core", "restart_core", "cut_core", "stall_disk", "crash_runner", "dark_runner", "freeze_runner", "replace_runner",
+    "lapse_handles", "slow_links", "break_conns", "crowd",
+)
+
+
+def measure_recovery(deployment, seeds, tell):
+    """Per fault: served share while it lasts, and time from its close until 90 percent of each second's requests are served."""
+    for fault in RECOVERIES:
+        times, during = [], []
+        for seed in range(1, seeds + 1):
+            scenario = Scenario(deployment, seed).load(3)
+            begun_us = scenario.fleet.world.now_us
+            scenario.fault(fault).load(8)
+            closed_us = scenario.fleet.world.now_us
+            scenario.close().end(calm_s=20)
+            seen = scenario.fleet.summary(begun_us, closed_us)
+            during.append(seen["served"] / max(1, seen["asked"]))
+            times.append(_recovered_s(scenario.fleet, closed_us))
+        tell({"fault": fault, "served_during": round(sum(during) / len(during), 3), "recovered_s_median": percentile(times, 0.5), "recovered_s_max": max(times)})
+
+
+def _recovered_s(fleet, closed_us):
+    last_bad = 0
+    for second in range(20):
+        seen = fleet.summary(closed_us + second * SECOND, closed_us + (second + 1) * SECOND)
+        if seen["asked"] and seen["served"] < 0.9 * seen["asked"]:
+            last_bad = second + 1
+    return last_bad
+
+
+SWING = {
+    "licensing": ({"audit-digest": (1.0, 12_000, 60)}, 2.0, {"seat-question": (1.0, 200, 400)}, 22.0),
+    "archive": ({"lecture-summary": (1.0, 12_000, 60)}, 3.5, {"chapter-heading": (1.0, 200, 400)}, 45.0),
+}
+
+
+def measure_ratio(deployment, seeds, tell):
+    """Goodput over a swing from the usual mix to long prompts, to long answers and back, by kind of ratio."""
+    prompts, prompt_rate, answers, answer_rate = SWING[deployment]
+    usual = DEPLOYMENTS[deployment]
+    for name, search in (("searched", True), ("fixed", False)):
+        parts = {}
+        orders = 0
+        for seed in range(1, seeds + 1):
+            fleet = make_fleet(deployment, seed, plan=fixed_plan(deployment, search=search))
+            fleet.load()
+            for part, mix, rate in (
+                ("usual", usual.mix, usual.rate), ("prompts", prompts, prompt_rate), ("answers", answers, answer_rate), ("usual_again", usual.mix, usual.rate),
+            ):
+                fleet.mix, fleet.rate = dict(mix), rate
+                begun_us = fleet.world.now_us
+                fleet.world.run_for(40 * SECOND)
+                parts.setdefault(part, []).append((begun_us, fleet.world.now_us, fleet))
+            fleet.settle(120)
+            orders += sum(1 for _, kind, facts in fleet.world.record if kind == "order" and facts["is_taken"])
+        row = {"ratio": name, "orders": orders}
+        for part, spans in parts.items():
+            shares = [fleet.summary(begun_us, ended_us)["goodput_share"] for begun_us, ended_us, fleet in spans]
+            row[part] = round(sum(shares) / len(shares), 4)
+        tell(row)
+
+
+def measure_moves(deployment, seeds, tell):
+    """Flowing on and off where decode memory is scarce."""
+    for moves in (True, False):
+        shares, served, shed, back = [], [], 0, 0
+        for seed in range(1, seeds + 1):
+            plan = fixed_plan(deployment, search=False, moves=moves)
+            fleet = make_fleet(deployment, seed, plan=plan, runner_given={"kv_total": 40_000})
+            seen = run_load(fleet, DEPLOYMENTS[deployment].rate * 1.5, 40, 120)
+            shares.append(seen["goodput_share"])
+            served.append(seen["served"] / seen["asked"])
+            shed += sum(host.node.flow.moves["shed"] for host in fleet.routers.values())
+            back += sum(host.node.flow.moves["back"] for host in fleet.routers.values())
+        tell({"moves": moves, "goodput_share": round(sum(shares) / len(shares), 4), "served_share": round(sum(served) / len(served), 4), "shed": shed, "back": back})
+
+
+def measure_fairness(deployment, seeds, tell):
+    """Wait for the first piece of each kind, with and without one group flooding for 8 s."""
+    flooding = min(DEPLOYMENTS[deployment].mix, key=lambda kind: DEPLOYMENTS[deployment].mix[kind][0])
+    for is_flooded in (False, True):
+        waits = {}
+        for seed in range(1, seeds + 1):
+            fleet = make_fleet(deployment, seed)
+            fleet.load()
+            for step in range(400 if is_flooded else 0):
+                fleet.world.after(step * 20_000, lambda: fleet.ask(flooding))
+            fleet.world.run_for(12 * SECOND)
+            fleet.settle(120)
+            for one in fleet.caller.node.asked.values():
+                waits.setdefault(one.kind, []).append(((one.first_us or one.ended_us) - one.asked_us, one.how == "done"))
+        for kind, seen in waits.items():
+            spans = [span for span, _ in seen]
+            tell({"flooded": is_flooded, "kind": kind, "asked": len(seen), "served": sum(done for _, done in seen), **_spread_ms(spans)})
+
+
+MEASURES = {
+    "placement": measure_placement, "herding": measure_herding, "news": measure_news, "membership": measure_membership,
+    "duties": measure_duties, "recovery": measure_recovery, "ratio": measure_ratio, "moves": measure_moves, "fairness": measure_fairness,
+}
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -1,7 +1,7 @@
 import json
 import tempfile
 
-from cleo.helpers import option
+from cleo.helpers import argument, option
 
 from linkhaven.schema import Trouble
 from linkhaven.wire import Shell
@@ -9,8 +9,9 @@
 
 from .fleet import DEPLOYMENTS
 from .loopback import LoadRun, run_fleet
-from .sweep import sweep
+from .measure import MEASURES
 from .standins import StandInPlatform, StandInRunner
+from .sweep import sweep
 
 DEPLOYMENT_OPTION = option("deployment", "d", "licensing or archive", flag=False, default="licensing")
 
@@ -129,5 +130,20 @@
         return 1 if told["breached"] else 0
 
 
+class MeasureCommand(CodedCommand):
+    name = "measure"
+    description = f"Measure in simulated time: {', '.join(MEASURES)}."
+    arguments = [argument("what", "what to measure")]
+    options = [DEPLOYMENT_OPTION, option("seeds", None, "how many seeds, from 1", flag=False, default="3")]
+
+    def act(self):
+        measure = MEASURES.get(self.argument("what"))
+        if measure is None:
+            raise Trouble("settings_invalid", places=f"what: is not one of {', '.join(MEASURES)}")
+        measure(deployment_of(self).name, whole(self, "seeds", 1, 1000), lambda row: self.line(json.dumps(row)))
+
+
 def main():
-    run_application("linkhaven-stage", [RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand(), SweepCommand()])
+    run_application("linkhaven-stage", [
+        RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand(), SweepCommand(), MeasureCommand(),
+    ])
