Queue views: routers tell each other their open reads; reading time learned only from idle reads

Cause: reports come 250 to 750 ms late and give counts only, so a digest that a fellow sent looked like one mean prompt or like nothing, and short prompts queued behind it past their targets; and the learned factor took unseen queues for a slow runner (up to its cap of 4).

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -5,31 +5,53 @@
 from .estimator import Estimator
 
 HISTORY_US = 5_000_000
+TOLD_US = 2_500_000
+TELL_US = 1_000_000
 
 
 class Book:
-    """What this router has sent to one runner and not yet seen finished."""
+    """What this router, and its fellows by their own word, have at one runner and not yet seen finished."""
 
-    __slots__ = ("reads", "decodes", "history", "predictions")
+    __slots__ = ("reads", "decodes", "predictions", "told", "history")
 
     def __init__(self):
         self.reads = {}
         self.decodes = {}
-        self.history = deque()
         self.predictions = {}
+        self.told = {}
+        self.history = deque()
+
+    def own(self):
+        return len(self.reads), sum(self.reads.values()), sum(self.decodes.values())
+
+    def known(self):
+        count, tokens, held = self.own()
+        for told_count, told_tokens, told_held, _ in self.told.values():
+            count += told_count
+            tokens += told_tokens
+            held += told_held
+        return count, tokens, held
 
     def note(self, now_us):
-        self.history.append((now_us, len(self.reads), sum(self.decodes.values())))
+        count, _, held = self.known()
+        self.history.append((now_us, count, held))
         while self.history and now_us - self.history[0][0] > HISTORY_US:
             self.history.popleft()
 
     def at(self, when_us):
-        reads, kv = 0, 0
-        for noted_us, count, held in self.history:
+        count, held = 0, 0
+        for noted_us, known_count, known_held in self.history:
             if noted_us > when_us:
                 break
-            reads, kv = count, held
-        return reads, kv
+            count, held = known_count, known_held
+        return count, held
+
+    def sweep(self, now_us):
+        lapsed = [fellow for fellow, told in self.told.items() if now_us >= told[3]]
+        for fellow in lapsed:
+            del self.told[fellow]
+        if lapsed:
+            self.note(now_us)
 
 
 class Candidate:
@@ -71,16 +93,23 @@
 
 
 class Pairing:
-    """TaiChi's length-aware prefill placement (Algorithm 2) and its start of decodes."""
+    """TaiChi's length-aware prefill placement (Algorithm 2) and its start of decodes.
+
+    Each router tells its fellows what it has at a runner as soon as that changes, so that their
+    views of the queues agree long before the runner's own late report."""
 
-    __slots__ = ("node", "roster", "estimator", "books", "exceptions")
+    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us")
 
-    def __init__(self, node, roster):
+    def __init__(self, node, roster, fellows=list):
         self.node = node
         self.roster = roster
+        self.fellows = fellows
         self.estimator = Estimator()
         self.books = {}
         self.exceptions = {}
+        self.told_us = 0
+        node.hearers["books"] = self.hear_books
+        node.systems.append(self.tick)
 
     def take_plan(self, plan):
         self.estimator.taichi = plan["taichi"]
@@ -89,23 +118,49 @@
         key = (runner.name, runner.incarnation)
         book = self.books.get(key)
         if book is None:
-            for old in [old for old in self.books if old[0] == runner.name and not self.books[old].reads and not self.books[old].decodes]:
+            for old in [old for old in self.books if old[0] == runner.name and not any(self.books[old].own())]:
                 del self.books[old]
             book = self.books[key] = Book()
         return book
 
+    def _tell(self, key, book):
+        for fellow in self.fellows():
+            self.node.tell(fellow.address, "books", books=[[*key, *book.own()]])
+
+    def hear_books(self, message):
+        now_us = self.node.now_us()
+        for name, incarnation, count, tokens, held in message["books"]:
+            book = self.books.get((name, incarnation))
+            if book is None:
+                book = self.books[(name, incarnation)] = Book()
+            book.told[message["name"]] = (count, tokens, held, now_us + TOLD_US)
+            book.note(now_us)
+
+    def tick(self, now_us):
+        for book in self.books.values():
+            book.sweep(now_us)
+        if now_us - self.told_us < TELL_US:
+            return
+        self.told_us = now_us
+        books = [[*key, *book.own()] for key, book in self.books.items() if any(book.own())]
+        for fellow in self.fellows() if books else ():
+            self.node.tell(fellow.address, "books", books=books)
+
+    def _change(self, runner, book):
+        book.note(self.node.now_us())
+        self._tell((runner.name, runner.incarnation), book)
+
     def queued_tokens(self, runner):
         book = self.book(runner)
-        own = sum(book.reads.values())
+        _, tokens, _ = book.known()
         if runner.reported_us is None:
-            return own
-        own_count, _ = book.at(runner.reported_us)
-        others = max(0, runner.queued - own_count)
-        return own + others * self.estimator.prompt_mean
+            return tokens
+        known_count, _ = book.at(runner.reported_us)
+        return tokens + max(0, runner.queued - known_count) * self.estimator.prompt_mean
 
     def kv_share(self, runner):
         book = self.book(runner)
-        held = sum(book.decodes.values())
+        _, _, held = book.known()
         if runner.reported_us is None:
             return held / runner.kv_total
         _, held_then = book.at(runner.reported_us)
@@ -155,11 +210,11 @@
             return None
         return self._least(runners, self.kv_share)
 
-    def begin_read(self, runner, shot, tokens, predicted_us):
+    def begin_read(self, runner, shot, tokens, is_queued):
         book = self.book(runner)
         book.reads[shot] = tokens
-        book.predictions[shot] = (predicted_us, self.node.now_us())
-        book.note(self.node.now_us())
+        book.predictions[shot] = (0 if is_queued else self.estimator.read_us(tokens, runner), self.node.now_us())
+        self._change(runner, book)
         self.estimator.note_prompt(tokens)
 
     def end_read(self, runner, shot, is_seen=False):
@@ -167,15 +222,14 @@
         if book.reads.pop(shot, None) is None:
             return
         predicted_us, begun_us = book.predictions.pop(shot)
-        now_us = self.node.now_us()
-        book.note(now_us)
+        self._change(runner, book)
         if is_seen:
-            self.estimator.note_read(runner.name, runner.phase, predicted_us, now_us - begun_us)
+            self.estimator.note_read(runner.name, runner.phase, predicted_us, self.node.now_us() - begun_us)
 
     def begin_decode(self, runner, shot, tokens):
         book = self.book(runner)
         book.decodes[shot] = tokens
-        book.note(self.node.now_us())
+        self._change(runner, book)
 
     def grow_decode(self, runner, shot, tokens):
         book = self.book(runner)
@@ -185,4 +239,4 @@
     def end_decode(self, runner, shot):
         book = self.book(runner)
         if book.decodes.pop(shot, None) is not None:
-            book.note(self.node.now_us())
+            self._change(runner, book)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -39,7 +39,7 @@
         self.news = NewsReader(self, self.ring, self.image, majority)
         self.roster = Roster(self)
         self.desk = RunnerDesk(self)
-        self.pairing = Pairing(self, self.roster)
+        self.pairing = Pairing(self, self.roster, lambda: self.ring.live("router"))
         self.extra = ExtraBudget(self)
         self.credit = CreditDesk(self)
         self.requests = Table()
--- a/packages/router/src/linkhaven/router/shots.py
+++ b/packages/router/src/linkhaven/router/shots.py
@@ -50,17 +50,16 @@
 
     def _place(self, request, decision):
         request.decisions.append(decision.as_record())
-        winner = decision.winner
-        self._start(request, winner.runner, winner.q_us + winner.e_us + winner.t_us)
+        self._start(request, decision.winner.runner)
 
     def _begin_resume(self, request):
         runner = self.pairing.choose_decode(without=request.failed)
         if runner is None:
             return False
-        self._start(request, runner, self.pairing.estimator.read_us(request.prompt_tokens, runner))
+        self._start(request, runner)
         return True
 
-    def _start(self, request, runner, predicted_us):
+    def _start(self, request, runner):
         now_us = self.node.now_us()
         request.shots += 1
         request.shot = f"{request.id}/{request.shots}"
@@ -68,7 +67,8 @@
         request.shot_begun_us = request.progress_us = now_us
         request.has_begun = True
         request.handle = None
-        self.pairing.begin_read(runner, request.shot, request.prompt_tokens, predicted_us)
+        is_queued = self.pairing.queued_tokens(runner) > request.prompt_tokens // 4
+        self.pairing.begin_read(runner, request.shot, request.prompt_tokens, is_queued)
         request.note(now_us, "shot", runner=runner.name, phase=runner.phase, number=request.shots)
         if runner.phase == PREFILL and not request.run:
             return self._read(request, runner)
@@ -184,7 +184,7 @@
             runner = self.pairing.choose_decode(without=request.failed) or self.pairing.choose_decode()
             if runner is None:
                 return self.node.end_in_trouble(request, self._spent(request, trouble))
-            return self._start(request, runner, self.pairing.estimator.read_us(request.prompt_tokens, runner))
+            return self._start(request, runner)
         decision = self.pairing.choose_anyway(request.prompt_tokens, request.kind["ttft_us"], "retry", request.failed)
         if decision.winner is None:
             decision = self.pairing.choose_anyway(request.prompt_tokens, request.kind["ttft_us"], "retry")
@@ -208,7 +208,7 @@
         request.pace_from_us = now_us
         self.node.ports.log(2105, request=request.id, why=why, source=origin.name, target=target.name)
         request.note(now_us, "moved", why=why, runner=target.name)
-        self._start(request, target, self.pairing.estimator.read_us(request.prompt_tokens, target))
+        self._start(request, target)
         return True
 
     def tick(self, now_us):
