Failed hand-overs shun their runner; a request that cannot end in time is refused at once

Cause: with handles lapsing, each router went on trying the same prefill runners and spent the budget; under a flood, requests past half their deadline were begun though they could not end in it.

--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -157,9 +157,12 @@
             request = book.queue[0]
             if not self.has_credit(book, request, now_us):
                 break
-            if not start(request):
+            is_begun = start(request)
+            if not book.queue or book.queue[0] is not request:
+                continue
+            if not is_begun:
                 return False
-            book.queue.remove(request)
+            book.queue.popleft()
             book.queued_tokens -= request.prompt_tokens
             book.deficit -= request.prompt_tokens
             book.bucket.level -= request.prompt_tokens
--- a/packages/pairing/src/linkhaven/pairing/estimator.py
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -8,12 +8,13 @@
     """Reading time of a prompt on a runner: a base and a rate, halved (as the plan says) on decode
     runners, times a factor learned per runner from what was seen."""
 
-    __slots__ = ("taichi", "factors", "prompt_mean")
+    __slots__ = ("taichi", "factors", "prompt_mean", "answer_token_us")
 
     def __init__(self):
         self.taichi = None
         self.factors = {}
         self.prompt_mean = 1_000.0
+        self.answer_token_us = 10_000.0
 
     def rate(self, phase):
         rate = self.taichi["prefill_tokens_per_s"]
@@ -28,6 +29,12 @@
     def transfer_us(self, tokens):
         return int(tokens * self.taichi["kv_bytes_per_token"] * 1_000_000 / self.taichi["link_bytes_per_s"])
 
+    def answer_us(self, tokens):
+        return int(tokens * self.answer_token_us)
+
+    def note_answer(self, tokens, span_us):
+        self.answer_token_us += SMOOTHING * (span_us / max(1, tokens) - self.answer_token_us)
+
     def note_prompt(self, tokens):
         self.prompt_mean += SMOOTHING * (tokens - self.prompt_mean)
 
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -7,6 +7,8 @@
 HISTORY_US = 5_000_000
 TOLD_US = 2_500_000
 TELL_US = 1_000_000
+SHUN_US = 2_000_000
+SHUN_MOST_US = 16_000_000
 
 
 class Book:
@@ -98,7 +100,7 @@
     Each router tells its fellows what it has at a runner as soon as that changes, so that their
     views of the queues agree long before the runner's own late report."""
 
-    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us")
+    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us", "shunned")
 
     def __init__(self, node, roster, fellows=list):
         self.node = node
@@ -108,7 +110,8 @@
         self.books = {}
         self.exceptions = {}
         self.told_us = 0
-        node.hearers["books"] = self.hear_books
+        self.shunned = {}
+        node.hearers.update(books=self.hear_books, shun=self.hear_shun)
         node.systems.append(self.tick)
 
     def take_plan(self, plan):
@@ -166,11 +169,34 @@
         _, held_then = book.at(runner.reported_us)
         return max(0, runner.kv_used + held - held_then) / runner.kv_total
 
+    def shun(self, runner):
+        """A hand-over from this runner failed: reads go elsewhere for a while, longer each time, if there is elsewhere."""
+        key = (runner.name, runner.incarnation)
+        now_us = self.node.now_us()
+        until_us, span_us = self.shunned.get(key, (0, SHUN_US // 2))
+        if now_us < until_us:
+            return
+        span_us = min(SHUN_MOST_US, span_us * 2)
+        self.shunned[key] = (now_us + span_us, span_us)
+        for fellow in self.fellows():
+            self.node.tell(fellow.address, "shun", runner=key, span_us=span_us)
+
+    def hear_shun(self, message):
+        span_us = min(SHUN_MOST_US, message["span_us"])
+        until_us = self.node.now_us() + span_us
+        if until_us > self.shunned.get(tuple(message["runner"]), (0, 0))[0]:
+            self.shunned[tuple(message["runner"])] = (until_us, span_us)
+
+    def note_hand_over(self, runner):
+        self.shunned.pop((runner.name, runner.incarnation), None)
+
+    def _is_shunned(self, runner):
+        return runner.phase == PREFILL and self.node.now_us() < self.shunned.get((runner.name, runner.incarnation), (0, 0))[0]
+
     def weigh(self, tokens, ttft_us, without=()):
         candidates = []
-        for runner in self.roster.open_runners():
-            if runner.name in without:
-                continue
+        fit = [runner for runner in self.roster.open_runners() if runner.name not in without]
+        for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
             queued = self.queued_tokens(runner)
             q_us = self.estimator.read_us(queued, runner)
             e_us = self.estimator.read_us(tokens, runner)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -192,6 +192,8 @@
         call.write(write_event("done", {"count": request.written, "tokens": request.tokens}))
         call.finish()
         self.counts["served"] += 1
+        if request.first_us is not None:
+            self.pairing.estimator.note_answer(request.answer_tokens, self.now_us() - request.first_us)
         self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.shots)
         self._close(request, "done")
 
--- a/packages/router/src/linkhaven/router/shots.py
+++ b/packages/router/src/linkhaven/router/shots.py
@@ -4,6 +4,7 @@
 from . import request as states
 
 REFUSED_BY_RUNNER = {"runner_leaving", "runner_full", "phase_wrong", "mark_old"}
+FAILED_HAND_OVERS = {"handle_lapsed", "handle_foreign", "hand_over_failed"}
 QUIET_US = 4_000_000
 
 
@@ -36,9 +37,17 @@
             decision = self.pairing.choose_anyway(request.prompt_tokens, ttft_us, why)
             if decision.winner is None:
                 return False
+            if self._is_hopeless(request, decision.winner, now_us):
+                request.decisions.append(decision.as_record())
+                self.node.end_in_trouble(request, Trouble("no_runner", retry_us=decision.winner.q_us + 1_000_000))
+                return False
         self._place(request, decision)
         return True
 
+    def _is_hopeless(self, request, winner, now_us):
+        answer_us = self.pairing.estimator.answer_us(request.answer_tokens)
+        return now_us + winner.total_us + answer_us > request.deadline_us
+
     def _exception_for(self, request, decision, ttft_us, now_us):
         if not decision.candidates:
             return None
@@ -141,6 +150,8 @@
         request.handle = None
 
     def _fail(self, request, runner, trouble, has_begun):
+        if trouble.code in FAILED_HAND_OVERS and request.handle:
+            self.pairing.shun(request.handle[1])
         self.leave_runner(request)
         now_us = self.node.now_us()
         request.note(now_us, "failed", runner=runner.name, code=trouble.code, number=request.shots)
@@ -280,6 +291,7 @@
         self.shots.pairing.end_read(self.runner, self.shot, is_seen=self.runner.phase == DECODE and not request.handle)
         if request.handle:
             self.shots.pairing.end_read(request.handle[1], self.shot)
+            self.shots.pairing.note_hand_over(request.handle[1])
         tokens = piece.document.get("tokens", 1)
         if not isinstance(tokens, int) or tokens < 0:
             return self._break("a piece without its tokens")
