Simulator: what-if questions with the same demand in every case; queues refuse what cannot be reached

Cause: operators ask what one runner less or a zone cut off would do; and queued requests were refused only when their time was nearly up.

--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -5,10 +5,11 @@
 
 QUANTUM = 2_000
 DEMAND_US = 2_000_000
+PATIENCE = 0.5
 
 
 class GroupBook:
-    __slots__ = ("name", "queue", "queued_tokens", "deficit", "bucket", "share", "share_until_us", "grant", "arrived", "demand", "terms")
+    __slots__ = ("name", "queue", "queued_tokens", "deficit", "bucket", "share", "share_until_us", "grant", "arrived", "demand", "terms", "served", "pace", "is_busy")
 
     def __init__(self, name, now_us):
         self.name = name
@@ -22,6 +23,15 @@
         self.arrived = 0
         self.demand = 0.0
         self.terms = None
+        self.served = 0
+        self.pace = None
+        self.is_busy = False
+
+    def wait_us(self):
+        """How long the queue takes at the pace seen while it was never empty; unknown pace promises nothing."""
+        if not self.pace:
+            return 0
+        return int(self.queued_tokens / self.pace * 1_000_000)
 
     @property
     def period_s(self):
@@ -100,6 +110,9 @@
             now_us = self.node.now_us()
             wait_us = book.bucket.wait_us(min(request.prompt_tokens, book.bucket.size), now_us)
             raise Trouble("credit_spent" if wait_us else "queue_full", retry_us=max(1_000_000, wait_us), group=group)
+        wait_us = book.wait_us()
+        if wait_us > request.kind["deadline_us"] * PATIENCE:
+            raise Trouble("queue_full", retry_us=wait_us, group=group, wait_us=wait_us)
         book.queue.append(request)
         book.queued_tokens += request.prompt_tokens
         book.arrived += request.prompt_tokens + request.answer_tokens // 2
@@ -163,6 +176,7 @@
             if not is_begun:
                 return False
             book.queue.popleft()
+            book.served += request.prompt_tokens
             book.queued_tokens -= request.prompt_tokens
             book.deficit -= request.prompt_tokens
             book.bucket.level -= request.prompt_tokens
@@ -181,3 +195,10 @@
         for book in self.groups.values():
             book.demand += weight * (book.arrived * 1_000_000 / passed_us - book.demand)
             book.arrived = 0
+            if book.queue and book.is_busy:
+                pace = book.served * 1_000_000 / passed_us
+                book.pace = pace if book.pace is None else book.pace + weight * (pace - book.pace)
+            elif not book.queue:
+                book.pace = None
+            book.is_busy = bool(book.queue)
+            book.served = 0
--- a/packages/plan/src/linkhaven/plan/check.py
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -1,36 +1,8 @@
 import trafaret as t
 
 from linkhaven.schema import Trouble
+from linkhaven.schema.fields import NAME, list_places, number, whole
 
-
-
-def whole(gte=None, lte=None):
-    def check(value):
-        if type(value) is not int:
-            return t.DataError("is not a whole number")
-        if gte is not None and value < gte:
-            return t.DataError(f"is below {gte}")
-        if lte is not None and value > lte:
-            return t.DataError(f"is above {lte}")
-        return value
-
-    return t.Call(check)
-
-
-def number(above=None, least=None, most=None):
-    def check(value):
-        if type(value) not in (int, float) or value != value:
-            return t.DataError("is not a number")
-        if above is not None and value <= above or least is not None and value < least:
-            return t.DataError(f"is not {'above' if above is not None else 'at least'} {above if above is not None else least}")
-        if most is not None and value > most:
-            return t.DataError(f"is above {most}")
-        return value
-
-    return t.Call(check)
-
-
-NAME = t.Regexp(r"^[a-z0-9][a-z0-9-]{0,63}$")
 US = whole(gte=1, lte=86_400_000_000)
 SHARE = number(least=0, most=1)
 
@@ -81,17 +53,6 @@
 })
 
 
-def _list_places(fault, place, places):
-    if isinstance(fault, dict):
-        for key, inner in fault.items():
-            _list_places(inner, f"{place}/{key}" if place else str(key), places)
-        return places
-    if isinstance(fault, t.DataError):
-        return _list_places(fault.as_dict(), place, places)
-    places.append({"place": place or ".", "fault": str(fault)})
-    return places
-
-
 def _list_clashes(document):
     places = []
     groups = document.get("groups") if isinstance(document, dict) else None
@@ -127,7 +88,7 @@
     try:
         plan = PLAN.check(document)
     except t.DataError as fault:
-        _list_places(fault, "", places)
+        places += list_places(fault)
     places += _list_clashes(document)
     if places:
         raise Trouble("plan_invalid", places=sorted(places, key=lambda place: place["place"]))
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -32,6 +32,7 @@
     "no_such_request": (404, "no", "This node keeps no record of that request; ask the node that served it, soon after."),
     "disk_failing": (503, "no", "The data folder cannot be written and synced; free space or replace the disk, then restart."),
     "settings_invalid": (500, "no", "Mend the named key in the settings file or flags and start again."),
+    "question_invalid": (422, "no", "Mend each listed place of the what-if file and run it again."),
     "address_taken": (500, "no", "Another process listens on that address; stop it or choose another port."),
     "unreachable": (503, "no", "Nothing answers at that address; check that the program runs there and the address is right."),
     "mark_old": (409, "no", "The runner has seen a newer plan; read the newest plan before calling again."),
--- a/packages/stage/src/linkhaven/stage/faults.py
+++ b/packages/stage/src/linkhaven/stage/faults.py
@@ -90,6 +90,15 @@
         self.world.cut([name], [other for other in self._inside() if other not in runners])
         return self.world.heal
 
+    def cut_zone(self, zone=None):
+        """One zone loses its links to all others; callers still reach its routers."""
+        zone = zone or self.pick(self.fleet.deployment.zones)
+        hosts = self._hosts()
+        inside = [name for name, host in hosts.items() if host.zone == zone]
+        self._hinder(*inside)
+        self.world.cut(inside, [name for name in hosts if name not in inside])
+        return self.world.heal
+
     def garble_streams(self, how="skip"):
         nodes = [host.node for host in self.fleet.runners.values() if host.node]
         for node in nodes:
@@ -288,12 +297,12 @@
 
 
 ALL = (
-    "kill_router", "kill_many_routers", "freeze_router", "jump_clock", "cut_router", "cut_router_one_way", "cut_router_from_core", "kill_core", "freeze_core",
+    "kill_router", "kill_many_routers", "freeze_router", "jump_clock", "cut_router", "cut_router_one_way", "cut_router_from_core", "cut_zone", "kill_core", "freeze_core",
     "freeze_holder", "empty_core", "exchange_awake_core", "lossy_core", "restart_core", "full_disk", "stall_disk", "slow_disk",
     "cut_core", "crash_runner", "dark_runner", "freeze_runner", "replace_runner", "lapse_handles", "fail_hand_overs",
     "slow_links", "garble_streams", "break_conns", "crowd", "collide_plans", "burst_plans",
 )
 CORE_FAULTS = {
     "kill_core", "freeze_core", "freeze_holder", "empty_core", "exchange_awake_core", "lossy_core", "restart_core", "full_disk",
-    "stall_disk", "slow_disk", "cut_core", "jump_clock",
+    "stall_disk", "slow_disk", "cut_core", "cut_zone", "jump_clock",
 }
--- a/packages/stage/src/linkhaven/stage/fleet.py
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -1,3 +1,5 @@
+import random
+
 from linkhaven.registry import RegistryNode
 from linkhaven.router import RouterNode
 
@@ -79,11 +81,12 @@
 
     __slots__ = (
         "world", "deployment", "registries", "routers", "runners", "platform", "caller", "operators", "seeds",
-        "is_loading", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan",
+        "is_loading", "load_dice", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan",
     )
 
     def __init__(self, deployment, seed, speeds=None, runner_given=None, plan=None, routers=None, platform_lag_us=500_000):
         self.world = World(seed)
+        self.load_dice = random.Random(seed)
         self.deployment = deployment
         self.speeds = speeds or Speeds()
         self.runner_given = runner_given or {}
@@ -188,12 +191,9 @@
         registry = self.registries[seat] if seat else self.live_registry()
         self.operators[operator].node.put(registry.address, plan, expect, done)
 
-    def pick_routers(self, first=None):
+    def pick_routers(self):
         names = list(self.routers)
-        self.world.dice.shuffle(names)
-        if first:
-            names.remove(first)
-            names.insert(0, first)
+        self.load_dice.shuffle(names)
         return [self.routers[name].address for name in names[:3]]
 
     def prompt(self, tokens):
@@ -208,7 +208,7 @@
         )
 
     def _pick_kind(self):
-        roll = self.world.dice.random() * sum(share for share, _, _ in self.mix.values())
+        roll = self.load_dice.random() * sum(share for share, _, _ in self.mix.values())
         for kind, (share, _, _) in self.mix.items():
             roll -= share
             if roll <= 0:
@@ -227,9 +227,9 @@
             return
         kind = self._pick_kind()
         _, prompt_tokens, _ = self.mix[kind]
-        spread = self.world.dice.choice((0.5, 0.75, 1.0, 1.25, 1.5))
+        spread = self.load_dice.choice((0.5, 0.75, 1.0, 1.25, 1.5))
         self.ask(kind, tokens=int(prompt_tokens * spread))
-        self.world.after(int(self.world.dice.expovariate(self.rate) * SECOND) + 1, self._load_next)
+        self.world.after(int(self.load_dice.expovariate(self.rate) * SECOND) + 1, self._load_next)
 
     def stop_load(self):
         self.is_loading = False
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -3,9 +3,9 @@
 
 from cleo.helpers import argument, option
 
-from linkhaven.schema import Trouble
 from linkhaven.wire import Shell
 from linkhaven.wire.console import CodedCommand, run_application
+from linkhaven.wire.settings import misfit
 
 from .fleet import DEPLOYMENTS
 from .loopback import LoadRun, run_fleet
@@ -19,14 +19,14 @@
 def whole(command, name, least, most):
     text = command.option(name)
     if not str(text).isdigit() or not least <= int(text) <= most:
-        raise Trouble("settings_invalid", places=f"--{name}: is not a whole number from {least} to {most}")
+        raise misfit(f"--{name}", f"is not a whole number from {least} to {most}")
     return int(text)
 
 
 def deployment_of(command):
     deployment = DEPLOYMENTS.get(command.option("deployment"))
     if deployment is None:
-        raise Trouble("settings_invalid", places=f"--deployment: is not one of {', '.join(DEPLOYMENTS)}")
+        raise misfit("--deployment", f"is not one of {', '.join(DEPLOYMENTS)}")
     return deployment
 
 
@@ -41,7 +41,7 @@
 
     def act(self):
         if self.option("phase") not in ("prefill", "decode"):
-            raise Trouble("settings_invalid", places="--phase: is neither prefill nor decode")
+            raise misfit("--phase", "is neither prefill nor decode")
 
         def build(ports, incarnation):
             return StandInRunner(self.option("name"), self.option("http"), ports, incarnation, self.option("phase"))
@@ -62,7 +62,7 @@
         for text in self.option("runner"):
             parts = text.split("=")
             if len(parts) != 3:
-                raise Trouble("settings_invalid", places=f"--runner: {text} is not name=address=zone")
+                raise misfit("--runner", f"{text} is not name=address=zone")
             name, address, zone = parts
             listed[name] = {"name": name, "address": address, "zone": zone, "incarnation": 1, "state": "serving"}
 
@@ -104,12 +104,11 @@
     ]
 
     def act(self):
+        deployment, port = deployment_of(self), whole(self, "port", 1024, 65_000)
+        rate, seconds, seed = whole(self, "rate", 1, 500), whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9)
         folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-")
         self.line_error(f"settings, data and logs in {folder}")
-        self.show(run_fleet(
-            deployment_of(self), folder, whole(self, "port", 1024, 65_000), whole(self, "rate", 1, 500),
-            whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9),
-        ))
+        self.show(run_fleet(deployment, folder, port, rate, seconds, seed))
 
 
 class SweepCommand(CodedCommand):
@@ -139,7 +138,7 @@
     def act(self):
         measure = MEASURES.get(self.argument("what"))
         if measure is None:
-            raise Trouble("settings_invalid", places=f"what: is not one of {', '.join(MEASURES)}")
+            raise misfit("what", f"is not one of {', '.join(MEASURES)}")
         measure(deployment_of(self).name, whole(self, "seeds", 1, 1000), lambda row: self.line(json.dumps(row)))
 
 
--- a/packages/wire/src/linkhaven/wire/settings.py
+++ b/packages/wire/src/linkhaven/wire/settings.py
@@ -5,6 +5,7 @@
 import yaml
 
 from linkhaven.schema import Trouble
+from linkhaven.schema.fields import NAME, list_places, whole
 
 
 def split_address(text):
@@ -48,19 +49,10 @@
     return value
 
 
-def _limit(least, most):
-    def check(value):
-        if type(value) is not int or not least <= value <= most:
-            return t.DataError(f"is not a whole number from {least} to {most}")
-        return value
-
-    return t.Call(check)
-
-
 ADDRESS = t.Call(_address)
 COMMON = {
-    t.Key("name"): t.Regexp(r"^[a-z0-9][a-z0-9-]{0,63}$"),
-    t.Key("zone"): t.Regexp(r"^[a-z0-9][a-z0-9-]{0,63}$"),
+    t.Key("name"): NAME,
+    t.Key("zone"): NAME,
     t.Key("lines"): ADDRESS,
     t.Key("http"): ADDRESS,
     t.Key("seeds"): t.Call(_seeds),
@@ -68,11 +60,11 @@
         t.Key("level", default="info"): t.Enum("debug", "info", "warning", "error"),
         t.Key("file", optional=True): t.String(),
     }),
-    t.Key("body_bytes", default=2_000_000): _limit(1_000, 100_000_000),
-    t.Key("conns", default=4_000): _limit(1, 100_000),
+    t.Key("body_bytes", default=2_000_000): whole(1_000, 100_000_000),
+    t.Key("conns", default=4_000): whole(1, 100_000),
 }
 SETTINGS = {
-    "router": t.Dict({**COMMON, t.Key("requests", default=2_000): _limit(1, 100_000)}),
+    "router": t.Dict({**COMMON, t.Key("requests", default=2_000): whole(1, 100_000)}),
     "registry": t.Dict({
         **COMMON,
         t.Key("data"): t.Call(_folder),
@@ -82,24 +74,17 @@
 }
 
 
-def _flatten(fault, place=""):
-    if isinstance(fault, t.DataError):
-        fault = fault.as_dict()
-    if not isinstance(fault, dict):
-        return [f"{place or 'settings'}: {fault}"]
-    told = []
-    for key, inner in fault.items():
-        told += _flatten(inner, f"{place}/{key}" if place else str(key))
-    return told
+def misfit(place, fault):
+    return Trouble("settings_invalid", places=[{"place": place, "fault": fault}])
 
 
 def check_settings(program, document):
     try:
         settings = SETTINGS[program].check(document)
     except t.DataError as fault:
-        raise Trouble("settings_invalid", places="; ".join(sorted(_flatten(fault)))) from None
+        raise Trouble("settings_invalid", places=sorted(list_places(fault), key=lambda place: place["place"])) from None
     if settings["lines"] == settings["http"]:
-        raise Trouble("settings_invalid", places="http: is the same address as lines")
+        raise misfit("http", "is the same address as lines")
     return settings
 
 
@@ -108,9 +93,9 @@
         with open(path, encoding="utf-8") as file:
             document = yaml.safe_load(file)
     except OSError as fault:
-        raise Trouble("settings_invalid", places=f"{path}: {fault.strerror}") from None
+        raise misfit(path, fault.strerror) from None
     except yaml.YAMLError as fault:
-        raise Trouble("settings_invalid", places=f"{path}: not YAML or JSON: {' '.join(str(fault).split())}") from None
+        raise misfit(path, f"not YAML or JSON: {' '.join(str(fault).split())}") from None
     if not isinstance(document, dict):
-        raise Trouble("settings_invalid", places=f"{path}: is not a mapping of keys")
+        raise misfit(path, "is not a mapping of keys")
     return document
--- a/tests/features/never.feature
+++ b/tests/features/never.feature
@@ -15,6 +15,7 @@
       | licensing  | 15   | cut_router           | 6       |
       | archive    | 16   | cut_router_one_way   | 6       |
       | licensing  | 17   | cut_router_from_core | 6       |
+      | archive    | 18   | cut_zone             | 6       |
 
     Examples: Core
       | deployment | seed | fault                | seconds |
