--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -72,6 +72,12 @@
     def cell(self, key):
         return self.cells.get(key) or Cell()
 
+    def _cell_to_keep(self, key):
+        cell = self.cells.get(key)
+        if cell is None:
+            cell = self.cells[key] = Cell(kept_us=self.run_us())
+        return cell
+
     def _refuse(self, message, say, why, **facts):
         self.node.tell(
             message["back"], say, id=message["id"], ballot=message["ballot"], is_yes=False,
@@ -104,9 +110,7 @@
         if not self._may_vote(message, "promise"):
             return
         key, ballot = message["key"], message["ballot"]
-        cell = self.cells.get(key)
-        if cell is None:
-            cell = self.cells[key] = Cell(kept_us=self.run_us())
+        cell = self._cell_to_keep(key)
         if ballot <= cell.promise:
             return self._refuse(message, "promise", "ballot", highest=cell.promise)
         cell.promise = ballot
@@ -117,9 +121,7 @@
         if not self._may_vote(message, "accepted"):
             return
         key, ballot = message["key"], message["ballot"]
-        cell = self.cells.get(key)
-        if cell is None:
-            cell = self.cells[key] = Cell(kept_us=self.run_us())
+        cell = self._cell_to_keep(key)
         if ballot < cell.promise:
             return self._refuse(message, "accepted", "ballot", highest=cell.promise)
         cell.promise = ballot
@@ -214,9 +216,7 @@
                 if seat != self.seat:
                     self.known[seat] = max(incarnation, self.known.get(seat, 0))
             for key, (promise, accepted, value) in state["cells"].items():
-                cell = self.cells.get(key)
-                if cell is None:
-                    cell = self.cells[key] = Cell(kept_us=self.run_us())
+                cell = self._cell_to_keep(key)
                 cell.promise = max(cell.promise, promise)
                 if accepted and (cell.accepted is None or accepted > cell.accepted):
                     cell.accepted, cell.value = accepted, value
--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -1,3 +1,4 @@
+import http.client
 import json
 import os
 import random
@@ -10,8 +11,9 @@
 from linkhaven.schema import Trouble
 from linkhaven.wire import Shell
 from linkhaven.wire.console import call_json
+from linkhaven.wire.settings import split_address
 
-from .fleet import make_prompt, summarise
+from .fleet import LICENSING, Deployment, make_prompt, percentile, summarise
 from .people import Caller
 
 READY_S = 60
@@ -67,9 +69,10 @@
 class LoopbackFleet:
     """A whole deployment as processes on loopback. A test tool: the one thing here that starts processes."""
 
-    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "given")
+    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "given", "runner_words")
 
-    def __init__(self, deployment, folder, port):
+    def __init__(self, deployment, folder, port, runner_words=()):
+        self.runner_words = runner_words
         self.deployment = deployment
         self.folder = folder
         self.port = port
@@ -108,7 +111,7 @@
             phase = "prefill" if place < self.deployment.prefills else "decode"
             self.runners[name] = address
             zone = zones[place % len(zones)]
-            self._run(name, "linkhaven-stage", "runner", "--name", name, "--http", address, "--phase", phase)
+            self._run(name, "linkhaven-stage", "runner", "--name", name, "--http", address, "--phase", phase, *self.runner_words)
             listed += ["--runner", f"{name}={address}={zone}"]
         self._run("platform", "linkhaven-stage", "platform", "--http", self.platform, *listed)
         for place, seat in enumerate("abc"):
@@ -210,6 +213,52 @@
             self.shell.stop()
 
 
+def time_call(address, path, document):
+    """Microseconds to the first piece and to the end of one streamed answer."""
+    host, port = split_address(address)
+    conn = http.client.HTTPConnection(host, port, timeout=20)
+    begun_ns = time.perf_counter_ns()
+    conn.request("POST", path, json.dumps(document), {"content-type": "application/json"})
+    answer = conn.getresponse()
+    first = answer.read1(65_536)
+    first_us = (time.perf_counter_ns() - begun_ns) // 1_000
+    rest = answer.read()
+    whole_us = (time.perf_counter_ns() - begun_ns) // 1_000
+    conn.close()
+    if answer.status != 200 or b"event: done" not in first + rest:
+        raise RuntimeError(f"{address}{path} answered {answer.status}: {(first + rest)[-300:]}")
+    return first_us, whole_us
+
+
+def measure_overhead(folder, port, count):
+    """Pairs of calls, straight to a runner and through a router, in turn, on an otherwise idle fleet."""
+    mini = Deployment("mini", ("one",), 1, 1, 0, LICENSING.groups, LICENSING.kinds, LICENSING.mix, 1.0)
+    fleet = LoopbackFleet(mini, folder, port, ("--fast",))
+    prompt, pairs = make_prompt(400), []
+    try:
+        fleet.start()
+        fleet.put_plan(mini.plan(), 0)
+        fleet.wait_ready()
+        router, runner = fleet.routers["edge-1"], fleet.runners["runner-1"]
+        for number in range(count + 10):
+            ask = {"request": f"direct-{number}", "shot": 1, "mark": 1, "one_time": False, "prompt": prompt, "answer_tokens": 40}
+            straight = time_call(runner, "/v1/decode", ask)
+            routed = time_call(router, "/v1/requests", {"kind": "seat-question", "prompt": prompt, "answer_tokens": 40})
+            if number >= 10:
+                pairs.append((straight, routed))
+    finally:
+        fleet.stop()
+    row = {"pairs": len(pairs)}
+    for place, name in enumerate(("first_piece", "whole")):
+        gaps = [routed[place] - straight[place] for straight, routed in pairs]
+        row[name] = {
+            "straight_us_median": percentile([straight[place] for straight, _ in pairs], 0.5),
+            "routed_us_median": percentile([routed[place] for _, routed in pairs], 0.5),
+            "added_us_median": percentile(gaps, 0.5), "added_us_p90": percentile(gaps, 0.9),
+        }
+    return row
+
+
 def run_fleet(deployment, folder, port, rate, seconds, seed):
     os.makedirs(folder, exist_ok=True)
     fleet = LoopbackFleet(deployment, folder, port)
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -8,9 +8,9 @@
 from linkhaven.wire.settings import misfit
 
 from .fleet import DEPLOYMENTS
-from .loopback import LoadRun, run_fleet
+from .loopback import LoadRun, measure_overhead, run_fleet
 from .measure import MEASURES
-from .standins import StandInPlatform, StandInRunner
+from .standins import Speeds, StandInPlatform, StandInRunner
 from .sweep import sweep
 
 DEPLOYMENT_OPTION = option("deployment", "d", "licensing or archive", flag=False, default="licensing")
@@ -37,6 +37,7 @@
         option("name", None, "the runner's name", flag=False, default="runner-1"),
         option("http", None, "IP number and port", flag=False, default="127.0.0.1:9001"),
         option("phase", None, "prefill or decode", flag=False, default="decode"),
+        option("fast", None, "take next to no time, for measuring what stands in front"),
     ]
 
     def act(self):
@@ -44,7 +45,8 @@
             raise misfit("--phase", "is neither prefill nor decode")
 
         def build(ports, incarnation):
-            return StandInRunner(self.option("name"), self.option("http"), ports, incarnation, self.option("phase"))
+            speeds = Speeds(prefill_rate=100_000_000, read_base_us=0, step_us=100, step_each_us=0) if self.option("fast") else Speeds()
+            return StandInRunner(self.option("name"), self.option("http"), ports, incarnation, self.option("phase"), speeds=speeds)
 
         return Shell(self.option("name"), None, self.option("http"), build).run_to_end()
 
@@ -142,7 +144,21 @@
         measure(deployment_of(self).name, whole(self, "seeds", 1, 1000), lambda row: self.line(json.dumps(row)))
 
 
+class OverheadCommand(CodedCommand):
+    name = "overhead"
+    description = "Measure on loopback what a router adds to a call straight to a runner, in pairs."
+    options = [
+        option("port", None, "first of a hundred ports on 127.0.0.1", flag=False, default="18000"),
+        option("count", None, "how many pairs", flag=False, default="200"),
+    ]
+
+    def act(self):
+        folder = tempfile.mkdtemp(prefix="linkhaven-")
+        self.show(measure_overhead(folder, whole(self, "port", 1024, 65_000), whole(self, "count", 10, 5_000)))
+
+
 def main():
     run_application("linkhaven-stage", [
         RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand(), SweepCommand(), MeasureCommand(),
+        OverheadCommand(),
     ])
