After the loss of the whole core, incarnations and fences go on from those who were told

Cause: a core that began anew restarted seats at incarnation 1 and fences at 1; routers that knew higher ones took no news, fenced the seats, and ignored the new roster: the fleet never served again (found by a test that restarts registries before the loss). A first bursar also waited out a grant nobody held.

--- a/packages/credit/src/linkhaven/credit/bursar.py
+++ b/packages/credit/src/linkhaven/credit/bursar.py
@@ -1,5 +1,6 @@
 SHARE_US = 3_000_000
 QUIET_US = 5_000_000
+GRANTS_A_FENCE = 1_000_000_000
 
 
 class Outstanding:
@@ -63,7 +64,7 @@
             return
         now_us = self.node.now_us()
         plan, router = self.image.plan, ask["name"]
-        is_settling = now_us - self.won_us < SHARE_US
+        is_settling = self.duty.fence > 1 and now_us - self.won_us < SHARE_US
         shares = {}
         for group, terms in plan["groups"].items():
             told = ask.get("credit", {}).get(group)
@@ -73,7 +74,7 @@
             if rate <= 0:
                 continue
             self.serial += 1
-            grant = self.duty.fence * 1_000_000_000 + self.serial
+            grant = self.duty.fence * GRANTS_A_FENCE + self.serial
             self.out.setdefault(group, {}).setdefault(router, []).append(Outstanding(grant, rate, now_us + SHARE_US))
             shares[group] = [rate, grant]
         facts["shares"] = {"fence": self.duty.fence, "rates": shares}
--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -10,7 +10,7 @@
 
     __slots__ = (
         "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
-        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal",
+        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor",
     )
 
     def __init__(self, node, name, proposer, seat, on_won=lambda: None, on_lapsed=lambda: None):
@@ -23,6 +23,7 @@
         self.on_lapsed = on_lapsed
         self.fence = None
         self.renewal = 0
+        self.floor = 0
         self.granted_us = 0
         self.asked_us = 0
         self.is_asking = False
@@ -38,6 +39,10 @@
     def holder(self):
         return self.seat.cell(self.key).value
 
+    def hear_fence(self, fence):
+        """Somebody was told a fence: this duty's must be above it, also after the core lost what it knew."""
+        self.floor = max(self.floor, fence)
+
     def wake(self, now_us):
         if self.fence is not None:
             self._lapse()
@@ -66,18 +71,20 @@
         if self.is_asking:
             return
         if self.fence is not None:
-            if now_us - self.asked_us >= RENEW_US:
+            if self.floor > self.fence:
+                self._ask(now_us, self.floor + 1, 0)
+            elif now_us - self.asked_us >= RENEW_US:
                 self._ask(now_us, self.fence, self.renewal + 1)
             return
         if now_us < self.contest_us or now_us < self.seat.votes_from_us:
             return
         held = self.seen or (0, 0)
-        self._ask(now_us, held[0] + 1, 0)
+        self._ask(now_us, max(held[0], self.floor) + 1, 0)
 
     def _ask(self, now_us, fence, renewal):
         self.is_asking = True
         self.asked_us = now_us
-        expected = (self.fence, self.renewal) if renewal else self.seen
+        expected = (self.fence, self.renewal) if self.fence is not None else self.seen
         wanted = {"holder": self.node.name, "fence": fence, "renewal": renewal}
 
         def step(value):
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -91,8 +91,8 @@
         if self.standing != VOTING:
             return self._refuse(message, say, self.standing)
         if message["incarnation"] > self.incarnation:
-            self._fence(message["incarnation"])
-            return self._refuse(message, say, FENCED)
+            self._hear_newer(message["incarnation"])
+            return self._refuse(message, say, self.standing)
         if message["incarnation"] < self.incarnation:
             return self._refuse(message, say, "incarnation")
         for seat, incarnation in message["known"].items():
@@ -102,7 +102,15 @@
             return self._refuse(message, say, "grant")
         return True
 
-    def _fence(self, incarnation):
+    def _hear_newer(self, incarnation):
+        """A newer occupant fences this one; a core that began anew had only forgotten, and rejoins above."""
+        if self.is_genesis:
+            self.incarnation = incarnation
+            self.standing = REJOINING
+            self.notes = None
+            self.told = {}
+            self.started_us = self.node.now_us()
+            return
         self.standing = FENCED
         self.node.ports.log(1204, seat=self.seat, incarnation=incarnation)
 
@@ -209,7 +217,7 @@
         return True
 
     def _adopt(self, states):
-        highest = self.incarnation
+        highest = max(self.incarnation, self.directory.seats().get(self.seat, ("", 0))[1])
         for state in states:
             highest = max(highest, state["known"].get(self.seat, 0))
             for seat, incarnation in state["known"].items():
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -41,7 +41,7 @@
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
         self.ring.on_mark.append(self._hear_mark)
-        self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark]
+        self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.hearers["image"] = self._hear_image
         self.systems.append(self._adopt_image)
@@ -70,6 +70,10 @@
         if self._is_behind(message["mark"]):
             self.tell(message["back"], "want_image")
 
+    def _hear_fences(self, message):
+        for name, fence in message["fences"].items():
+            self.duties[name].hear_fence(fence)
+
     def _is_behind(self, mark):
         value = self.seat.cell("plan").value
         return self.seat.is_voting and mark > (value["mark"] if value else 0)
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -110,6 +110,7 @@
         def done(trouble, document, has_begun):
             if trouble is not None:
                 self.node.ports.log(1502, runner=runner.name, code=trouble.code)
+                self.duty.hear_fence(trouble.detail.get("fence", 0))
 
         self.orders += 1
         self.node.ports.log(1501, runner=runner.name, phase=self.wanted_phase, fence=fence)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -3,7 +3,7 @@
 from cachetools import FIFOCache
 
 from linkhaven.clockwork import Node, Table
-from linkhaven.credit import CreditDesk, ExtraBudget
+from linkhaven.credit import GRANTS_A_FENCE, CreditDesk, ExtraBudget
 from linkhaven.pairing import Flow, Pairing
 from linkhaven.plan import NewsReader, PlanImage
 from linkhaven.register import Proposer
@@ -81,6 +81,10 @@
         facts["credit"] = self.credit.tell_demand()
         facts["evidence"] = self.roster.tell_evidence()
         facts["rates"] = self.rates
+        grants = [book.grant for book in self.credit.groups.values()]
+        facts["fences"] = {
+            "roster": self.roster.place[0], "steward": self.steward_place[0], "bursar": max(grants, default=0) // GRANTS_A_FENCE,
+        }
 
     def _hear_news(self, message, sent_us):
         roster = message.get("roster")
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -170,6 +170,33 @@
     assert events(fleet, 1502)
 
 
+def test_after_the_loss_of_the_whole_core_fences_go_on_from_those_who_were_told():
+    fleet, _ = make(LICENSING, 22)
+    world = fleet.world
+    for _ in range(2):
+        old = holder_of(fleet, "roster")
+        old.kill()
+        world.wait_for(lambda: holder_of(fleet, "roster"), 10 * SECOND)
+        world.run_for(SECOND)
+        old.start()
+        world.run_for(6 * SECOND)
+    known = fleet.routers["edge-1"].node.roster.place[0]
+    assert known >= 3
+    for host in fleet.registries.values():
+        host.kill()
+        host.disk.wipe()
+    for host in fleet.registries.values():
+        host.start()
+    router = fleet.routers["edge-1"].node
+    assert world.wait_for(lambda: fleet.is_ready() and router.roster.place[0] > known, 12 * SECOND)
+    fleet.runners["runner-3"].node.fence = 50
+    steward = holder_of(fleet, "steward").node.steward
+    for _ in range(2):
+        steward._change(steward.keeper.runners["runner-3"], "prefill", world.now_us)
+        world.run_for(4 * SECOND)
+    assert fleet.runners["runner-3"].node.phase == "prefill"
+
+
 def test_the_ratio_of_phases_follows_a_swing_and_comes_back_without_flapping():
     fleet, _ = make(ARCHIVE, 10)
     world = fleet.world
