--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -7,11 +7,12 @@
     """How many runners should read: the count whose busier part is least busy, changed only
     after the same answer has held for a while and is clearly better."""
 
-    __slots__ = ("wanted", "since_us")
+    __slots__ = ("side", "since_us", "target")
 
     def __init__(self):
-        self.wanted = None
+        self.side = None
         self.since_us = 0
+        self.target = None
 
     def busy(self, prefills, runners, prompt_rate, answer_rate, taichi):
         decodes = runners - prefills
@@ -28,18 +29,26 @@
 
     def settle(self, current, runners, prompt_rate, answer_rate, taichi, now_us):
         if runners < 2 or prompt_rate + answer_rate <= 0:
-            self.wanted = None
+            self.side = self.target = None
             return current
+
+        def busy(count):
+            return self.busy(min(count, runners - 1), runners, prompt_rate, answer_rate, taichi)
+
+        if self.target is not None:
+            if self.target < runners and self.target != current and busy(self.target) < busy(current):
+                return self.target
+            self.target = None
         best = self.search(runners, prompt_rate, answer_rate, taichi)
-        here = self.busy(min(current, runners - 1), runners, prompt_rate, answer_rate, taichi)
-        there = self.busy(best, runners, prompt_rate, answer_rate, taichi)
-        if best == current or here < IDLE or there > here * (1 - GAIN):
-            self.wanted = None
+        here = busy(current)
+        if best == current or here < IDLE or busy(best) > here * (1 - GAIN):
+            self.side = None
             return current
         side = 1 if best > current else -1
-        if self.wanted != side:
-            self.wanted = side
+        if self.side != side:
+            self.side = side
             self.since_us = now_us
         if now_us - self.since_us < SETTLE_US:
             return current
+        self.target = best
         return best
