--- a/packages/pairing/src/linkhaven/pairing/__init__.py
+++ b/packages/pairing/src/linkhaven/pairing/__init__.py
@@ -1,6 +1,6 @@
 from .estimator import Estimator
 from .flow import Flow
-from .pairing import Decision, Pairing
+from .pairing import NO_BOUND_US, Decision, Pairing
 from .ratio import RatioSearch
 
-__all__ = ["Decision", "Estimator", "Flow", "Pairing", "RatioSearch"]
+__all__ = ["NO_BOUND_US", "Decision", "Estimator", "Flow", "Pairing", "RatioSearch"]
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -7,6 +7,8 @@
 HISTORY_US = 5_000_000
 TOLD_US = 2_500_000
 TELL_US = 1_000_000
+NO_BOUND_US = 1 << 62
+RACE_US = 5_000
 SHUN_US = 2_000_000
 SHUN_MOST_US = 16_000_000
 
@@ -14,9 +16,13 @@
 class Book:
     """What this router, and its fellows by their own word, have at one runner and not yet seen finished."""
 
-    __slots__ = ("reads", "decodes", "predictions", "told", "history")
+    __slots__ = ("reads", "decodes", "predictions", "told", "history", "sent_us", "sent_tokens", "moved_us", "count")
 
     def __init__(self):
+        self.moved_us = 0
+        self.count = 0
+        self.sent_us = None
+        self.sent_tokens = 0
         self.reads = {}
         self.decodes = {}
         self.predictions = {}
@@ -36,10 +42,21 @@
 
     def note(self, now_us):
         count, _, held = self.known()
+        if count < self.count or not self.count:
+            self.moved_us = now_us
+        self.count = count
         self.history.append((now_us, count, held))
         while self.history and now_us - self.history[0][0] > HISTORY_US:
             self.history.popleft()
 
+    def longest_known(self):
+        told = (tokens // count for count, tokens, _, _ in self.told.values() if count)
+        return max(max(self.reads.values(), default=0), max(told, default=0))
+
+    def would_overtake(self, tokens, now_us):
+        """A long read sent right behind a short one can reach the runner before it."""
+        return self.sent_us is not None and now_us - self.sent_us < RACE_US and tokens > 2 * self.sent_tokens
+
     def at(self, when_us):
         count, held = 0, 0
         for noted_us, known_count, known_held in self.history:
@@ -59,13 +76,13 @@
 class Candidate:
     __slots__ = ("runner", "queued_tokens", "q_us", "e_us", "t_us", "is_eligible")
 
-    def __init__(self, runner, queued_tokens, q_us, e_us, t_us, ttft_us):
+    def __init__(self, runner, queued_tokens, q_us, e_us, t_us, ttft_us, room_us):
         self.runner = runner
         self.queued_tokens = queued_tokens
         self.q_us = q_us
         self.e_us = e_us
         self.t_us = t_us
-        self.is_eligible = self.total_us < ttft_us
+        self.is_eligible = self.total_us < ttft_us and q_us < room_us
 
     @property
     def total_us(self):
@@ -193,15 +210,24 @@
     def _is_shunned(self, runner):
         return runner.phase == PREFILL and self.node.now_us() < self.shunned.get((runner.name, runner.incarnation), (0, 0))[0]
 
-    def weigh(self, tokens, ttft_us, without=()):
-        candidates = []
+    def _queue_us(self, runner, queued, now_us):
+        """The queue's reading time, less what the read at its head has had since the last one ended."""
+        book = self.book(runner)
+        head_us = min(now_us - book.moved_us, self.estimator.read_us(book.longest_known(), runner))
+        return max(0, self.estimator.read_us(queued, runner) - head_us)
+
+    def weigh(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US):
+        candidates, now_us = [], self.node.now_us()
         fit = [runner for runner in self.roster.open_runners() if runner.name not in without]
         for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
             queued = self.queued_tokens(runner)
-            q_us = self.estimator.read_us(queued, runner)
+            q_us = self._queue_us(runner, queued, now_us)
             e_us = self.estimator.read_us(tokens, runner)
             t_us = self.estimator.transfer_us(tokens) if runner.phase == PREFILL else 0
-            candidates.append(Candidate(runner, queued, q_us, e_us, t_us, ttft_us))
+            candidate = Candidate(runner, queued, q_us, e_us, t_us, ttft_us, room_us)
+            if self.book(runner).would_overtake(tokens, now_us):
+                candidate.is_eligible = False
+            candidates.append(candidate)
         return candidates
 
     def _least(self, candidates, worth):
@@ -209,8 +235,23 @@
         ties = [candidate for candidate in candidates if worth(candidate) == best]
         return ties[0] if len(ties) == 1 else ties[self.node.ports.dice.randrange(len(ties))]
 
-    def choose(self, tokens, ttft_us, without=()):
-        candidates = self.weigh(tokens, ttft_us, without)
+    def fits(self, runner, tokens):
+        """Whether a decode runner has memory for the prompt and for as much again, so that small ones still get in."""
+        share = self.kv_share(runner)
+        return share <= 0 or share + 2 * tokens / runner.kv_total <= 1
+
+    def _keep_to_memory(self, candidates, tokens, without):
+        fit = {
+            runner.name for runner in self.roster.open_runners()
+            if runner.phase == DECODE and runner.name not in without and self.fits(runner, tokens)
+        }
+        for candidate in candidates:
+            has_memory = bool(fit) if candidate.runner.phase == PREFILL else candidate.runner.name in fit
+            candidate.is_eligible = candidate.is_eligible and has_memory
+
+    def choose(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US):
+        candidates = self.weigh(tokens, ttft_us, without, room_us)
+        self._keep_to_memory(candidates, tokens, without)
         if not self.has_decode(without):
             candidates = [candidate for candidate in candidates if candidate.runner.phase == DECODE]
         eligible = [candidate for candidate in candidates if candidate.is_eligible]
@@ -239,6 +280,7 @@
     def begin_read(self, runner, shot, tokens, is_queued):
         book = self.book(runner)
         book.reads[shot] = tokens
+        book.sent_us, book.sent_tokens = self.node.now_us(), tokens
         book.predictions[shot] = (0 if is_queued else self.estimator.read_us(tokens, runner), self.node.now_us())
         self._change(runner, book)
         self.estimator.note_prompt(tokens)
--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -5,14 +5,16 @@
 
 class RatioSearch:
     """How many runners should read: the count whose busier part is least busy, changed only
-    after the same answer has held for a while and is clearly better."""
+    after the same answer has held for a while and is clearly better. Held memory, in runners' worth,
+    counts as decode work."""
 
-    __slots__ = ("side", "since_us", "target")
+    __slots__ = ("side", "since_us", "target", "held")
 
     def __init__(self):
         self.side = None
         self.since_us = 0
         self.target = None
+        self.held = 0.0
 
     def busy(self, prefills, runners, prompt_rate, answer_rate, taichi):
         decodes = runners - prefills
@@ -21,7 +23,7 @@
         reading = prefills * fast + decodes * fast * taichi["decode_read_share"] * spare
         read_busy = prompt_rate / reading if reading else float("inf") if prompt_rate else 0.0
         decode_busy = answer_rate / (decodes * taichi["decode_tokens_per_s"])
-        return max(read_busy, decode_busy)
+        return max(read_busy, decode_busy, self.held / decodes)
 
     def search(self, runners, prompt_rate, answer_rate, taichi):
         counts = range(0, runners)
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -4,6 +4,7 @@
 LOOK_US = 500_000
 TOLD_US = 700_000
 QUIET_US = 3_000_000
+SETTLED_US = 5_000_000
 
 
 class Steward:
@@ -12,7 +13,7 @@
 
     __slots__ = (
         "node", "duty", "keeper", "desk", "image", "search", "rates", "looked_us", "changing",
-        "wanted_phase", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us",
+        "wanted_phase", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us", "settled",
     )
 
     def __init__(self, node, duty, keeper, desk, image):
@@ -31,6 +32,7 @@
         self.sent_us = 0
         self.dwell_us = 0
         self.serial = 0
+        self.settled = {}
         self.orders = 0
         duty.on_won = self.forget
         duty.on_lapsed = self.forget
@@ -40,6 +42,7 @@
         self.search = RatioSearch()
         self.changing = None
         self.is_sent = False
+        self.settled = {}
 
     def hear_ask(self, message):
         self.rates[message["name"]] = (message.get("rates", [0, 0]), self.node.now_us())
@@ -49,11 +52,14 @@
             facts["steward"] = {
                 "fence": self.duty.fence, "serial": self.serial,
                 "changing": [self.changing] if self.changing else [],
+                "settled": {name: phase for name, (phase, _) in self.settled.items()},
             }
 
     def tick(self, now_us):
         if not self.duty.is_held() or not self.keeper.is_ready() or self.image.plan is None:
             return
+        for name in [name for name, (_, at_us) in self.settled.items() if now_us - at_us > SETTLED_US]:
+            del self.settled[name]
         if self.changing is not None:
             return self._work_off(now_us)
         if now_us - self.looked_us < LOOK_US or now_us < self.dwell_us:
@@ -75,6 +81,7 @@
         if not taichi["search"] or len(fit) < 2:
             return
         prompt_rate, answer_rate = self._demand(now_us)
+        self.search.held = sum(runner.kv_used / runner.kv_total for runner in fit)
         wanted = self.search.settle(len(reading), len(fit), prompt_rate, answer_rate, taichi, now_us)
         if wanted > len(reading) and len(decoding) > 1:
             self._change(min(decoding, key=lambda runner: runner.running), PREFILL, now_us)
@@ -96,7 +103,10 @@
             return
         if not self.is_sent:
             return self._order(runner, now_us)
-        if runner.phase == self.wanted_phase or now_us - self.sent_us > QUIET_US:
+        if runner.phase == self.wanted_phase:
+            self.settled[runner.name] = (runner.phase, now_us)
+            return self._finish(now_us)
+        if now_us - self.sent_us > QUIET_US:
             self._finish(now_us)
 
     def _order(self, runner, now_us):
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -4,7 +4,7 @@
 
 from linkhaven.clockwork import Node, Table
 from linkhaven.credit import GRANTS_A_FENCE, CreditDesk, ExtraBudget
-from linkhaven.pairing import Flow, Pairing
+from linkhaven.pairing import NO_BOUND_US, Flow, Pairing
 from linkhaven.plan import NewsReader, PlanImage
 from linkhaven.register import Proposer
 from linkhaven.ring import Ring
@@ -22,11 +22,17 @@
 STREAM_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
 
 
+def room_for_others(plan, group):
+    """How long a queue at a runner a group may join, so that the others' tightest target can still be met."""
+    targets = [kind["ttft_us"] for kind in plan["kinds"].values() if kind["group"] != group]
+    return min(targets) // 2 if targets else NO_BOUND_US
+
+
 class RouterNode(Node):
     __slots__ = (
         "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "shots", "flow",
         "requests", "chain", "explained", "is_draining", "drain_us", "on_drained", "serial", "counts",
-        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open",
+        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open", "rooms",
     )
 
     def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, majority=2):
@@ -58,6 +64,7 @@
         self.rated_us = self.now_us()
         self.steward_place = (0, 0)
         self.is_open = False
+        self.rooms = {}
         self.image.on_new.append(self._take_plan)
         self.news.facts.append(self._add_facts)
         self.news.on_news.append(self._hear_news)
@@ -75,6 +82,7 @@
         self.pairing.take_plan(plan)
         self.extra.take_plan(plan)
         self.credit.take_plan(plan)
+        self.rooms = {group: room_for_others(plan, group) for group in plan["groups"]}
         self.ports.log(2001, mark=self.image.mark)
 
     def _add_facts(self, facts):
@@ -94,7 +102,8 @@
         if steward is not None and (steward["fence"], steward["serial"]) >= self.steward_place:
             self.steward_place = (steward["fence"], steward["serial"])
             for runner in self.roster.runners.values():
-                runner.is_changing = runner.name in steward["changing"]
+                is_behind = runner.phase != steward["settled"].get(runner.name, runner.phase)
+                runner.is_changing = runner.name in steward["changing"] or is_behind
         shares = message.get("shares")
         if shares is not None:
             for group, (rate, grant) in shares["rates"].items():
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -99,7 +99,6 @@
             return
         runner.address = record["address"]
         runner.is_listed = record["is_listed"]
-        runner.is_changing = record["is_changing"]
         if record["age_us"] is not None:
             runner.take_report({**record, "is_leaving": record["is_leaving"]}, now_us)
         runner.is_leaving = runner.is_leaving or record["is_leaving"]
--- a/packages/stage/src/linkhaven/stage/measure.py
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -1,4 +1,4 @@
-from linkhaven.pairing import Decision, Pairing
+from linkhaven.pairing import NO_BOUND_US, Decision, Pairing
 from linkhaven.runner.roster import PREFILL
 
 from .faults import Faults
@@ -13,8 +13,8 @@
 
     __slots__ = ()
 
-    def choose(self, tokens, ttft_us, without=()):
-        candidates = self.weigh(tokens, ttft_us, without)
+    def choose(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US):
+        candidates = self.weigh(tokens, ttft_us, without, room_us)
         if not candidates or not self.has_decode(without):
             return Decision(candidates, None)
         return Decision(candidates, candidates[self.node.ports.dice.randrange(len(candidates))])
@@ -29,8 +29,8 @@
 
     __slots__ = ()
 
-    def weigh(self, tokens, ttft_us, without=()):
-        candidates = super().weigh(tokens, ttft_us, without)
+    def weigh(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US):
+        candidates = super().weigh(tokens, ttft_us, without, room_us)
         return [candidate for candidate in candidates if candidate.runner.phase == PREFILL] or candidates
 
 
