Room for others: a read may not fill a runner's queue past another group's tightest target

Cause: a digest (target 4 s) was eligible behind 4 s of queue, so under a flood a check (target 1 s) found no eligible runner until half its deadline had passed; decode memory, the head read's progress, reads that overtake on the way and runners just turned were left out of the view.

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -82,7 +82,8 @@
         self.q_us = q_us
         self.e_us = e_us
         self.t_us = t_us
-        self.is_eligible = self.total_us < ttft_us and q_us < room_us
+        leaves_room = q_us == 0 or q_us + e_us < room_us
+        self.is_eligible = self.total_us < ttft_us and leaves_room
 
     @property
     def total_us(self):
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -25,7 +25,7 @@
 def room_for_others(plan, group):
     """How long a queue at a runner a group may join, so that the others' tightest target can still be met."""
     targets = [kind["ttft_us"] for kind in plan["kinds"].values() if kind["group"] != group]
-    return min(targets) // 2 if targets else NO_BOUND_US
+    return min(targets, default=NO_BOUND_US)
 
 
 class RouterNode(Node):
