Traces in the OpenTelemetry JSON form by library; flowing off unless the plan turns it on

Cause: flowing re-reads the prompt of each stream it moves, since memory cannot be exported here. Unused names removed.

--- a/packages/pairing/src/linkhaven/pairing/flow.py
+++ b/packages/pairing/src/linkhaven/pairing/flow.py
@@ -9,7 +9,7 @@
     """Moves running streams between decode runners: the longest are shed above the watermark,
     and a moved one that nears its pace target goes back. Each move is an extra shot."""
 
-    __slots__ = ("node", "pairing", "roster", "streams", "move", "rested_us", "moves", "is_on")
+    __slots__ = ("node", "pairing", "roster", "streams", "move", "rested_us", "moves")
 
     def __init__(self, node, pairing, roster, streams, move):
         self.node = node
@@ -19,7 +19,6 @@
         self.move = move
         self.rested_us = {}
         self.moves = {"shed": 0, "back": 0}
-        self.is_on = True
         node.systems.append(self.tick)
 
     def tick(self, now_us):
--- a/packages/plan/src/linkhaven/plan/check.py
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -35,7 +35,7 @@
     t.Key("decode_tokens_per_s", default=900): whole(gte=1),
     t.Key("watermark", default=0.95): number(above=0, most=1),
     t.Key("approach", default=0.96): number(above=0, most=1),
-    t.Key("moves", default=True): t.Bool(),
+    t.Key("moves", default=False): t.Bool(),
     t.Key("search", default=True): t.Bool(),
     t.Key("dwell_us", default=4_000_000): US,
 })
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -45,7 +45,7 @@
 
     __slots__ = (
         "node", "me", "seeds", "fellows", "beat_us", "gossip_us", "on_standing", "on_mark", "mark_of",
-        "seat_marks", "helloed_us",
+        "seat_marks",
     )
 
     def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
@@ -58,7 +58,7 @@
         self.on_standing = []
         self.on_mark = []
         self.seat_marks = {}
-        self.beat_us = self.gossip_us = self.helloed_us = 0
+        self.beat_us = self.gossip_us = 0
         node.hearers.update(
             hello=self.hear_hello, members=self.hear_members, beat=self.hear_beat,
             verdict=self.hear_verdict, bye=self.hear_bye,
@@ -222,7 +222,6 @@
     def wake(self, now_us):
         for fellow in self.fellows.values():
             fellow.heard_us = None
-        self.helloed_us = 0
         self.beat_us = 0
 
     def tick(self, now_us):
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -32,7 +32,7 @@
     __slots__ = (
         "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "shots", "flow",
         "requests", "chain", "explained", "is_draining", "drain_us", "on_drained", "serial", "counts",
-        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open", "rooms",
+        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open", "rooms", "on_end",
     )
 
     def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, majority=2):
@@ -65,6 +65,7 @@
         self.steward_place = (0, 0)
         self.is_open = False
         self.rooms = {}
+        self.on_end = []
         self.image.on_new.append(self._take_plan)
         self.news.facts.append(self._add_facts)
         self.news.on_news.append(self._hear_news)
@@ -239,6 +240,8 @@
         self.explained[request.id] = request
         self.requests.drop(request.id)
         request.note(self.now_us(), outcome)
+        for hear in self.on_end:
+            hear(request, self.now_us())
         if not self.is_draining:
             self.wake_queue()
 
--- a/packages/router/src/linkhaven/router/program.py
+++ b/packages/router/src/linkhaven/router/program.py
@@ -1,5 +1,6 @@
 from cleo.helpers import argument, option
 
+from linkhaven.traces import TraceWriter
 from linkhaven.wire import Shell
 from linkhaven.wire.console import PLACE_OPTIONS, CodedCommand, call_json, run_application
 
@@ -21,11 +22,18 @@
                 settings["name"], settings["lines"], ports, settings["zone"], settings["seeds"], incarnation, settings["requests"],
             )
 
+        traces = TraceWriter(settings["traces"], settings["name"]) if "traces" in settings else None
         shell = Shell(
             settings["name"], settings["lines"], settings["http"], build, level=settings["log"]["level"],
             log_path=settings["log"].get("file"), body_bytes=settings["body_bytes"], conns=settings["conns"],
         )
-        return shell.run_to_end()
+        if traces:
+            shell.node.on_end.append(traces.write)
+        try:
+            return shell.run_to_end()
+        finally:
+            if traces:
+                traces.close()
 
 
 class CheckCommand(CodedCommand):
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -7,7 +7,7 @@
     __slots__ = (
         "id", "call", "kind_name", "kind", "group", "prompt", "prompt_tokens", "answer_tokens", "key",
         "state", "place", "arrived_us", "deadline_us", "admitted_mark", "run", "written", "resume",
-        "shots", "part", "runner", "shot", "shot_begun_us", "has_begun", "failed", "parked", "tokens",
+        "shots", "part", "runner", "shot", "has_begun", "failed", "parked", "tokens",
         "first_us", "pace_tokens", "pace_from_us", "moved_from", "is_moving", "progress_us",
         "decisions", "steps", "outcome", "handle", "is_held",
     )
@@ -29,7 +29,6 @@
         self.shot = None
         self.part = None
         self.runner = None
-        self.shot_begun_us = 0
         self.has_begun = False
         self.failed = []
         self.parked = None
--- a/packages/router/src/linkhaven/router/shots.py
+++ b/packages/router/src/linkhaven/router/shots.py
@@ -74,7 +74,7 @@
         request.shots += 1
         request.shot = f"{request.id}/{request.shots}"
         request.runner = runner
-        request.shot_begun_us = request.progress_us = now_us
+        request.progress_us = now_us
         request.has_begun = True
         request.handle = None
         is_queued = self.pairing.queued_tokens(runner) > request.prompt_tokens // 4
--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -69,7 +69,7 @@
 class LoopbackFleet:
     """A whole deployment as processes on loopback. A test tool: the one thing here that starts processes."""
 
-    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "given", "runner_words")
+    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "runner_words")
 
     def __init__(self, deployment, folder, port, runner_words=()):
         self.runner_words = runner_words
@@ -82,21 +82,15 @@
         self.runners = {}
         self.platform = self._address(90)
         self.seeds = [self._address(place + 1) for place in range(3)]
-        self.given = {}
 
     def _address(self, place):
         return f"127.0.0.1:{self.port + place}"
 
     def _run(self, name, program, *words):
         command = [os.path.join(os.path.dirname(sys.executable), program), *words]
-        self.given[name] = (program, words)
         self.processes[name] = Watched(name, command, os.path.join(self.folder, f"{name}.log"))
         return self.processes[name]
 
-    def run_again(self, name):
-        program, words = self.given[name]
-        return self._run(name, program, *words)
-
     def _serve(self, name, program, settings):
         path = os.path.join(self.folder, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
--- a/packages/stage/src/linkhaven/stage/people.py
+++ b/packages/stage/src/linkhaven/stage/people.py
@@ -10,7 +10,7 @@
 
     __slots__ = (
         "id", "kind", "body", "headers", "router", "outing", "status", "error", "reader", "asked_us", "first_us",
-        "ended_us", "run", "last", "pieces", "tokens", "how", "code", "done", "request", "resumes", "is_clean", "count", "is_hung_up",
+        "ended_us", "run", "last", "pieces", "tokens", "how", "code", "done", "request", "resumes", "is_clean", "count",
     )
 
     def __init__(self, id, kind, body, headers, asked_us):
@@ -27,7 +27,6 @@
         self.tokens = 0
         self.how = self.code = self.done = self.request = self.count = None
         self.resumes = 0
-        self.is_hung_up = False
         self.reset()
 
     def reset(self):
@@ -82,7 +81,6 @@
     def hang_up(self, asked):
         if asked.ended_us is None:
             asked.outing.close()
-            asked.is_hung_up = True
             self._close(asked, "hung-up", None, None)
 
     def _head(self, asked, status, headers):
--- /dev/null
+++ b/packages/traces/src/linkhaven/traces/__init__.py
@@ -0,0 +1,3 @@
+from .writer import TraceWriter
+
+__all__ = ["TraceWriter"]
--- /dev/null
+++ b/packages/traces/src/linkhaven/traces/writer.py
@@ -0,0 +1,43 @@
+import time
+
+from opentelemetry.exporter.otlp.json.file.trace_exporter import FileSpanExporter
+from opentelemetry.sdk.resources import Resource
+from opentelemetry.sdk.trace import TracerProvider
+from opentelemetry.sdk.trace.export import SimpleSpanProcessor
+from opentelemetry.trace import set_span_in_context
+
+from linkhaven.schema import Trouble
+
+
+class TraceWriter:
+    """Writes each ended request as one trace: a span for the request, one for each step until the next."""
+
+    __slots__ = ("provider", "tracer", "wall_ns")
+
+    def __init__(self, path, name, wall_ns=time.time_ns):
+        try:
+            exporter = FileSpanExporter(path)
+        except OSError as fault:
+            raise Trouble("settings_invalid", places=[{"place": "traces", "fault": f"{path}: {fault.strerror}"}]) from None
+        resource = Resource({"service.name": "linkhaven-router", "service.instance.id": name})
+        self.provider = TracerProvider(resource=resource, shutdown_on_exit=False)
+        self.provider.add_span_processor(SimpleSpanProcessor(exporter))
+        self.tracer = self.provider.get_tracer("linkhaven")
+        self.wall_ns = wall_ns
+
+    def write(self, request, ended_us):
+        ended_ns = self.wall_ns()
+        begun_ns = ended_ns - (ended_us - request.arrived_us) * 1_000
+        span = self.tracer.start_span("request", start_time=begun_ns, attributes={
+            "linkhaven.request": request.id, "linkhaven.kind": request.kind_name or "", "linkhaven.group": request.group or "",
+            "linkhaven.outcome": request.outcome, "linkhaven.shots": request.shots, "linkhaven.tokens": request.tokens,
+        })
+        context = set_span_in_context(span)
+        for step, following in zip(request.steps, request.steps[1:]):
+            facts = {f"linkhaven.{key}": value for key, value in step.items() if key not in ("at_us", "step")}
+            part = self.tracer.start_span(step["step"], context=context, start_time=begun_ns + step["at_us"] * 1_000, attributes=facts)
+            part.end(begun_ns + following["at_us"] * 1_000)
+        span.end(ended_ns)
+
+    def close(self):
+        self.provider.shutdown()
--- a/packages/wire/src/linkhaven/wire/settings.py
+++ b/packages/wire/src/linkhaven/wire/settings.py
@@ -64,7 +64,7 @@
     t.Key("conns", default=4_000): whole(1, 100_000),
 }
 SETTINGS = {
-    "router": t.Dict({**COMMON, t.Key("requests", default=2_000): whole(1, 100_000)}),
+    "router": t.Dict({**COMMON, t.Key("requests", default=2_000): whole(1, 100_000), t.Key("traces", optional=True): t.String()}),
     "registry": t.Dict({
         **COMMON,
         t.Key("data"): t.Call(_folder),
