--- a/packages/stage/src/linkhaven/stage/faults.py
+++ b/packages/stage/src/linkhaven/stage/faults.py
@@ -137,7 +137,8 @@
         zone = host.zone
 
         def come_back():
-            new = Host(self.world, f"core-{seat}-{self.fleet.moved}", zone, address, self.fleet._build_registry(seat), SimDisk(self.world))
+            build = self.fleet._build_registry(seat, self.fleet.live_seeds())
+            new = Host(self.world, f"core-{seat}-{self.fleet.moved}", zone, address, build, SimDisk(self.world))
             self.fleet.registries[seat] = new
             new.start()
 
--- a/packages/stage/src/linkhaven/stage/fleet.py
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -117,13 +117,18 @@
     def _host(self, name, zone, address, build, disk=None):
         return Host(self.world, name, zone, address, build, disk)
 
-    def _build_registry(self, seat):
+    def _build_registry(self, seat, seeds=None):
         def build(host, ports):
             return RegistryNode(
-                host.name, host.address, ports, host.zone, self.seeds, self.world.now_us + host.starts, seat, self.platform.address,
+                host.name, host.address, ports, host.zone, seeds or self.seeds, self.world.now_us + host.starts, seat, self.platform.address,
             )
         return build
 
+    def live_seeds(self):
+        """What a machine put in today is given as seeds: three processes that run."""
+        hosts = [*self.registries.values(), *self.routers.values()]
+        return [host.address for host in hosts if host.node][:3]
+
     def _build_router(self, host, ports):
         return RouterNode(host.name, host.address, ports, host.zone, self.seeds, self.world.now_us + host.starts)
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -377,3 +377,68 @@
     from linkhaven.stage.checkers import extra_shots_keep_to_the_budget, streams_are_whole
     assert list(streams_are_whole(fleet.world.record)) == []
     assert list(extra_shots_keep_to_the_budget(fleet.world.record, margin=7)) == []
+
+
+def test_a_restarted_router_is_found_though_all_three_seed_machines_were_exchanged():
+    fleet, faults = make(LICENSING, 23)
+    for seat in "abc":
+        faults.begin("empty_core", seat)
+        fleet.world.run_for(8 * SECOND)
+        assert fleet.registries[seat].node.seat.is_voting
+    assert not set(fleet.seeds) & {host.address for host in fleet.registries.values()}
+    router = fleet.routers["edge-1"]
+    router.kill()
+    fleet.world.run_for(3 * SECOND)
+    router.start()
+    assert fleet.world.wait_for(router.node.may_start, 20 * SECOND)
+    asked = fleet.ask("seat-question", [router.address])
+    fleet.world.run_for(5 * SECOND)
+    assert asked.how == "done"
+
+
+def test_a_node_that_flaps_ends_up_up_and_accuses_nobody():
+    fleet, _ = make(LICENSING, 24)
+    since_us = fleet.world.now_us
+    host = fleet.routers["edge-2"]
+    for _ in range(4):
+        host.kill()
+        fleet.world.run_for(1_300_000)
+        host.start()
+        fleet.world.run_for(1_700_000)
+    fleet.world.run_for(4 * SECOND)
+    others = [other for name, other in fleet.routers.items() if name != "edge-2"]
+    assert all(other.node.ring.fellows["edge-2"].is_up for other in [*others, *fleet.registries.values()])
+    assert {event[3]["fellow"] for event in events(fleet, 1102, since_us)} <= {"edge-2"}
+
+
+@pytest.mark.parametrize("seed", range(30, 34))
+def test_streams_stay_whole_while_conns_break_at_any_piece(seed):
+    from linkhaven.stage.checkers import one_time_work_runs_once, streams_are_whole
+
+    fleet, faults = make(LICENSING, seed)
+    fleet.load(10.0)
+    for _ in range(30):
+        fleet.world.run_for(fleet.world.dice.randrange(50_000, 350_000))
+        faults.begin("break_conns", 0.1)
+    fleet.settle()
+    asked = fleet.caller.node.asked.values()
+    assert any(one.resumes for one in asked)
+    assert all(one.ended_us is not None for one in asked)
+    assert list(streams_are_whole(fleet.world.record)) == []
+    assert list(one_time_work_runs_once(fleet.world.record)) == []
+
+
+def test_extra_shots_keep_to_the_budget_when_a_crowd_ends_and_all_streams_break():
+    from linkhaven.stage.checkers import extra_shots_keep_to_the_budget
+
+    fleet, faults = make(ARCHIVE, 25)
+    fleet.load(60.0)
+    fleet.world.run_for(5 * SECOND)
+    fleet.stop_load()
+    for _ in range(12):
+        faults.begin("break_conns", 0.8)
+        fleet.world.run_for(400_000)
+    fleet.settle()
+    extra = [facts for _, facts in noted(fleet, "offered") if facts["shot"] > 1]
+    assert len(extra) >= 5
+    assert list(extra_shots_keep_to_the_budget(fleet.world.record, margin=fleet.plan["extra"]["margin"])) == []
