--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -13,6 +13,7 @@
 from linkhaven.wire.console import call_json
 from linkhaven.wire.settings import split_address
 
+from .checkers import every_caller_hears_back, streams_are_whole
 from .fleet import LICENSING, Deployment, make_prompt, percentile, summarise
 from .people import Caller
 
@@ -69,10 +70,11 @@
 class LoopbackFleet:
     """A whole deployment as processes on loopback. A test tool: the one thing here that starts processes."""
 
-    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "runner_words")
+    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "runner_words", "given")
 
     def __init__(self, deployment, folder, port, runner_words=()):
         self.runner_words = runner_words
+        self.given = {}
         self.deployment = deployment
         self.folder = folder
         self.port = port
@@ -88,8 +90,12 @@
 
     def _run(self, name, program, *words):
         command = [os.path.join(os.path.dirname(sys.executable), program), *words]
+        self.given[name] = (program, words)
         self.processes[name] = Watched(name, command, os.path.join(self.folder, f"{name}.log"))
-        return self.processes[name]
+
+    def run_again(self, name):
+        program, words = self.given[name]
+        self._run(name, program, *words)
 
     def _serve(self, name, program, settings):
         path = os.path.join(self.folder, f"{name}.json")
@@ -253,7 +259,28 @@
     return row
 
 
-def run_fleet(deployment, folder, port, rate, seconds, seed):
+def plan_faults(fleet, run, seconds):
+    """A core seat, a router and a runner are killed at a quarter, a half and three quarters, and started again."""
+    share_us = seconds * 1_000_000 // 4
+    for place, name in enumerate(("core-b", "edge-1", "runner-5")):
+        at_us = (place + 1) * share_us
+        run.shell.ticker.call_in(at_us, lambda name=name: fleet.kill(name))
+        run.shell.ticker.call_in(at_us + share_us // 2, lambda name=name: fleet.run_again(name))
+
+
+def judge_callers(record, kinds):
+    """What can be judged from the callers' side alone."""
+    deadlines = {kind: terms["deadline_us"] for kind, terms in kinds.items()}
+    found = {}
+    for checker in (every_caller_hears_back, streams_are_whole):
+        breaches = list(checker(record, deadlines=deadlines))
+        if breaches:
+            found[checker.__name__] = breaches[:5]
+    return found
+
+
+def run_fleet(deployment, folder, port, rate, seconds, seed, has_faults=False):
+    record = []
     os.makedirs(folder, exist_ok=True)
     fleet = LoopbackFleet(deployment, folder, port)
     begun = time.monotonic()
@@ -262,7 +289,14 @@
         fleet.put_plan(deployment.plan(), 0)
         fleet.wait_ready()
         ready_s = time.monotonic() - begun
-        told = LoadRun(deployment, fleet.routers.values(), rate, seconds, seed).run()
+        run = LoadRun(
+            deployment, fleet.routers.values(), rate, seconds, seed,
+            lambda kind, /, **facts: record.append((run.shell.ticker.now_us(), kind, facts)),
+        )
+        if has_faults:
+            plan_faults(fleet, run, seconds)
+        told = run.run()
     finally:
         codes = fleet.stop()
+    told["broken_rules"] = judge_callers(record, deployment.kinds)
     return {"deployment": deployment.name, "seed": seed, "rate": rate, "seconds": seconds, "ready_s": round(ready_s, 1), **told, "exit_codes": sorted(set(codes.values()))}
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -102,6 +102,7 @@
         option("rate", None, "requests a second", flag=False, default="6"),
         option("seconds", None, "how long", flag=False, default="20"),
         option("seed", None, "seed of the load", flag=False, default="1"),
+        option("faults", None, "kill and restart a core seat, a router and a runner on the way"),
         option("folder", None, "where settings, data and logs go (default: a new temporary folder)", flag=False),
     ]
 
@@ -110,7 +111,7 @@
         rate, seconds, seed = whole(self, "rate", 1, 500), whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9)
         folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-")
         self.line_error(f"settings, data and logs in {folder}")
-        self.show(run_fleet(deployment, folder, port, rate, seconds, seed))
+        self.show(run_fleet(deployment, folder, port, rate, seconds, seed, self.option("faults")))
 
 
 class SweepCommand(CodedCommand):
