--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -6,6 +6,7 @@
 ABANDON_US = 1_000_000
 DARK_US = 1_200_000
 SETTLE_US = 700_000
+ANY_INCARNATION = 0
 
 
 class RosterKeeper:
@@ -95,9 +96,9 @@
             if runner is None or incarnation > runner.incarnation:
                 runner = self.runners[name] = Runner(name, record["address"], record["zone"], incarnation)
                 self._ask_report(runner, sent_us)
-            if incarnation == runner.incarnation:
+            if incarnation in (ANY_INCARNATION, runner.incarnation):
                 runner.address = record["address"]
-                if record["state"] == "leaving" or (name, incarnation) in self.leaving:
+                if record["state"] == "leaving" or (name, runner.incarnation) in self.leaving:
                     self._mark_leaving(runner)
         for runner in self.runners.values():
             runner.is_listed = runner.name in listed
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -66,7 +66,7 @@
             if len(parts) != 3:
                 raise misfit("--runner", f"{text} is not name=address=zone")
             name, address, zone = parts
-            listed[name] = {"name": name, "address": address, "zone": zone, "incarnation": 1, "state": "serving"}
+            listed[name] = {"name": name, "address": address, "zone": zone, "incarnation": 0, "state": "serving"}
 
         def build(ports, incarnation):
             platform = StandInPlatform("platform", self.option("http"), ports)
--- a/packages/wire/src/linkhaven/wire/inlet.py
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -12,6 +12,7 @@
 LINE_BYTES = 16_000_000
 READ_BYTES = 65_536
 ROOM_BYTES = 65_536
+IDLE_US = 60_000_000
 CODES = {404: "unknown_path", 413: "too_large"}
 
 
@@ -123,6 +124,7 @@
         self.conns_at_most = conns_at_most
         self.calls = {}
         self.taken = {}
+        self.idle = {}
         self.server = TCPServer(split_address(address), channel="web", bufsize=READ_BYTES).register(self)
         self.http = HTTP(self, channel="web").register(self)
 
@@ -140,6 +142,14 @@
     def end_call(self, call):
         self.calls.pop(call.sock, None)
 
+    def close_idle(self, now_us):
+        """A conn that neither asks nor is being answered is closed after a while."""
+        for sock in list(self.server._clients):
+            if sock in self.calls:
+                self.idle.pop(sock, None)
+            elif now_us - self.idle.setdefault(sock, now_us) > IDLE_US:
+                self.fire(close(sock))
+
     def look_for_room(self):
         for call in list(self.calls.values()):
             if call.is_full and self.waiting_bytes(call.sock) < ROOM_BYTES // 2:
@@ -199,6 +209,7 @@
     @handler("disconnect", priority=1)
     def _on_gone(self, sock):
         self.taken.pop(sock, None)
+        self.idle.pop(sock, None)
         self.http._buffers.pop(sock, None)
         call = self.calls.pop(sock, None)
         if call is not None:
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -13,6 +13,9 @@
 from .ticker import Ticker
 
 
+LOOK_US = 1_000_000
+
+
 class Shell(BaseComponent):
     """One process: a node, its sockets, its clock and its log, on one loop and one thread."""
 
@@ -22,6 +25,7 @@
         super().__init__()
         self.code = 0
         self.is_stopping = False
+        self.looked_us = 0
         self.log = make_log(name, level, log_path)
         self.ticker = Ticker(self._tick)
         poller = EPoll().register(self)
@@ -44,6 +48,13 @@
         self.node.tick()
         if self.web is not None:
             self.web.look_for_room()
+            self._close_idle(self.ticker.now_us())
+
+    def _close_idle(self, now_us):
+        if now_us - self.looked_us < LOOK_US:
+            return
+        self.looked_us = now_us
+        self.web.close_idle(now_us)
 
     def run_to_end(self):
         self.log(1001, http=f"{self.web.host}:{self.web.port}" if self.web else None)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -442,3 +442,16 @@
     extra = [facts for _, facts in noted(fleet, "offered") if facts["shot"] > 1]
     assert len(extra) >= 5
     assert list(extra_shots_keep_to_the_budget(fleet.world.record, margin=fleet.plan["extra"]["margin"])) == []
+
+
+def test_a_platform_that_knows_no_incarnations_can_still_say_that_a_runner_leaves():
+    fleet, _ = make(LICENSING, 26)
+    fleet.load(10.0)
+    listed = {name: {**record, "incarnation": 0} for name, record in fleet.platform.node.now().items()}
+    listed["runner-4"]["state"] = "leaving"
+    fleet.platform.node.set(listed)
+    left_us = fleet.world.now_us
+    fleet.world.run_for(8 * SECOND)
+    late = [at_us for at_us, facts in noted(fleet, "offered") if facts["runner"] == "runner-4" and at_us > left_us + 3 * SECOND]
+    assert late == []
+    assert len([facts for _, facts in noted(fleet, "offered") if facts["runner"] == "runner-5"]) > 5
