Duties are spread over the seats; a seat makes ready when a holder falls quiet

Cause: the seat that votes first won all three duties, so its loss vacated them all at once (seen on loopback). Ruled out: making ready earlier alone does not shorten the refusal; it is the grant against the roster's age.

--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -1,7 +1,9 @@
 GRANT_US = 3_000_000
 MARGIN_US = 200_000
 RENEW_US = 1_000_000
-CONTEST_US = 150_000
+CONTEST_US = 50_000
+RANK_US = 120_000
+QUIET_US = 1_600_000
 
 
 class Duty:
@@ -10,10 +12,10 @@
 
     __slots__ = (
         "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
-        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor",
+        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us",
     )
 
-    def __init__(self, node, name, proposer, seat, on_won=lambda: None, on_lapsed=lambda: None):
+    def __init__(self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None):
         self.node = node
         self.name = name
         self.key = f"duty/{name}"
@@ -21,6 +23,7 @@
         self.seat = seat
         self.on_won = on_won
         self.on_lapsed = on_lapsed
+        self.rank_us = rank * RANK_US
         self.fence = None
         self.renewal = 0
         self.floor = 0
@@ -36,6 +39,10 @@
     def is_held(self):
         return self.fence is not None and self.node.now_us() < self.granted_us
 
+    def is_quiet(self):
+        """Nobody renewed for a while: who may soon hold the duty can make ready."""
+        return self.seat.is_voting and self.node.now_us() - self.seen_us > QUIET_US
+
     def holder(self):
         return self.seat.cell(self.key).value
 
@@ -58,7 +65,7 @@
             self.seen = seen
             self.seen_us = now_us
             reach = CONTEST_US * 2
-            self.contest_us = now_us + GRANT_US + MARGIN_US + self.node.ports.dice.randrange(reach)
+            self.contest_us = now_us + GRANT_US + MARGIN_US + self.rank_us + self.node.ports.dice.randrange(reach)
 
     def tick(self, now_us):
         if not self.seat.is_voting:
@@ -76,7 +83,7 @@
             elif now_us - self.asked_us >= RENEW_US:
                 self._ask(now_us, self.fence, self.renewal + 1)
             return
-        if now_us < self.contest_us or now_us < self.seat.votes_from_us:
+        if now_us < self.contest_us or now_us < self.seat.votes_from_us + self.rank_us:
             return
         held = self.seen or (0, 0)
         self._ask(now_us, max(held[0], self.floor) + 1, 0)
--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -63,6 +63,10 @@
             if self._has_news(ask):
                 self._answer(ask)
 
+    def answer_all(self):
+        for ask in list(self.asks.values()):
+            self._answer(ask)
+
     def _answer(self, ask):
         if self.asks.get(ask.back) is ask:
             del self.asks[ask.back]
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -1,7 +1,7 @@
 from linkhaven.clockwork import Table
 from linkhaven.runner import Runner
 
-POLL_US = 500_000
+POLL_US = 250_000
 REPORT_US = 250_000
 ABANDON_US = 1_000_000
 DARK_US = 1_200_000
@@ -57,7 +57,7 @@
         }
 
     def tick(self, now_us):
-        if not any(duty.is_held() for duty in self.needs):
+        if not any(duty.is_held() or duty.is_quiet() for duty in self.needs):
             self.since_us = None
             return
         if self.since_us is None:
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -12,6 +12,7 @@
 
 IMAGE_WAIT_US = 1_000_000
 SEATS = ("a", "b", "c")
+DUTIES = ("steward", "bursar", "roster")
 
 
 class RegistryNode(Node):
@@ -36,7 +37,11 @@
         self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
         self.news = NewsDesk(self, self.seat, self.proposer, self.image)
         self.desk = RunnerDesk(self)
-        self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in ("steward", "bursar", "roster")}
+        own = seats.index(seat)
+        self.duties = {
+            duty: Duty(self, duty, self.proposer, self.seat, (place - own) % len(seats)) for place, duty in enumerate(DUTIES)
+        }
+        self.duties["roster"].on_won = self.news.answer_all
         self.keeper = RosterKeeper(self, self.desk, platform, (self.duties["roster"], self.duties["steward"]))
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
