--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -36,3 +36,11 @@
 def test_seeds_that_once_found_something_stay_clean(deployment, seed):
     scenario, _ = run_seed(deployment, seed)
     assert scenario.breaches() == {}
+
+
+def test_a_crowd_over_a_lost_seat_and_a_cut_router_leaves_no_backlog_past_the_bound():
+    scenario = Scenario("licensing", 230).load(2, 16.0)
+    for fault in ("crowd", "empty_core", "cut_router"):
+        scenario.fault(fault).load(1)
+    scenario.load(6).close().end(calm_s=17)
+    assert scenario.breaches() == {}
