Deputies keep the roster fresh while its duty stands vacant

Cause: with the roster's holder lost, routers refused for 0.8 s: the grant is as long as the roster may be old.

--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -1,3 +1,5 @@
+import math
+
 GRANT_US = 3_000_000
 MARGIN_US = 200_000
 RENEW_US = 1_000_000
@@ -48,7 +50,7 @@
 
     def hear_fence(self, fence):
         """Somebody was told a fence: this duty's must be above it, also after the core lost what it knew."""
-        self.floor = max(self.floor, fence)
+        self.floor = max(self.floor, math.ceil(fence))
 
     def wake(self, now_us):
         if self.fence is not None:
--- a/packages/registry/src/linkhaven/registry/__init__.py
+++ b/packages/registry/src/linkhaven/registry/__init__.py
@@ -1,3 +1,3 @@
-from .node import RegistryNode
+from .node import DUTIES, RegistryNode
 
-__all__ = ["RegistryNode"]
+__all__ = ["DUTIES", "RegistryNode"]
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -12,6 +12,7 @@
 
 IMAGE_WAIT_US = 1_000_000
 SEATS = ("a", "b", "c")
+DEPUTY = {"a": 0.3, "b": 0.5, "c": 0.7}
 DUTIES = ("steward", "bursar", "roster")
 
 
@@ -115,11 +116,21 @@
         self.proposer.change("plan", step, done)
 
     def _add_roster(self, ask, facts):
-        duty = self.duties["roster"]
-        if duty.is_held() and self.keeper.is_ready():
-            facts["roster"] = {"fence": duty.fence, **self.keeper.document()}
+        rank = self._roster_rank()
+        if rank is not None and self.keeper.is_ready():
+            facts["roster"] = {"fence": rank, **self.keeper.document()}
         self.steward.add_news(facts)
 
+    def _roster_rank(self):
+        """The fence while the duty is held. While its holder is quiet a deputy stands between that fence and the next."""
+        duty = self.duties["roster"]
+        if duty.is_held():
+            return duty.fence
+        if not duty.is_quiet():
+            return None
+        last = duty.holder()
+        return (last["fence"] if last else 0) + DEPUTY[self.seat.seat]
+
     def drain(self, on_drained):
         self.is_draining = True
         self.ports.log(1002, running=0)
--- a/packages/stage/src/linkhaven/stage/fleet.py
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -1,6 +1,6 @@
 import random
 
-from linkhaven.registry import RegistryNode
+from linkhaven.registry import DUTIES, RegistryNode
 from linkhaven.router import RouterNode
 
 from .people import Caller, Operator
@@ -179,10 +179,14 @@
             raise AssertionError("no seat votes")
         self.world.run_for(SECOND)
         self.put_plan(self.plan, 0)
-        if not self.world.wait_for(self.is_ready):
+        if not self.world.wait_for(lambda: self.is_ready() and self.are_duties_held()):
             raise AssertionError("the fleet did not become ready")
         return self
 
+    def are_duties_held(self):
+        nodes = [host.node for host in self.registries.values() if host.node]
+        return all(any(node.duties[duty].is_held() for node in nodes) for duty in DUTIES)
+
     def is_ready(self):
         return all(host.node.may_start() for host in self.routers.values() if host.node and not host.is_frozen)
 
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -455,3 +455,37 @@
     late = [at_us for at_us, facts in noted(fleet, "offered") if facts["runner"] == "runner-4" and at_us > left_us + 3 * SECOND]
     assert late == []
     assert len([facts for _, facts in noted(fleet, "offered") if facts["runner"] == "runner-5"]) > 5
+
+
+def test_the_roster_stays_fresh_while_its_duty_stands_vacant():
+    fleet, faults = make(LICENSING, 27)
+    world = fleet.world
+    fleet.load(10.0)
+    world.run_for(2 * SECOND)
+    old = holder_of(fleet, "roster")
+    begun_us = world.now_us
+    faults.begin("freeze_holder", "roster")
+    world.run_for(6 * SECOND)
+    faults.close()
+    world.run_for(6 * SECOND)
+    fleet.settle()
+    assert events(fleet, 2002, begun_us) == []
+    assert {one.how for one in fleet.caller.node.asked.values()} == {"done"}
+    assert holder_of(fleet, "roster") is not old
+    marks = {host.node.roster.place[0] for host in fleet.routers.values()}
+    assert marks == {holder_of(fleet, "roster").node.duties["roster"].fence}
+
+
+def test_a_holder_that_was_only_slow_to_renew_is_heard_above_its_deputies():
+    fleet, _ = make(LICENSING, 28)
+    world = fleet.world
+    old = holder_of(fleet, "roster")
+    fence = old.node.duties["roster"].fence
+    world.cut([old.name], [host.name for host in fleet.registries.values()])
+    world.run_for(2_700_000)
+    world.heal()
+    world.run_for(4 * SECOND)
+    assert fleet.is_ready()
+    held = holder_of(fleet, "roster").node.duties["roster"].fence
+    assert held > fence
+    assert {host.node.roster.place[0] for host in fleet.routers.values()} == {held}
