A former occupant of a seat gives up duties and votes when it learns of its successor

Its own seat was never asked, so it never learnt that it was fenced; and a seat from the first start took a higher incarnation for forgetting and fenced its successor instead. Conclusion: a seat looks at what the ring tells of its incarnation each tick; one that began anew asks the others before it rejoins above.

--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -71,6 +71,8 @@
 
     def tick(self, now_us):
         if not self.seat.is_voting:
+            if self.fence is not None:
+                self._lapse()
             self.seen_us = now_us
             self.contest_us = now_us + GRANT_US + MARGIN_US
             return
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -25,7 +25,7 @@
     __slots__ = (
         "node", "seat", "seats", "majority", "directory", "cells", "incarnation", "known",
         "standing", "is_empty", "is_failing", "told", "asked_us", "started_us", "notes", "votes_from_us",
-        "on_change", "on_votes", "is_genesis", "start", "wait_reason", "clock_us", "clocked_us", "claim_us",
+        "on_change", "on_votes", "is_genesis", "is_doubted", "start", "wait_reason", "clock_us", "clocked_us", "claim_us",
     )
 
     def __init__(self, node, seat, seats, directory, on_change, on_votes, claim_us=3_600_000_000):
@@ -50,6 +50,7 @@
         self.start = f"{node.name}/{now_us}/{node.ports.dice.getrandbits(48)}"
         self.is_failing = False
         self.is_genesis = False
+        self.is_doubted = False
         self.wait_reason = None
         self.standing = REJOINING
         self.told = {}
@@ -103,14 +104,18 @@
         return True
 
     def _hear_newer(self, incarnation):
-        """A newer occupant fences this one; a core that began anew had only forgotten, and rejoins above."""
+        """A newer occupant fences this one. A core that began anew may only have forgotten: it asks the
+        other seats, and rejoins above if none of them was told of a newer occupant."""
         if self.is_genesis:
-            self.incarnation = incarnation
+            self.is_doubted = True
             self.standing = REJOINING
             self.notes = None
             self.told = {}
             self.started_us = self.node.now_us()
             return
+        self._fence(incarnation)
+
+    def _fence(self, incarnation):
         self.standing = FENCED
         self.node.ports.log(1204, seat=self.seat, incarnation=incarnation)
 
@@ -181,6 +186,9 @@
             return
         if message["asked"] != self.start:
             return
+        newest = message["known"].get(self.seat, 0)
+        if self.is_doubted and newest > self.incarnation:
+            return self._fence(newest)
         self.told[message["seat"]] = message
         self._weigh(self.node.now_us())
 
@@ -282,6 +290,7 @@
         if self.notes or self.standing == VOTING:
             return
         self.standing = VOTING
+        self.is_doubted = False
         self.votes_from_us = self.node.now_us() + GRANT_US
         self.directory.learn_seats(self.known_of_all())
         self.node.ports.log(1202, seat=self.seat, incarnation=self.incarnation)
@@ -289,6 +298,9 @@
 
     def tick(self, now_us):
         if self.standing == VOTING:
+            newest = self.directory.seats()[self.seat][1]
+            if newest > self.incarnation:
+                return self._hear_newer(newest)
             return self._sweep_claims(now_us)
         if self.standing == FENCED or now_us - self.asked_us < ASK_US:
             return
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -489,3 +489,20 @@
     held = holder_of(fleet, "roster").node.duties["roster"].fence
     assert held > fence
     assert {host.node.roster.place[0] for host in fleet.routers.values()} == {held}
+
+
+def test_an_exchanged_holder_that_wakes_beside_its_successor_takes_no_duty():
+    fleet, faults = make(LICENSING, 29)
+    world = fleet.world
+    old = holder_of(fleet, "roster")
+    seat = old.node.seat.seat
+    faults.begin("exchange_awake_core", seat)
+    world.run_for(SECOND)
+    faults.close()
+    world.run_for(8 * SECOND)
+    assert fleet.is_ready()
+    assert old.node.seat.standing == "fenced"
+    assert not any(duty.is_held() for duty in old.node.duties.values())
+    asked = fleet.ask("seat-question")
+    world.run_for(5 * SECOND)
+    assert asked.how == "done"
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -32,7 +32,7 @@
     assert seen["served"] >= 0.95 * seen["asked"]
 
 
-@pytest.mark.parametrize("deployment, seed", [("licensing", 83), ("archive", 15)])
+@pytest.mark.parametrize("deployment, seed", [("licensing", 83), ("archive", 15), ("licensing", 3211)])
 def test_seeds_that_once_found_something_stay_clean(deployment, seed):
     scenario, _ = run_seed(deployment, seed)
     assert scenario.breaches() == {}
