--- a/packages/clockwork/src/linkhaven/clockwork/ports.py
+++ b/packages/clockwork/src/linkhaven/clockwork/ports.py
@@ -28,14 +28,13 @@
 class Call:
     """One HTTP exchange as the serving node sees it; shells fill in the five writers."""
 
-    __slots__ = ("method", "path", "headers", "body", "source", "on_gone", "on_room", "is_begun", "is_ended")
+    __slots__ = ("method", "path", "headers", "body", "on_gone", "on_room", "is_begun", "is_ended")
 
-    def __init__(self, method, path, headers, body, source=""):
+    def __init__(self, method, path, headers, body):
         self.method = method
         self.path = path
         self.headers = headers
         self.body = body
-        self.source = source
         self.on_gone = None
         self.on_room = None
         self.is_begun = False
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -51,7 +51,7 @@
         self.requests = Table()
         self.shots = Shots(self, self.pairing, self.desk, self.roster, self.extra)
         self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.shots.move)
-        self.chain = Filters(self).chain(self.refuse)
+        self.chain = Filters(self).chain(self.end_in_trouble)
         self.explained = FIFOCache(EXPLAINED)
         self.requests_at_most = requests_at_most
         self.is_draining = False
@@ -154,8 +154,8 @@
             if outcome == "chosen":
                 return self.chain.walk(request)
             if outcome == "stopped":
-                return self.refuse(request, Trouble("key_used"))
-            self.refuse(request, Trouble("claim_unavailable", retry_us=1_000_000))
+                return self.end_in_trouble(request, Trouble("key_used"))
+            self.end_in_trouble(request, Trouble("claim_unavailable", retry_us=1_000_000))
 
         digest = hashlib.blake2b(request.key.encode(), digest_size=20).hexdigest()
         self.proposer.change(f"claim/{request.group}/{digest}", step, done)
@@ -169,10 +169,7 @@
         self.wake_queue()
 
     def wake_queue(self):
-        self.credit.serve(self._begin)
-
-    def _begin(self, request):
-        return self.shots.begin(request)
+        self.credit.serve(self.shots.begin)
 
     def relay_piece(self, request, piece, tokens, now_us):
         call = request.call
@@ -211,9 +208,6 @@
         self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.shots)
         self._close(request, "done")
 
-    def refuse(self, request, trouble):
-        self.end_in_trouble(request, trouble)
-
     def end_in_trouble(self, request, trouble):
         if request.state == states.ENDED:
             return
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -15,6 +15,13 @@
 
 DEPLOYMENT_OPTION = option("deployment", "d", "licensing or archive", flag=False, default="licensing")
 
+LOAD_OPTIONS = [
+    DEPLOYMENT_OPTION,
+    option("rate", None, "requests a second", flag=False, default="6"),
+    option("seconds", None, "how long", flag=False, default="20"),
+    option("seed", None, "seed of the load", flag=False, default="1"),
+]
+
 
 def whole(command, name, least, most):
     text = command.option(name)
@@ -23,6 +30,10 @@
     return int(text)
 
 
+def load_of(command):
+    return whole(command, "rate", 1, 500), whole(command, "seconds", 1, 600), whole(command, "seed", 0, 10**9)
+
+
 def deployment_of(command):
     deployment = DEPLOYMENTS.get(command.option("deployment"))
     if deployment is None:
@@ -80,38 +91,30 @@
     name = "load"
     description = "Put a bounded load of callers on routers and print a summary."
     options = [
-        DEPLOYMENT_OPTION,
+        *LOAD_OPTIONS,
         option("router", "r", "HTTP address of a router (repeat)", flag=False, multiple=True),
-        option("rate", None, "requests a second", flag=False, default="6"),
-        option("seconds", None, "how long", flag=False, default="20"),
-        option("seed", None, "seed of the load", flag=False, default="1"),
     ]
 
     def act(self):
         routers = self.option("router") or ["127.0.0.1:8101"]
-        run = LoadRun(deployment_of(self), routers, whole(self, "rate", 1, 500), whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9))
-        self.show(run.run())
+        self.show(LoadRun(deployment_of(self), routers, *load_of(self)).run())
 
 
 class FleetCommand(CodedCommand):
     name = "fleet"
     description = "Start a whole deployment on loopback, put a plan and a bounded load on it, print a summary, stop it."
     options = [
-        DEPLOYMENT_OPTION,
+        *LOAD_OPTIONS,
         option("port", None, "first of a hundred ports on 127.0.0.1", flag=False, default="17000"),
-        option("rate", None, "requests a second", flag=False, default="6"),
-        option("seconds", None, "how long", flag=False, default="20"),
-        option("seed", None, "seed of the load", flag=False, default="1"),
         option("faults", None, "kill and restart a core seat, a router and a runner on the way"),
         option("folder", None, "where settings, data and logs go (default: a new temporary folder)", flag=False),
     ]
 
     def act(self):
-        deployment, port = deployment_of(self), whole(self, "port", 1024, 65_000)
-        rate, seconds, seed = whole(self, "rate", 1, 500), whole(self, "seconds", 1, 600), whole(self, "seed", 0, 10**9)
+        deployment, port, load = deployment_of(self), whole(self, "port", 1024, 65_000), load_of(self)
         folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-")
         self.line_error(f"settings, data and logs in {folder}")
-        self.show(run_fleet(deployment, folder, port, rate, seconds, seed, self.option("faults")))
+        self.show(run_fleet(deployment, folder, port, *load, self.option("faults")))
 
 
 class SweepCommand(CodedCommand):
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -363,7 +363,7 @@
     __slots__ = ("conn", "sent_us")
 
     def __init__(self, conn, method, path, headers, body):
-        super().__init__(method, path, headers, body, conn.client.name)
+        super().__init__(method, path, headers, body)
         self.conn = conn
         self.sent_us = conn.sent_us
 
--- a/packages/wire/src/linkhaven/wire/inlet.py
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -56,7 +56,7 @@
 
     def __init__(self, inlet, request, response_, headers):
         path = request.path + (f"?{request.qs}" if request.qs else "")
-        super().__init__(request.method, path, headers, request.body.read(), str(request.sock.fileno()))
+        super().__init__(request.method, path, headers, request.body.read())
         self.inlet = inlet
         self.request = request
         self.response = response_
