--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -4,6 +4,7 @@
 import pytest
 
 from linkhaven.credit import Bursar, ExtraBudget
+from linkhaven.duty import Duty
 from linkhaven.plan import NewsReader
 from linkhaven.register import Seat
 from linkhaven.register.seat import REJOINING
@@ -137,7 +138,35 @@
     return scenario
 
 
+def forget_grants(monkeypatch):
+    monkeypatch.setattr(Duty, "is_held", lambda self: self.fence is not None)
+    monkeypatch.setattr(Duty, "_lapse", lambda self: None)
+
+
+def sleep_over_an_order(fleet_of):
+    scenario = fleet_of("licensing", 12).load(1)
+    world = scenario.fleet.world
+
+    def stewards():
+        return [host for host in scenario.fleet.registries.values() if not host.is_frozen and host.node.duties["steward"].is_held()]
+
+    old = stewards()[0]
+    runner = old.node.keeper.runners["runner-3"]
+    old.node.steward._change(runner, "prefill", world.now_us)
+    world.run_for(300_000)
+    old.freeze()
+    world.wait_for(stewards)
+    world.run_for(SECOND)
+    new = stewards()[0].node.steward
+    new._change(new.keeper.runners["runner-4"], "prefill", world.now_us)
+    world.run_for(3 * SECOND)
+    old.wake()
+    old.node.steward._order(runner, world.now_us)
+    return scenario.load(3).close().end(calm_s=3)
+
+
 CASES = [
+    (forget_grants, sleep_over_an_order, "one_holder_orders"),
     (forget_one_time, crash_under_checks, "one_time_work_runs_once"),
     (let_keys_pass, one_key_through_two_routers, "one_time_work_runs_once"),
     (trust_any_plan, put_while_a_router_is_cut_off, "plans_are_in_force"),
