A refused request gives its key back

Cause: the claim is won before the queue, so a request refused for a full queue or spent credit burnt its key, though the refusal tells the caller to call again. Before (test): the second call with the key ended in key_used though nothing had run. After: it is served, once, and a third gets key_used. Conclusion: kept; safe because a refusal is final at the router that gives the key back.

--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -142,7 +142,7 @@
         request.state = states.CLAIMING
 
         def step(value):
-            if value is None:
+            if value is None or value["by"] is None:
                 return "set", {"by": request.id}
             if value["by"] == request.id:
                 return "keep", None
@@ -158,7 +158,18 @@
             self.end_in_trouble(request, Trouble("claim_unavailable", retry_us=1_000_000))
 
         digest = hashlib.blake2b(request.key.encode(), digest_size=20).hexdigest()
-        self.proposer.change(f"claim/{request.group}/{digest}", step, done)
+        request.claim_key = f"claim/{request.group}/{digest}"
+        self.proposer.change(request.claim_key, step, done)
+
+    def _give_back_claim(self, request):
+        """A refused request never ran and never will: its key may be used again."""
+
+        def step(value):
+            if value is None or value["by"] != request.id:
+                return "stop", value
+            return "set", {"by": None}
+
+        self.proposer.change(request.claim_key, step, lambda outcome, value: None)
 
     def enqueue(self, request):
         self.credit.enqueue(request.group, request)
@@ -215,6 +226,8 @@
         is_refused = trouble.done == "no"
         self.counts["refused" if is_refused else "troubled"] += 1
         self.ports.log(2103 if is_refused else 2102, request=request.id, kind=request.kind_name, code=trouble.code)
+        if is_refused and request.claim_key:
+            self._give_back_claim(request)
         call = request.call
         self._close(request, trouble.code)
         if call.is_ended:
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -9,7 +9,7 @@
         "state", "place", "arrived_us", "deadline_us", "admitted_mark", "run", "written", "resume",
         "shots", "part", "runner", "shot", "has_begun", "failed", "parked", "tokens",
         "first_us", "pace_tokens", "pace_from_us", "moved_from", "is_moving", "progress_us",
-        "decisions", "steps", "outcome", "handle", "is_held",
+        "decisions", "steps", "outcome", "handle", "is_held", "claim_key",
     )
 
     def __init__(self, id, call, now_us):
@@ -44,6 +44,7 @@
         self.outcome = None
         self.handle = None
         self.is_held = False
+        self.claim_key = None
 
     @property
     def is_one_time(self):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -506,3 +506,24 @@
     asked = fleet.ask("seat-question")
     world.run_for(5 * SECOND)
     assert asked.how == "done"
+
+
+def test_a_key_whose_request_was_refused_may_be_used_again_and_runs_once():
+    plan = LICENSING.plan()
+    plan["groups"] = {**plan["groups"], "entitlement": {"credit": {"tokens": 2_000, "period_us": 10 * SECOND}, "weight": 1.0, "queue": {"requests": 1, "tokens": 20_000}}}
+    fleet, _ = make(LICENSING, 31, plan=plan)
+    router = [fleet.routers["edge-1"].address]
+    asked = [fleet.ask("entitlement-check", router, key=f"form-{place}") for place in range(12)]
+    fleet.world.run_for(SECOND)
+    place, refused = next((place, one) for place, one in enumerate(asked) if one.how == "refused")
+    assert refused.code in ("credit_spent", "queue_full")
+    fleet.world.run_for(9 * SECOND)
+    again = fleet.ask("entitlement-check", [fleet.routers["edge-2"].address], key=f"form-{place}")
+    fleet.world.run_for(8 * SECOND)
+    assert again.how == "done"
+    third = fleet.ask("entitlement-check", [fleet.routers["edge-3"].address], key=f"form-{place}")
+    fleet.world.run_for(SECOND)
+    assert third.code == "key_used"
+    begun = {facts["asked"] for _, facts in noted(fleet, "begin")}
+    assert again.id in begun
+    assert refused.id not in begun
