--- a/packages/wire/src/linkhaven/wire/console.py
+++ b/packages/wire/src/linkhaven/wire/console.py
@@ -110,6 +110,7 @@
 def run_application(name, commands):
     application = Application(name, "0.1.0")
     application.auto_exits(False)
+    application.catch_exceptions(False)
     for command in commands:
         application.add(command)
     try:
