--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -1,4 +1,5 @@
 import ast
+import json
 import pathlib
 import re
 
@@ -6,8 +7,9 @@
 
 from linkhaven.plan import check_plan
 from linkhaven.schema import CATALOGUE, EVENTS, Trouble, check_document, read_schema
+from linkhaven.simulator.question import read_question
 from linkhaven.stage.fleet import DEPLOYMENTS
-from linkhaven.wire import check_settings
+from linkhaven.wire import check_settings, read_settings
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SOURCES = sorted(ROOT.glob("packages/*/src/**/*.py"))
@@ -100,3 +102,12 @@
         check_settings("router", {**SETTINGS, **changed})
     assert caught.value.code == "settings_invalid"
     assert place in [found["place"] for found in caught.value.detail["places"]]
+
+
+def test_the_example_files_fit_what_they_are_for():
+    for deployment in DEPLOYMENTS:
+        assert check_plan(json.loads((ROOT / f"examples/plan-{deployment}.json").read_text())) == []
+        assert read_question(read_settings(ROOT / f"examples/what-if-{deployment}.json"))["what_if"]
+    for path in sorted((ROOT / "examples/loopback").glob("*.yaml")):
+        document = read_settings(path)
+        assert check_settings("registry" if "seat" in document else "router", {**document, **({"data": "."} if "seat" in document else {})})
