--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -278,11 +278,13 @@
             return None
         return self._least(runners, self.kv_share)
 
-    def begin_read(self, runner, shot, tokens, is_queued):
+    def begin_read(self, runner, shot, tokens):
+        now_us = self.node.now_us()
+        is_queued = self.queued_tokens(runner) > tokens // 4
         book = self.book(runner)
         book.reads[shot] = tokens
-        book.sent_us, book.sent_tokens = self.node.now_us(), tokens
-        book.predictions[shot] = (0 if is_queued else self.estimator.read_us(tokens, runner), self.node.now_us())
+        book.sent_us, book.sent_tokens = now_us, tokens
+        book.predictions[shot] = (0 if is_queued else self.estimator.read_us(tokens, runner), now_us)
         self._change(runner, book)
         self.estimator.note_prompt(tokens)
 
--- a/packages/router/src/linkhaven/router/shots.py
+++ b/packages/router/src/linkhaven/router/shots.py
@@ -77,8 +77,7 @@
         request.progress_us = now_us
         request.has_begun = True
         request.handle = None
-        is_queued = self.pairing.queued_tokens(runner) > request.prompt_tokens // 4
-        self.pairing.begin_read(runner, request.shot, request.prompt_tokens, is_queued)
+        self.pairing.begin_read(runner, request.shot, request.prompt_tokens)
         request.note(now_us, "shot", runner=runner.name, phase=runner.phase, number=request.shots)
         if runner.phase == PREFILL and not request.run:
             return self._read(request, runner)
