Routers tell each seat the incarnations they know with every ask

Cause: after the whole core lost its disks, seats began at incarnation 1 and routers, who knew higher ones, did not count their news. The seats learned of it only if a router's gossip happened to arrive before the new fellow records; else the fleet refused for ever. Ruled out: the plan image (adopted at 1.1 s), the duties (won at 3.3 s). Conclusion: what a whole core forgot comes with the asks, not by luck of the gossip.

--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -36,6 +36,7 @@
         node.systems.append(self.tick)
 
     def hear_ask(self, message):
+        self.seat.directory.learn_seats(message["known"])
         for hear in self.on_ask:
             hear(message)
         ask = Ask(message, self.node.now_us() + HOLD_US)
@@ -142,7 +143,8 @@
         self.serial += 1
         told.id = f"{self.serial}"
         told.sent_us = now_us
-        facts = {"id": told.id, "mark": self.image.mark}
+        known = {seat: incarnation for seat, (_, incarnation) in self.directory.seats().items()}
+        facts = {"id": told.id, "mark": self.image.mark, "known": known}
         for add in self.facts:
             add(facts)
         self.node.tell(address, "ask", **facts)
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -189,6 +189,7 @@
         host.start()
     router = fleet.routers["edge-1"].node
     assert world.wait_for(lambda: fleet.is_ready() and router.roster.place[0] > known, 12 * SECOND)
+    assert world.wait_for(lambda: holder_of(fleet, "steward"), 5 * SECOND)
     fleet.runners["runner-3"].node.fence = 50
     steward = holder_of(fleet, "steward").node.steward
     for _ in range(2):
