A leap of a contender's clock is no wait for a vacant duty

Cause: a contender counted the holder's quiet time as a difference of its own clock; a leap forward of 5 s (or a wake) let it take the duty while the holder still held it. Ruled out: the holder's side, which already treats a late tick as lapsed. Only time lived through by ticks, 250 ms each at most, counts as a wait. Conclusion: both sides of a grant are now safe against a leap.

--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -6,6 +6,7 @@
 CONTEST_US = 50_000
 RANK_US = 120_000
 QUIET_US = 1_600_000
+STEP_AT_MOST_US = 250_000
 
 
 class Duty:
@@ -14,7 +15,7 @@
 
     __slots__ = (
         "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
-        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us",
+        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us", "vacant_us", "ticked_us",
     )
 
     def __init__(self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None):
@@ -33,7 +34,8 @@
         self.asked_us = 0
         self.is_asking = False
         self.seen = None
-        self.seen_us = node.now_us()
+        self.seen_us = self.ticked_us = node.now_us()
+        self.vacant_us = GRANT_US + MARGIN_US
         self.contest_us = 0
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
@@ -66,15 +68,24 @@
         if (seen or (0, 0)) > (self.seen or (0, 0)):
             self.seen = seen
             self.seen_us = now_us
-            reach = CONTEST_US * 2
-            self.contest_us = now_us + GRANT_US + MARGIN_US + self.rank_us + self.node.ports.dice.randrange(reach)
+            self._wait_anew(now_us)
+
+    def _wait_anew(self, now_us):
+        self.vacant_us = 0
+        self.contest_us = now_us + GRANT_US + MARGIN_US + self.rank_us + self.node.ports.dice.randrange(CONTEST_US * 2)
+
+    def _count_wait(self, now_us):
+        """Only time that this node lived through counts against a holder: a leap of the clock is no wait."""
+        self.vacant_us += max(0, min(now_us - self.ticked_us, STEP_AT_MOST_US))
+        self.ticked_us = now_us
 
     def tick(self, now_us):
+        self._count_wait(now_us)
         if not self.seat.is_voting:
             if self.fence is not None:
                 self._lapse()
             self.seen_us = now_us
-            self.contest_us = now_us + GRANT_US + MARGIN_US
+            self._wait_anew(now_us)
             return
         self.observe(self.seat.cell(self.key).value, now_us)
         if self.fence is not None and now_us >= self.granted_us:
@@ -89,6 +100,8 @@
             return
         if now_us < self.contest_us or now_us < self.seat.votes_from_us + self.rank_us:
             return
+        if self.vacant_us < GRANT_US + MARGIN_US:
+            return
         held = self.seen or (0, 0)
         self._ask(now_us, max(held[0], self.floor) + 1, 0)
 
