Strict checkers, a trusting runner, a disk that holds its node, seven rules sabotaged

Cause: several checkers could not fail whatever the fleet did: the stand-in runner refused old marks, fences and foreign handles itself, orders were judged with a second of slack, cut routers were excused from answering, and the simulated sync ran beside the loop. Now: routers are judged by what they send and when; a trusting runner takes anything; duties held are probed each 250 ms; only frozen processes may be late; each kind is served again; a sync holds the whole node. Orders name the runner's start (incarnation_other). Ruled out: slack is not needed for marks, fences or leaving; all hold by time of sending.

--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -115,7 +115,7 @@
         self.is_sent = True
         self.sent_us = now_us
         fence = self.duty.fence
-        order = {"phase": self.wanted_phase, "fence": fence, "mark": self.image.mark, "holder": self.node.name}
+        order = {"phase": self.wanted_phase, "fence": fence, "mark": self.image.mark, "holder": self.node.name, "incarnation": runner.incarnation}
 
         def done(trouble, document, has_begun):
             if trouble is not None:
--- a/packages/router/src/linkhaven/router/shots.py
+++ b/packages/router/src/linkhaven/router/shots.py
@@ -100,13 +100,17 @@
             request.part = None
             if trouble is not None:
                 return self._fail(request, runner, trouble, has_begun)
-            if document.get("request") != request.id or document.get("incarnation") != runner.incarnation:
+            if not self._is_answer_to(request, runner, document):
                 return self._fail(request, runner, Trouble("runner_lost", why="an answer for another request"), True)
             request.handle = (document["handle"], runner)
             self._hand_over(request)
 
         request.part = self.desk.prefill(runner.address, self._ask(request), done)
 
+    def _is_answer_to(self, request, runner, document):
+        told = (document.get("request"), document.get("shot"), document.get("incarnation"))
+        return told == (request.id, request.shots, runner.incarnation)
+
     def _hand_over(self, request):
         self.node.wake_queue()
         if request.state != states.READING:
@@ -141,7 +145,7 @@
 
     def leave_runner(self, request):
         if request.runner is not None and request.shot is not None:
-            for runner in {request.runner, *([request.handle[1]] if request.handle else [])}:
+            for runner in [request.runner, *([request.handle[1]] if request.handle else [])]:
                 self.pairing.end_read(runner, request.shot)
                 self.pairing.end_decode(runner, request.shot)
         if request.part is not None:
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -37,6 +37,7 @@
     "unreachable": (503, "no", "Nothing answers at that address; check that the program runs there and the address is right."),
     "mark_old": (409, "no", "The runner has seen a newer plan; read the newest plan before calling again."),
     "fence_old": (409, "no", "A newer holder orders this runner; stop ordering."),
+    "incarnation_other": (409, "no", "The order names another start of this runner; read its report and order anew."),
     "handle_lapsed": (410, "no", "The held prompt memory is gone; prefill again."),
     "handle_foreign": (409, "no", "The handle belongs to another request or shot; drop it and prefill again."),
     "runner_leaving": (503, "no", "The runner is leaving and takes no new work; choose another."),
--- a/packages/simulator/src/linkhaven/simulator/answer.py
+++ b/packages/simulator/src/linkhaven/simulator/answer.py
@@ -51,7 +51,7 @@
         "prefill_runners": sum(phase == "prefill" for phase in phases.values()), "runners": len(phases),
         "extra_shots": sum(sum(host.node.extra.spent.values()) for host in fleet.routers.values() if host.node),
         "broken_rules": sorted(judge(
-            fleet.world.record, deadlines=deadlines, hindered=faults.hindered, margin=fleet.plan["extra"]["margin"],
+            fleet.world.record, deadlines=deadlines, margin=fleet.plan["extra"]["margin"],
         )),
     }
 
--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -3,6 +3,7 @@
 from .standins import count_pieces, piece_text
 
 SECOND = 1_000_000
+ANSWER_US = 10_000
 
 
 def _of(record, kind):
@@ -40,9 +41,20 @@
             yield f"{facts['asked']} was refused and yet {facts['what']} began at {at_us}"
 
 
-def every_caller_hears_back(record, deadlines=None, hindered=(), **terms):
-    """Each call ends, and by its deadline unless its router was itself hindered."""
-    asked, ended = {}, {}
+def _still_spans(record):
+    """When each process was frozen: address to [from, until]; one that never woke has no end."""
+    spans = defaultdict(list)
+    for at_us, kind, facts in record:
+        if kind == "frozen":
+            spans[facts["address"]].append([at_us, None])
+        elif kind in ("woken", "killed") and spans[facts["address"]]:
+            spans[facts["address"]][-1][1] = spans[facts["address"]][-1][1] or at_us
+    return spans
+
+
+def every_caller_hears_back(record, deadlines=None, within_us=SECOND // 2, **terms):
+    """Each call ends, and by its deadline. Only a frozen process may be late, and then answers soon after it woke."""
+    asked, ended, still = {}, {}, _still_spans(record)
     for at_us, kind, facts in record:
         if kind == "asked":
             asked[facts["id"]] = (at_us, facts)
@@ -50,9 +62,17 @@
             ended[facts["id"]] = at_us
     for id, (at_us, facts) in asked.items():
         if id not in ended:
-            yield f"{id} never heard back from {facts['router']}"
-        elif deadlines and facts["router"] not in hindered and ended[id] - at_us > deadlines[facts["kind"]] + 1_500_000:
-            yield f"{id} heard back {ended[id] - at_us} us after it asked {facts['router']}"
+            if not any(until_us is None for _, until_us in still[facts["router"]]):
+                yield f"{id} never heard back from {facts['router']}"
+            continue
+        if not deadlines:
+            continue
+        due_us = at_us + deadlines[facts["kind"]]
+        for from_us, until_us in still[facts["router"]]:
+            if from_us <= due_us and until_us is not None and until_us >= at_us:
+                due_us = max(due_us, until_us)
+        if ended[id] > due_us + within_us:
+            yield f"{id} heard back {ended[id] - due_us} us after {facts['router']} had to answer"
 
 
 def streams_are_whole(record, **terms):
@@ -66,6 +86,8 @@
                 runs[facts["id"]], last[facts["id"]] = run, int(number)
         elif kind == "piece":
             id = facts["id"]
+            if facts.get("own") and not facts["run"].startswith(facts["own"] + "-"):
+                yield f"{id} has a piece of run {facts['run']}, made for another prompt"
             if runs.setdefault(id, facts["run"]) != facts["run"]:
                 yield f"{id} joins run {facts['run']} to {runs[id]}"
             if facts["number"] != last.get(id, 0) + 1:
@@ -81,9 +103,16 @@
 
 
 def memory_is_never_shared(record, **terms):
-    """A request's KV memory goes to no other request or shot."""
-    for at_us, facts in _of(record, "kv"):
-        if facts["wanted"] != facts["got"] or facts["shot"] != facts["got_shot"]:
+    """A request's KV memory goes to no other request or shot: neither asked for by a router, nor handed over."""
+    issued = {}
+    for at_us, kind, facts in record:
+        if kind == "issued":
+            issued[facts["handle"]] = (facts["request"], facts["shot"])
+        elif kind == "offered" and facts.get("handle"):
+            owner = issued.get(facts["handle"])
+            if owner != (facts["request"], facts["shot"]):
+                yield f"{facts['request']} shot {facts['shot']} was sent with the handle of {owner}"
+        elif kind == "kv" and (facts["wanted"] != facts["got"] or facts["shot"] != facts["got_shot"]):
             yield f"{facts['runner']} got memory of {facts['got']} for {facts['wanted']}"
 
 
@@ -97,17 +126,26 @@
                 break
 
 
-def marks_never_go_back(record, slack_us=500_000, **terms):
-    """Once a runner has seen a mark from a node, that node offers no older one."""
+def marks_never_go_back(record, **terms):
+    """By time of sending, no node offers or orders under an older mark than it used before; and no runner that
+    checks takes anything under an older mark than it has seen."""
+    sent = [
+        (facts["sent_us"], facts["holder"] if kind == "order" else facts["request"].rsplit("-", 2)[0], facts["mark"])
+        for _, kind, facts in record if kind in ("offered", "order")
+    ]
     highest = {}
-    for at_us, facts in sorted(_of(record, "offered"), key=lambda noted: noted[1]["sent_us"]):
-        sent_us = facts["sent_us"]
-        node = facts["request"].rsplit("-", 2)[0]
-        mark, seen_us = highest.get(node, (0, 0))
-        if facts["mark"] < mark and sent_us - seen_us > slack_us:
-            yield f"{node} went back from mark {mark} to {facts['mark']} at {sent_us}"
-        if facts["mark"] > mark:
-            highest[node] = (facts["mark"], at_us)
+    for sent_us, node, mark in sorted(sent):
+        if mark < highest.get(node, 0):
+            yield f"{node} went back from mark {highest[node]} to {mark} at {sent_us}"
+        highest[node] = max(mark, highest.get(node, 0))
+    seen = {}
+    for at_us, kind, facts in record:
+        if kind != "taken" and not (kind == "order" and facts["is_taken"]):
+            continue
+        runner = (facts["runner"], facts["incarnation"])
+        if facts["mark"] < seen.get(runner, 0):
+            yield f"{facts['runner']} took work under mark {facts['mark']} after {seen[runner]}"
+        seen[runner] = max(facts["mark"], seen.get(runner, 0))
 
 
 def acknowledged_plans_survive(record, **terms):
@@ -126,9 +164,10 @@
         yield f"mark {top} of {puts[top]} was acknowledged; the core shows mark {last['mark']} of {last['put_id']}"
 
 
-def leaving_runners_get_no_work(record, within_us=3_200_000, **terms):
-    """No work is offered to a runner later than the bound after it was listed as leaving."""
-    leaving = {}
+def leaving_runners_get_no_work(record, within_us=3 * SECOND, **terms):
+    """No work is sent to a runner later than the bound after it was listed as leaving, nor by a router that
+    the runner itself told so, not even at once."""
+    leaving, told = {}, {}
     for at_us, kind, facts in record:
         if kind == "listed":
             for name, state in facts["runners"].items():
@@ -136,8 +175,15 @@
                     leaving.setdefault(name, at_us)
                 else:
                     leaving.pop(name, None)
-        elif kind == "offered" and facts["runner"] in leaving and at_us > leaving[facts["runner"]] + within_us:
-            yield f"{facts['runner']} is leaving since {leaving[facts['runner']]} and was offered {facts['request']} at {at_us}"
+        elif kind == "said_leaving":
+            told.setdefault((facts["runner"], facts["incarnation"], facts["router"]), at_us)
+        elif kind == "offered":
+            sent_us = facts["sent_us"]
+            if facts["runner"] in leaving and sent_us > leaving[facts["runner"]] + within_us:
+                yield f"{facts['runner']} is leaving since {leaving[facts['runner']]} and was sent {facts['request']} at {sent_us}"
+            told_us = told.get((facts["runner"], facts["incarnation"], facts["request"].rsplit("-", 2)[0]))
+            if told_us is not None and sent_us > told_us + ANSWER_US:
+                yield f"{facts['runner']} told its router at {told_us} that it leaves, and was sent {facts['request']} at {sent_us}"
 
 
 def extra_shots_keep_to_the_budget(record, share=0.2, margin=10, span_us=10 * SECOND, **terms):
@@ -157,39 +203,56 @@
                 return
 
 
-def one_holder_orders(record, slack_us=SECOND, **terms):
-    """Fences name one holder each, never go back at a runner, and an old holder falls silent."""
-    holders, fences, newest = {}, {}, (0, 0)
-    for at_us, facts in _of(record, "order"):
-        if not facts["is_taken"]:
-            continue
-        fence = facts["fence"]
-        if holders.setdefault(fence, facts["holder"]) != facts["holder"]:
-            yield f"fence {fence} was used by {holders[fence]} and {facts['holder']}"
-        runner = (facts["runner"], facts["incarnation"])
-        if fence < fences.get(runner, 0):
-            yield f"{facts['runner']} took fence {fence} after {fences[runner]}"
-        fences[runner] = max(fence, fences.get(runner, 0))
-        if fence < newest[0] and at_us > newest[1] + slack_us:
-            yield f"{facts['holder']} ordered with fence {fence} at {at_us}, after fence {newest[0]} at {newest[1]}"
-        if fence > newest[0]:
-            newest = (fence, at_us)
-
-
-def work_is_served_again(record, after_us=12 * SECOND, for_us=8 * SECOND, most=0.9, **terms):
-    """Past the bound after the last fault closed, most requests are served."""
+def one_holder_orders(record, **terms):
+    """A fence names one holder. By time of sending, nobody orders under a fence once a newer one was won, whether
+    the order is taken or refused; no runner takes a lower fence than before, not even over a restart; and no duty
+    is held by two at once."""
+    holders, fences = {}, {}
+    won = [(at_us, facts["fence"]) for at_us, facts in _of(record, "won") if facts["duty"] == "steward"]
+    won += [(facts["sent_us"], facts["fence"]) for _, facts in _of(record, "order")]
+    for at_us, kind, facts in record:
+        if kind == "won" and facts["duty"] == "steward":
+            if holders.setdefault(facts["fence"], facts["node"]) != facts["node"]:
+                yield f"fence {facts['fence']} was won by {holders[facts['fence']]} and {facts['node']}"
+        elif kind == "held":
+            for duty, names in facts["duties"].items():
+                if len(names) > 1:
+                    yield f"{duty} was held by {' and '.join(names)} at {at_us}"
+        elif kind == "order":
+            fence = facts["fence"]
+            if holders.setdefault(fence, facts["holder"]) != facts["holder"]:
+                yield f"fence {fence} was used by {holders[fence]} and {facts['holder']}"
+            for won_us, newer in won:
+                if newer > fence and facts["sent_us"] > won_us:
+                    yield f"{facts['holder']} ordered with fence {fence} at {facts['sent_us']}, though {newer} was won at {won_us}"
+                    break
+            if not facts["is_taken"]:
+                continue
+            if fence < fences.get(facts["runner"], 0):
+                yield f"{facts['runner']} took fence {fence} after {fences[facts['runner']]}"
+            if facts["named"] != facts["incarnation"]:
+                yield f"{facts['runner']} took an order for its start {facts['named']} at its start {facts['incarnation']}"
+            fences[facts["runner"]] = max(fence, fences.get(facts["runner"], 0))
+
+
+def work_is_served_again(record, after_us=12 * SECOND, for_us=8 * SECOND, most=0.9, most_of_a_kind=0.75, **terms):
+    """Past the bound after the last fault closed, most requests are served, and most of each kind."""
     closed = [at_us for at_us, facts in _of(record, "closed")]
     if not closed:
         return
     begin_us = max(closed) + after_us
-    asked, served = set(), set()
+    asked, served, kinds = set(), set(), defaultdict(set)
     for at_us, kind, facts in record:
         if kind == "asked" and begin_us <= at_us < begin_us + for_us and not facts["resume"]:
             asked.add(facts["id"])
+            kinds[facts["kind"]].add(facts["id"])
         elif kind == "ended" and facts["how"] == "done":
             served.add(facts["id"])
     if asked and len(asked & served) < most * len(asked):
         yield f"{len(asked & served)} of {len(asked)} requests were served from {begin_us} on"
+    for kind, ids in kinds.items():
+        if len(ids & served) < most_of_a_kind * len(ids):
+            yield f"{len(ids & served)} of {len(ids)} requests of {kind} were served from {begin_us} on"
 
 
 def shares_stay_within_the_allowance(record, **terms):
--- a/packages/stage/src/linkhaven/stage/faults.py
+++ b/packages/stage/src/linkhaven/stage/faults.py
@@ -6,13 +6,12 @@
 class Faults:
     """Failures that can be brought about in a SimFleet. Each begins and, when asked, closes."""
 
-    __slots__ = ("fleet", "world", "open", "hindered")
+    __slots__ = ("fleet", "world", "open")
 
     def __init__(self, fleet):
         self.fleet = fleet
         self.world = fleet.world
         self.open = []
-        self.hindered = set()
 
     def begin(self, name, *words):
         self.world.note("fault", name=name, words=[str(word) for word in words])
@@ -40,10 +39,6 @@
         names = sorted(hosts)
         return names[self.world.dice.randrange(len(names))]
 
-    def _hinder(self, *names):
-        for name in names:
-            self.hindered.add(self._hosts()[name].address)
-
     def kill_router(self, name=None, restart=True):
         name = name or self.pick(self.fleet.routers)
         host = self.fleet.routers[name]
@@ -60,24 +55,20 @@
 
     def freeze_router(self, name=None):
         host = self.fleet.routers[name or self.pick(self.fleet.routers)]
-        self._hinder(host.name)
         host.freeze()
         return host.wake
 
     def jump_clock(self, name=None, jump_us=5 * SECOND):
         host = self._hosts()[name or self.pick({**self.fleet.routers, **{f"core-{seat}": 1 for seat in self.fleet.registries}})]
-        self._hinder(host.name)
         host.skew_us += jump_us
 
     def cut_router(self, name=None):
         name = name or self.pick(self.fleet.routers)
-        self._hinder(name)
         self.world.cut([name], self._inside())
         return self.world.heal
 
     def cut_router_one_way(self, name=None):
         name = name or self.pick(self.fleet.routers)
-        self._hinder(name)
         for other in self._inside():
             if other != name:
                 self.world.cuts.add((other, name))
@@ -95,7 +86,6 @@
         zone = zone or self.pick(self.fleet.deployment.zones)
         hosts = self._hosts()
         inside = [name for name, host in hosts.items() if host.zone == zone]
-        self._hinder(*inside)
         self.world.cut(inside, [name for name in hosts if name not in inside])
         return self.world.heal
 
@@ -155,6 +145,7 @@
             self.fleet._build_registry(seat), SimDisk(self.world),
         )
         self.fleet.registries[seat] = new
+        self.fleet.former.append(old)
         new.start()
         return old.wake
 
@@ -200,7 +191,6 @@
         names = sorted(self.fleet.routers)
         side = names[: len(names) // 3]
         rest = [name for name in self._inside() if name != lone and name not in side]
-        self._hinder(*side)
         self.world.cut([lone, *side], rest)
         return self.world.heal
 
@@ -256,6 +246,38 @@
             if host.node:
                 host.node.kv_fails = times
 
+    def mute_runners(self):
+        """Runners report and take work, and their streams stand still."""
+        nodes = [host.node for host in self.fleet.runners.values() if host.node]
+        for node in nodes:
+            node.is_mute = True
+
+        def mend():
+            for node in nodes:
+                node.is_mute = False
+
+        return mend
+
+    def leave_unlisted(self, name=None):
+        """A runner leaves by its own word; the platform never says so and its reports are late."""
+        node = self.fleet.runners[name or self.pick(self.fleet.runners)].node
+        if node is None:
+            return None
+        node.is_leaving, node.report_every_us = True, 60 * SECOND
+
+        def stay():
+            node.is_leaving, node.report_every_us = False, SECOND // 2
+
+        return stay
+
+    def slow_seat(self, seat=None, extra_us=400_000):
+        """What one seat sends comes late, and jitters."""
+        name = self.fleet.registries[seat or self.pick(self.fleet.registries)].name
+        for other in self._inside():
+            if other != name:
+                self.world.slow[(name, other)] = extra_us
+        return self.world.heal
+
     def slow_links(self, slowness=40.0):
         nodes = [host.node for host in self.fleet.runners.values() if host.node]
         for node in nodes:
@@ -301,9 +323,10 @@
     "kill_router", "kill_many_routers", "freeze_router", "jump_clock", "cut_router", "cut_router_one_way", "cut_router_from_core", "cut_zone", "kill_core", "freeze_core",
     "freeze_holder", "empty_core", "exchange_awake_core", "lossy_core", "restart_core", "full_disk", "stall_disk", "slow_disk",
     "cut_core", "crash_runner", "dark_runner", "freeze_runner", "replace_runner", "lapse_handles", "fail_hand_overs",
+    "mute_runners", "leave_unlisted", "slow_seat",
     "slow_links", "garble_streams", "break_conns", "crowd", "collide_plans", "burst_plans",
 )
 CORE_FAULTS = {
     "kill_core", "freeze_core", "freeze_holder", "empty_core", "exchange_awake_core", "lossy_core", "restart_core", "full_disk",
-    "stall_disk", "slow_disk", "cut_core", "cut_zone", "jump_clock",
+    "stall_disk", "slow_disk", "slow_seat", "cut_core", "cut_zone", "jump_clock",
 }
--- a/packages/stage/src/linkhaven/stage/fleet.py
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -81,7 +81,7 @@
 
     __slots__ = (
         "world", "deployment", "registries", "routers", "runners", "platform", "caller", "operators", "seeds",
-        "is_loading", "load_dice", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan",
+        "is_loading", "load_dice", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan", "former",
     )
 
     def __init__(self, deployment, seed, speeds=None, runner_given=None, plan=None, routers=None, platform_lag_us=500_000):
@@ -96,6 +96,7 @@
         self.is_loading = False
         self.prompts = {}
         self.moved = 0
+        self.former = []
         zones = deployment.zones
         self.registries = {}
         self.routers = {}
@@ -120,7 +121,7 @@
     def _build_registry(self, seat, seeds=None):
         def build(host, ports):
             return RegistryNode(
-                host.name, host.address, ports, host.zone, seeds or self.seeds, self.world.now_us + host.starts, seat, self.platform.address,
+                host.name, host.address, ports, host.zone, seeds or self.seeds, host.wall_us() + host.starts, seat, self.platform.address,
             )
         return build
 
@@ -130,7 +131,7 @@
         return [host.address for host in hosts if host.node][:3]
 
     def _build_router(self, host, ports):
-        return RouterNode(host.name, host.address, ports, host.zone, self.seeds, self.world.now_us + host.starts)
+        return RouterNode(host.name, host.address, ports, host.zone, self.seeds, host.wall_us() + host.starts)
 
     def _build_platform(self, lag_us):
         return lambda host, ports: StandInPlatform(host.name, host.address, ports, lag_us)
@@ -144,7 +145,7 @@
         place = int(host.name.rpartition("-")[2])
         phase = "prefill" if place <= self.deployment.prefills else "decode"
         return StandInRunner(
-            host.name, host.address, ports, self.world.now_us + host.starts, phase, record=self.world.note, speeds=self.speeds, **self.runner_given
+            host.name, host.address, ports, host.wall_us() + host.starts, phase, record=self.world.note, speeds=self.speeds, **self.runner_given
         )
 
     def _build_caller(self, host, ports):
--- a/packages/stage/src/linkhaven/stage/people.py
+++ b/packages/stage/src/linkhaven/stage/people.py
@@ -1,6 +1,8 @@
 from linkhaven.clockwork import Hearer, Node, read_json, write_json
 from linkhaven.runner import PieceReader
 
+from .standins import digest
+
 JSON = {"content-type": "application/json"}
 ANSWER_BYTES = 1_000_000
 
@@ -10,7 +12,7 @@
 
     __slots__ = (
         "id", "kind", "body", "headers", "router", "outing", "status", "error", "reader", "asked_us", "first_us",
-        "ended_us", "run", "last", "pieces", "tokens", "how", "code", "done", "request", "resumes", "is_clean", "count",
+        "ended_us", "run", "last", "pieces", "tokens", "how", "code", "done", "request", "resumes", "is_clean", "count", "own",
     )
 
     def __init__(self, id, kind, body, headers, asked_us):
@@ -27,6 +29,7 @@
         self.tokens = 0
         self.how = self.code = self.done = self.request = self.count = None
         self.resumes = 0
+        self.own = None
         self.reset()
 
     def reset(self):
@@ -60,6 +63,7 @@
         if last_event_id:
             headers["last-event-id"] = last_event_id
         asked = self.asked[id] = Asked(id, kind, body, headers, self.now_us())
+        asked.own = digest(f"{id} {prompt}", 6)
         self._send(asked, routers)
         return asked
 
@@ -95,7 +99,7 @@
             if piece.event == "piece":
                 if asked.first_us is None:
                     asked.first_us = self.now_us()
-                self.record("piece", id=asked.id, run=piece.run, number=piece.number, text=piece.document.get("text"))
+                self.record("piece", id=asked.id, own=asked.own, run=piece.run, number=piece.number, text=piece.document.get("text"))
                 asked.run, asked.last = piece.run, piece.number
                 asked.pieces += 1
                 asked.tokens += piece.document.get("tokens", 0)
--- a/packages/stage/src/linkhaven/stage/scenario.py
+++ b/packages/stage/src/linkhaven/stage/scenario.py
@@ -1,3 +1,5 @@
+from linkhaven.registry import DUTIES
+
 from .checkers import judge
 from .faults import Faults
 from .fleet import DEPLOYMENTS, SimFleet
@@ -28,6 +30,8 @@
             )
             groups[name] = (held, allowance)
         fleet.world.note("shares", groups=groups)
+        nodes = [host.node for host in [*fleet.registries.values(), *fleet.former] if host.node]
+        fleet.world.note("held", duties={duty: [node.name for node in nodes if node.duties[duty].is_held()] for duty in DUTIES})
         fleet.world.after(250_000, self._probe)
 
     def load(self, seconds, rate=None):
@@ -54,7 +58,7 @@
         kinds = self.fleet.deployment.kinds
         return judge(
             self.fleet.world.record, margin=self.fleet.plan["extra"]["margin"], share=self.fleet.plan["extra"]["share"],
-            deadlines={kind: terms["deadline_us"] for kind, terms in kinds.items()}, hindered=self.faults.hindered,
+            deadlines={kind: terms["deadline_us"] for kind, terms in kinds.items()},
         )
 
     def summary(self):
--- a/packages/stage/src/linkhaven/stage/standins.py
+++ b/packages/stage/src/linkhaven/stage/standins.py
@@ -56,7 +56,7 @@
     __slots__ = (
         "incarnation", "phase", "speeds", "kv_total", "hold_us", "report_every_us", "queue_most", "reads", "is_reading",
         "streams", "waiting", "handles", "mark", "fence", "is_leaving", "report", "reported_us", "is_stepping",
-        "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute", "garble",
+        "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute", "garble", "is_trusting",
     )
 
     def __init__(self, name, address, ports, incarnation, phase, record=None, **given):
@@ -69,6 +69,7 @@
         self.report_every_us = given.pop("report_every_us", 500_000)
         self.queue_most = given.pop("queue_most", 256)
         self.can_resume = given.pop("can_resume", True)
+        self.is_trusting = given.pop("is_trusting", False)
         self.record = record or (lambda kind, **facts: None)
         self.reads = deque()
         self.is_reading = False
@@ -117,15 +118,25 @@
 
     def _admit(self, call, name):
         ask = check_document(name, read_json(call.body))
-        self.record("offered", runner=self.name, request=ask["request"], shot=ask["shot"], mark=ask["mark"], sent_us=self._sent_us(call))
+        self.record(
+            "offered", runner=self.name, incarnation=self.incarnation, request=ask["request"], shot=ask["shot"], mark=ask["mark"],
+            asked=ask["prompt"].partition(" ")[0], handle=ask.get("handle"), resume=ask.get("resume"), sent_us=self._sent_us(call),
+        )
+        if not self.is_trusting:
+            self._check_ask(ask)
+        self.mark = max(self.mark, ask["mark"])
+        return ask
+
+    def _check_ask(self, ask):
         if ask["mark"] < self.mark:
             raise Trouble("mark_old", mark=self.mark)
         self.mark = ask["mark"]
         if self.is_leaving:
+            self.record("said_leaving", runner=self.name, incarnation=self.incarnation, router=ask["request"].rsplit("-", 2)[0])
             raise Trouble("runner_leaving")
         if len(self.reads) + len(self.waiting) >= self.queue_most:
             raise Trouble("runner_full")
-        return ask
+        self.record("taken", runner=self.name, incarnation=self.incarnation, request=ask["request"], mark=ask["mark"])
 
     def _sent_us(self, call):
         return getattr(call, "sent_us", self.now_us())
@@ -186,9 +197,13 @@
         self.serial += 1
         handle = f"{self.name}/{self.incarnation}/{self.serial}"
         self.handles[handle] = (job.ask["request"], job.ask["shot"], job.tokens, self.now_us() + self.hold_us)
-        told = job.ask["request"] if self.garble != "request" else "edge-0-0-0"
+        self.record("issued", runner=self.name, handle=handle, request=job.ask["request"], shot=job.ask["shot"])
+        told, shot = job.ask["request"], job.ask["shot"]
+        if self.garble in ("request", "shot"):
+            handle = f"{self.name}/{self.incarnation}/{self.serial - 1}"
+            told, shot = ("edge-0-0-0", shot) if self.garble == "request" else (told, shot + 1)
         job.call.answer_json(200, {
-            "request": told, "shot": job.ask["shot"], "handle": handle,
+            "request": told, "shot": shot, "handle": handle,
             "incarnation": self.incarnation, "prompt_tokens": job.tokens,
         })
 
@@ -202,7 +217,7 @@
         held = self.handles.get(ask["handle"])
         if held is None or self.now_us() >= held[3]:
             raise Trouble("handle_lapsed")
-        if held[0] != ask["request"] or held[1] != ask["shot"]:
+        if not self.is_trusting and (held[0] != ask["request"] or held[1] != ask["shot"]):
             raise Trouble("handle_foreign")
         del self.handles[ask["handle"]]
         cost_us = int(held[2] * self.speeds.kv_bytes * 1_000_000 / self.speeds.link_rate * self.link_slowness)
@@ -222,7 +237,7 @@
         resume = ask.get("resume")
         job = self._job(call, ask)
         own = digest(ask["prompt"], 6)
-        if resume and (not self.can_resume or not resume["run"].startswith(own + "-")):
+        if resume and not self.is_trusting and (not self.can_resume or not resume["run"].startswith(own + "-")):
             raise Trouble("run_unknown")
         fresh = digest("/".join((ask["request"], str(ask["shot"]), self.name)))
         job.run = resume["run"] if resume else f"{own}-{fresh}"
@@ -252,7 +267,7 @@
                 code = document.get("code") if isinstance(document, dict) else None
                 return job.call.answer_trouble(Trouble(code if code in ("handle_lapsed", "handle_foreign") else "hand_over_failed"))
             self.record("kv", runner=self.name, wanted=ask["request"], shot=ask["shot"], got=document["request"], got_shot=document["shot"])
-            if document["request"] != ask["request"] or document["shot"] != ask["shot"]:
+            if not self.is_trusting and (document["request"] != ask["request"] or document["shot"] != ask["shot"]):
                 return job.call.answer_trouble(Trouble("handle_foreign"))
             self._wait_for_memory(job)
 
@@ -341,19 +356,29 @@
 
     def serve_phase(self, call):
         order = check_document("PhaseOrder", read_json(call.body))
-        if order["fence"] < self.fence:
-            self.record("order", runner=self.name, incarnation=self.incarnation, fence=order["fence"], holder=order["holder"], is_taken=False)
-            raise Trouble("fence_old", fence=self.fence)
-        if order["mark"] < self.mark:
-            raise Trouble("mark_old", mark=self.mark)
-        self.mark = order["mark"]
-        self.fence = order["fence"]
-        self.record("order", runner=self.name, incarnation=self.incarnation, fence=order["fence"], holder=order["holder"], is_taken=True, phase=order["phase"])
+        trouble = None if self.is_trusting else self._find_fault(order)
+        self.record(
+            "order", runner=self.name, incarnation=self.incarnation, named=order["incarnation"], fence=order["fence"], mark=order["mark"],
+            holder=order["holder"], is_taken=trouble is None, sent_us=self._sent_us(call),
+        )
+        if trouble is not None:
+            raise trouble
+        self.mark = max(self.mark, order["mark"])
+        self.fence = max(self.fence, order["fence"])
         self.phase = order["phase"]
         if self.phase == DECODE:
             self._refuse_reads()
         call.answer_json(200, {"phase": self.phase, "fence": self.fence})
 
+    def _find_fault(self, order):
+        if order["incarnation"] != self.incarnation:
+            return Trouble("incarnation_other", incarnation=self.incarnation)
+        if order["fence"] < self.fence:
+            return Trouble("fence_old", fence=self.fence)
+        if order["mark"] < self.mark:
+            return Trouble("mark_old", mark=self.mark)
+        return None
+
     def _refuse_reads(self):
         kept = deque(list(self.reads)[:1] if self.is_reading else [])
         for job, then in list(self.reads)[len(kept):]:
--- a/packages/stage/src/linkhaven/stage/sweep.py
+++ b/packages/stage/src/linkhaven/stage/sweep.py
@@ -6,8 +6,8 @@
 RATES = {"licensing": (3.0, 6.0, 10.0, 16.0), "archive": (6.0, 12.0, 20.0)}
 
 
-def draw_faults(seed):
-    """What a seed brings about: up to four faults, of which at most one takes a core machine."""
+def draw_course(deployment, seed):
+    """What a seed brings about: up to four faults that overlap, of which at most one takes a core machine."""
     dice = random.Random(seed * 7919 + 1)
     faults, has_core = [], False
     for _ in range(dice.randrange(1, 5)):
@@ -16,43 +16,44 @@
             if has_core:
                 continue
             has_core = True
-        faults.append((name, dice.choice((0.0, 0.3, 1.0, 2.0, 4.0))))
-    return faults, dice
+        puts = dice.choice(("collide_plans", "burst_plans")) if dice.random() < 0.4 else None
+        faults.append((name, dice.choice((0.0, 0.3, 1.0, 2.0, 4.0)), puts))
+    return {
+        "lag_us": dice.choice((300_000, 800_000)), "warm_s": round(2 + dice.random(), 2), "rate": dice.choice(RATES[deployment]),
+        "faults": faults, "hold_s": dice.choice((1.0, 3.0, 6.0, 10.0)),
+    }
 
 
-def run_seed(deployment, seed, is_tracing=False):
-    faults, dice = draw_faults(seed)
-    scenario = Scenario(deployment, seed, platform_lag_us=dice.choice((300_000, 800_000)))
+def run_course(deployment, seed, course, is_tracing=False):
+    scenario = Scenario(deployment, seed, platform_lag_us=course["lag_us"])
     scenario.fleet.world.is_tracing = is_tracing
-    scenario.load(2 + dice.random(), dice.choice(RATES[deployment]))
-    for name, pause_s in faults:
-        scenario.fault(name)
-        scenario.load(pause_s)
-        if dice.random() < 0.4:
-            scenario.fault(dice.choice(("collide_plans", "burst_plans")))
-    scenario.load(dice.choice((1.0, 3.0, 6.0, 10.0)))
-    scenario.close()
-    scenario.end()
-    return scenario, [name for name, _ in faults]
+    scenario.load(course["warm_s"], course["rate"])
+    for name, pause_s, puts in course["faults"]:
+        scenario.fault(name).load(pause_s)
+        if puts:
+            scenario.fault(puts)
+    scenario.load(course["hold_s"])
+    return scenario.close().end()
 
 
 def sweep(deployment, first, count, tell):
     """Runs seeds first to first + count - 1; tells each that breached; answers the totals."""
     totals = {"runs": 0, "breached": [], "asked": 0, "served": 0, "refused": 0, "troubled": 0, "cut": 0, "waiting": 0, "faults": {}}
     for seed in range(first, first + count):
+        course = draw_course(deployment, seed)
         try:
-            scenario, faults = run_seed(deployment, seed)
-        except AssertionError as fault:
+            scenario = run_course(deployment, seed, course)
+        except Exception as fault:
             totals["breached"].append(seed)
-            tell({"seed": seed, "fault": str(fault)})
+            tell({"seed": seed, "course": course, "fault": repr(fault)})
             continue
         seen, breaches = scenario.summary(), scenario.breaches()
         totals["runs"] += 1
-        for name in faults:
+        for name, _, _ in course["faults"]:
             totals["faults"][name] = totals["faults"].get(name, 0) + 1
         for key in ("asked", "served", "refused", "troubled", "cut", "waiting"):
             totals[key] += seen[key]
         if breaches:
             totals["breached"].append(seed)
-            tell({"seed": seed, "faults": faults, "breaches": {name: [len(found), *found[:2]] for name, found in breaches.items()}})
+            tell({"seed": seed, "course": course, "breaches": {name: [len(found), *found[:2]] for name, found in breaches.items()}})
     return totals
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -11,6 +11,8 @@
 CONNECT_US = 2_000_000
 ROOM_BYTES = 65_536
 STALLED_AT_MOST = 200
+SYNC_US = 1_000
+DUTY_WON = 1401
 
 
 class World:
@@ -127,8 +129,8 @@
     """One machine of the world and the process on it."""
 
     __slots__ = (
-        "world", "name", "zone", "address", "build", "node", "epoch", "is_frozen", "backlog", "disk",
-        "starts", "skew_us",
+        "world", "name", "zone", "address", "build", "node", "epoch", "is_frozen", "is_held", "backlog", "disk",
+        "starts", "skew_us", "wall_skew_us",
     )
 
     def __init__(self, world, name, zone, address, build, disk=None):
@@ -140,16 +142,20 @@
         self.node = None
         self.epoch = 0
         self.is_frozen = False
+        self.is_held = False
         self.backlog = deque()
         self.disk = disk
         self.skew_us = 0
+        self.wall_skew_us = 0
         self.starts = 0
         world.hosts[address] = self
+        if disk is not None:
+            disk.host = self
 
     def start(self):
         self.epoch += 1
         self.starts += 1
-        self.is_frozen = False
+        self.is_frozen = self.is_held = False
         self.backlog.clear()
         epoch = self.epoch
         clock = SimClock(self)
@@ -158,14 +164,23 @@
         self.world.after(self.world.dice.randrange(TICK_US), lambda: self._tick(epoch))
         return self.node
 
+    def wall_us(self):
+        return self.world.now_us + self.wall_skew_us
+
+    @property
+    def is_still(self):
+        return self.is_frozen or self.is_held
+
     def _log(self, number, **facts):
+        if number == DUTY_WON:
+            self.world.note("won", node=self.name, duty=facts["duty"], fence=facts["fence"])
         if self.world.is_tracing:
             self.world.events.append((self.world.now_us, self.name, number, facts))
 
     def _tick(self, epoch):
         if epoch != self.epoch or self.node is None:
             return
-        if self.is_frozen:
+        if self.is_still:
             self.backlog.append(lambda: self._tick(epoch))
             return
         self.node.tick()
@@ -174,7 +189,7 @@
     def do(self, deed):
         if self.node is None:
             return
-        if self.is_frozen:
+        if self.is_still:
             self.backlog.append(deed)
             return
         deed()
@@ -182,8 +197,10 @@
     def kill(self):
         if self.node is None:
             return
+        self.world.note("killed", node=self.name, address=self.address)
         self.node = None
         self.epoch += 1
+        self.is_held = False
         self.backlog.clear()
         if self.disk is not None:
             self.disk.crash()
@@ -191,15 +208,31 @@
             conn.lose(self)
 
     def freeze(self):
+        if self.node is None or self.is_frozen:
+            return
         self.is_frozen = True
+        self.world.note("frozen", node=self.name, address=self.address)
 
     def wake(self):
         if not self.is_frozen:
             return
         self.is_frozen = False
-        backlog, self.backlog = self.backlog, deque()
-        for deed in backlog:
-            self.do(deed)
+        self.world.note("woken", node=self.name, address=self.address)
+        self._catch_up()
+
+    def hold(self):
+        """The one loop stands still inside a call to the system."""
+        self.is_held = True
+
+    def let_go(self, first):
+        self.is_held = False
+        self.backlog.appendleft(first)
+        self._catch_up()
+
+    def _catch_up(self):
+        backlog, epoch = self.backlog, self.epoch
+        while backlog and not self.is_still and epoch == self.epoch:
+            backlog.popleft()()
 
 
 class SimClock:
@@ -314,7 +347,8 @@
             if self.call is not None and self.server.node is not None:
                 self.world.link(self.client, self.server).send(self.call.has_gone)
             return
-        self.world.link(self.server, self.client).send(lambda: self._tell_trouble(self.is_connected))
+        if self.is_connected:
+            self.world.link(self.server, self.client).send(lambda: self._tell_trouble(True))
 
     def break_off(self):
         """The conn fails under both ends."""
@@ -399,12 +433,14 @@
 
 
 class SimDisk:
-    """Keeps what was synced. Faults: full, stalled, slow, lossy (the last acknowledged writes are gone after a crash)."""
+    """Keeps what was synced, and holds its node's whole turn while it syncs, as lmdb does. Faults: full, stalled,
+    slow, lossy (the last acknowledged writes are gone after a crash)."""
 
-    __slots__ = ("world", "synced", "recent", "is_full", "is_stalled", "sync_us", "loses", "epoch", "stalled")
+    __slots__ = ("world", "host", "synced", "recent", "is_full", "is_stalled", "sync_us", "loses", "epoch", "waiting", "stalled")
 
-    def __init__(self, world, sync_us=1_000):
+    def __init__(self, world, sync_us=SYNC_US):
         self.world = world
+        self.host = None
         self.synced = {}
         self.recent = deque(maxlen=64)
         self.is_full = False
@@ -412,43 +448,56 @@
         self.sync_us = sync_us
         self.loses = 0
         self.epoch = 0
-        self.stalled = []
+        self.waiting = []
+        self.stalled = None
 
     def load(self):
         return json.loads(json.dumps(self.synced))
 
     def write(self, items, done):
-        items = json.loads(json.dumps(items))
+        self.waiting.append((json.loads(json.dumps(items)), done))
+        if len(self.waiting) > 1:
+            return
         epoch = self.epoch
+        self.world.after(0, lambda: self.host.do(self._sync) if epoch == self.epoch else None)
 
-        def sync():
+    def _sync(self):
+        batch, self.waiting = self.waiting, []
+        epoch = self.epoch
+        self.host.hold()
+
+        def end():
             if epoch != self.epoch:
                 return
             if self.is_stalled:
-                self.stalled.append(sync)
+                self.stalled = end
                 return
-            if self.is_full:
-                return done(False)
+            is_kept = not self.is_full
+            if is_kept:
+                self._keep(batch)
+            self.host.let_go(lambda: [done(is_kept) for _, done in batch])
+
+        self.world.after(self.sync_us, end)
+
+    def _keep(self, batch):
+        for items, _ in batch:
             self.recent.append({key: self.synced.get(key) for key in items})
             for key, value in items.items():
                 if value is None:
                     self.synced.pop(key, None)
                 else:
                     self.synced[key] = value
-            done(True)
-
-        self.world.after(self.sync_us, sync)
 
     def mend(self):
         self.is_full = self.is_stalled = False
-        self.sync_us = 1_000
-        stalled, self.stalled = self.stalled, []
-        for sync in stalled:
-            sync()
+        self.sync_us = SYNC_US
+        end, self.stalled = self.stalled, None
+        if end:
+            end()
 
     def crash(self):
         self.epoch += 1
-        self.stalled = []
+        self.waiting, self.stalled = [], None
         for _ in range(min(self.loses, len(self.recent))):
             for key, value in self.recent.pop().items():
                 if value is None:
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -3,7 +3,7 @@
 
 from linkhaven.stage.fleet import DEPLOYMENTS
 from linkhaven.stage.scenario import Scenario
-from linkhaven.stage.sweep import run_seed
+from linkhaven.stage.sweep import run_course
 
 scenarios("features/never.feature")
 
@@ -32,10 +32,18 @@
     assert seen["served"] >= 0.95 * seen["asked"]
 
 
-@pytest.mark.parametrize("deployment, seed", [("licensing", 83), ("archive", 15), ("licensing", 3211)])
-def test_seeds_that_once_found_something_stay_clean(deployment, seed):
-    scenario, _ = run_seed(deployment, seed)
-    assert scenario.breaches() == {}
+FOUND_ONCE = [
+    ("licensing", 83, 300_000, 2.02, 6.0, [("collide_plans", 4.0, None), ("slow_links", 2.0, None), ("exchange_awake_core", 1.0, None)], 3.0),
+    ("archive", 15, 300_000, 2.9, 20.0, [("crash_runner", 0.3, "burst_plans"), ("kill_core", 0.3, None)], 3.0),
+    ("licensing", 3211, 300_000, 2.95, 6.0, [("exchange_awake_core", 0.0, "collide_plans")], 1.0),
+    ("licensing", 6, 800_000, 2.54, 16.0, [("cut_router_from_core", 0.0, "burst_plans"), ("jump_clock", 0.0, "burst_plans")], 6.0),
+]
+
+
+@pytest.mark.parametrize("deployment, seed, lag_us, warm_s, rate, faults, hold_s", FOUND_ONCE, ids=[f"{row[0]}-{row[1]}" for row in FOUND_ONCE])
+def test_courses_that_once_found_something_stay_clean(deployment, seed, lag_us, warm_s, rate, faults, hold_s):
+    course = {"lag_us": lag_us, "warm_s": warm_s, "rate": rate, "faults": faults, "hold_s": hold_s}
+    assert run_course(deployment, seed, course).breaches() == {}
 
 
 def test_a_crowd_over_a_lost_seat_and_a_cut_router_leaves_no_backlog_past_the_bound():
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -154,11 +154,12 @@
     assert seat.node.seat.cell("plan").value["mark"] == 2
 
 
-@pytest.mark.parametrize("fault", ["is_full", "is_stalled"])
-def test_a_failing_disk_gives_no_vote_and_two_good_ones_go_on(fault):
+@pytest.mark.parametrize("fault, own", [("is_full", "c"), ("is_stalled", "a")])
+def test_a_failing_disk_gives_no_vote_and_two_good_ones_go_on(fault, own):
+    """A full disk's seat still takes a put to the others; a stalled one stands still with its whole process."""
     fleet, _ = make_core()
     setattr(fleet.registries["c"].disk, fault, True)
-    assert put(fleet, 1, "c")[0] == 200
+    assert put(fleet, 1, own)[0] == 200
     assert "cell/plan" in fleet.registries["a"].disk.synced
     setattr(fleet.registries["b"].disk, fault, True)
     assert put(fleet, 2, "a")[1]["done"] in ("unknown", "no")
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -5,15 +5,19 @@
 
 from linkhaven.credit import Bursar, ExtraBudget
 from linkhaven.duty import Duty
-from linkhaven.plan import NewsReader
+from linkhaven.plan import NewsReader, PlanImage
+from linkhaven.plan.check import fill_plan
 from linkhaven.register import Seat
 from linkhaven.register.seat import REJOINING
 from linkhaven.registry.keeper import RosterKeeper
 from linkhaven.router import RouterNode
 from linkhaven.router.chain import Chain
+from linkhaven.router.request import Request
 from linkhaven.router.shots import Relay, Shots
+from linkhaven.runner import Roster
 from linkhaven.stage.fleet import LICENSING, SimFleet
 from linkhaven.stage.scenario import Scenario
+from linkhaven.stage.standins import StandInRunner
 
 SECOND = 1_000_000
 
@@ -78,7 +82,7 @@
 
 
 def leave_slowly(fleet_of):
-    scenario = fleet_of("licensing", 6).load(2)
+    scenario = fleet_of("licensing", 6).load(2, 16.0)
     return scenario.fault("replace_runner", "runner-4").load(8).close().end(calm_s=3)
 
 
@@ -165,7 +169,131 @@
     return scenario.load(3).close().end(calm_s=3)
 
 
+def trusting(fleet_of, seed, rate):
+    return fleet_of("licensing", seed, runner_given={"is_trusting": True}).load(2, rate)
+
+
+def use_any_memory(monkeypatch):
+    monkeypatch.setattr(Shots, "_is_answer_to", lambda self, request, runner, document: True)
+
+
+def mix_up_handles_of(how):
+    def run(fleet_of):
+        scenario = trusting(fleet_of, 13, 12.0)
+        return scenario.fault("garble_streams", how).load(4).close().end(calm_s=3)
+
+    return run
+
+
+def take_any_image(monkeypatch):
+    def take(self, value):
+        if value is None:
+            return
+        self.value, self.mark, self.highest = value, value["mark"], value["mark"]
+        self.plan = fill_plan(value["plan"])
+
+    monkeypatch.setattr(PlanImage, "take", take)
+    monkeypatch.setattr(PlanImage, "hear_mark", lambda self, mark: None)
+
+
+def hear_a_slow_seat_during_a_burst(fleet_of):
+    scenario = trusting(fleet_of, 14, 60.0)
+    scenario.fault("slow_seat", "b", 450_000)
+    for _ in range(4):
+        scenario.fault("burst_plans").load(0.5)
+    return scenario.close().end(calm_s=1)
+
+
+def overlook_a_runners_word(monkeypatch):
+    monkeypatch.setattr(Roster, "note_leaving", lambda self, runner: None)
+
+
+def leave_by_own_word(fleet_of):
+    scenario = fleet_of("licensing", 15).load(2, 12.0)
+    return scenario.fault("leave_unlisted", "runner-4").load(5).close().end(calm_s=3)
+
+
+def take_orders_for_any_start(monkeypatch):
+    find_fault = StandInRunner._find_fault
+
+    def overlook(self, order):
+        return find_fault(self, {**order, "incarnation": self.incarnation})
+
+    monkeypatch.setattr(StandInRunner, "_find_fault", overlook)
+
+
+def order_a_runner_that_restarts(fleet_of):
+    scenario = fleet_of("licensing", 16).load(1)
+    fleet, world = scenario.fleet, scenario.fleet.world
+
+    def steward():
+        return next((host for host in fleet.registries.values() if host.node.duties["steward"].is_held()), None)
+
+    old, runner = steward(), fleet.runners["runner-3"]
+    duty = old.node.duties["steward"]
+    world.cut([old.name], [host.name for host in fleet.registries.values()])
+    world.run_until(duty.granted_us - 20_000)
+    world.slow[(old.name, runner.name)] = 1_800_000
+    old.node.steward.wanted_phase = "prefill"
+    old.node.steward._order(old.node.keeper.runners["runner-3"], world.now_us)
+    world.run_for(200_000)
+    assert world.wait_for(steward, SECOND, 10_000)
+    new = steward().node
+    new.keeper.runners.setdefault("runner-3", old.node.keeper.runners["runner-3"])
+    new.steward.wanted_phase = "decode"
+    new.steward._order(new.keeper.runners["runner-3"], world.now_us)
+    world.run_for(100_000)
+    runner.kill()
+    runner.start()
+    world.run_for(2 * SECOND)
+    world.heal()
+    return scenario.load(3).end(calm_s=3)
+
+
+def forget_deadlines(monkeypatch):
+    monkeypatch.setattr(Request, "deadline_us", property(lambda self: 1 << 60, lambda self, value: None))
+
+
+def mute_every_runner(fleet_of):
+    scenario = fleet_of("licensing", 17).load(2)
+    return scenario.fault("mute_runners").load(40).close().end(calm_s=3)
+
+
+def believe_any_end(monkeypatch):
+    monkeypatch.setattr(Relay, "on_done", lambda self, piece: self.shots.node.end_done(self.request, piece))
+
+
+def end_early(fleet_of):
+    scenario = fleet_of("licensing", 18).load(2)
+    return scenario.fault("garble_streams", "early").load(4).close().end(calm_s=3)
+
+
+def leave_duties_vacant(monkeypatch):
+    ask = Duty._ask
+
+    def renew_only(self, now_us, fence, renewal):
+        if self.fence is not None:
+            ask(self, now_us, fence, renewal)
+
+    monkeypatch.setattr(Duty, "_ask", renew_only)
+    monkeypatch.setattr(Duty, "is_quiet", lambda self: False)
+
+
+def lose_the_roster_holder(fleet_of):
+    scenario = fleet_of("licensing", 19).load(2)
+    seat = next(seat for seat, host in scenario.fleet.registries.items() if host.node.duties["roster"].is_held())
+    return scenario.fault("empty_core", seat).load(3).close().end(calm_s=20)
+
+
 CASES = [
+    (use_any_memory, mix_up_handles_of("request"), "memory_is_never_shared"),
+    (use_any_memory, mix_up_handles_of("shot"), "memory_is_never_shared"),
+    (take_any_image, hear_a_slow_seat_during_a_burst, "marks_never_go_back"),
+    (overlook_a_runners_word, leave_by_own_word, "leaving_runners_get_no_work"),
+    (take_orders_for_any_start, order_a_runner_that_restarts, "one_holder_orders"),
+    (forget_deadlines, mute_every_runner, "every_caller_hears_back"),
+    (believe_any_end, end_early, "streams_are_whole"),
+    (leave_duties_vacant, lose_the_roster_holder, "work_is_served_again"),
     (forget_grants, sleep_over_an_order, "one_holder_orders"),
     (forget_one_time, crash_under_checks, "one_time_work_runs_once"),
     (let_keys_pass, one_key_through_two_routers, "one_time_work_runs_once"),
@@ -179,15 +307,15 @@
 ]
 
 
-def make(deployment, seed):
-    return Scenario(deployment, seed)
+def make(deployment, seed, **given):
+    return Scenario(deployment, seed, **given)
 
 
-@pytest.mark.parametrize("sabotage, run, rule", CASES, ids=[case[0].__name__ for case in CASES])
+@pytest.mark.parametrize("sabotage, run, rule", CASES, ids=[f"{case[0].__name__}-{place}" for place, case in enumerate(CASES)])
 def test_a_rule_breaks_without_its_mechanism_and_holds_with_it(monkeypatch, sabotage, run, rule):
     with monkeypatch.context() as patch:
-        def make_sabotaged(deployment, seed):
-            scenario = make(deployment, seed)
+        def make_sabotaged(deployment, seed, **given):
+            scenario = make(deployment, seed, **given)
             sabotage(patch)
             return scenario
 
