--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -63,6 +63,13 @@
         self.fence = None
         self.on_lapsed()
 
+    def give_up(self):
+        """The holder can't do the duty: it lets it lapse and stands back for one grant."""
+        if self.fence is None:
+            return
+        self._lapse()
+        self._wait_anew(self.node.now_us() + GRANT_US)
+
     def observe(self, value, now_us):
         seen = value and (value["fence"], value["renewal"])
         if (seen or (0, 0)) > (self.seen or (0, 0)):
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -6,6 +6,7 @@
 ABANDON_US = 1_000_000
 DARK_US = 1_200_000
 SETTLE_US = 700_000
+BLIND_US = 1_200_000
 ANY_INCARNATION = 0
 
 
@@ -15,7 +16,7 @@
 
     __slots__ = (
         "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
-        "reported_us", "heard_us", "serial", "since_us", "leaving",
+        "reported_us", "heard_us", "serial", "since_us", "leaving", "on_blind",
     )
 
     def __init__(self, node, desk, platform, needs):
@@ -33,12 +34,14 @@
         self.serial = 0
         self.since_us = None
         self.leaving = set()
+        self.on_blind = lambda: None
         node.systems.append(self.tick)
 
     def is_ready(self):
         if self.listed_us is None or self.since_us is None:
             return False
-        return self.node.now_us() - self.since_us >= SETTLE_US
+        now_us = self.node.now_us()
+        return now_us - self.since_us >= SETTLE_US and now_us - self.listed_us < BLIND_US
 
     def hear_evidence(self, message):
         for name, incarnation, what in message.get("evidence", []):
@@ -66,6 +69,8 @@
             self.runners.clear()
             self.heard_us.clear()
             self.polled_us = self.reported_us = now_us - POLL_US
+        if now_us - max(self.since_us, self.listed_us or 0) >= BLIND_US:
+            self.on_blind()
         if now_us - self.polled_us >= POLL_US:
             self._poll(now_us)
         if now_us - self.reported_us >= REPORT_US:
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -44,6 +44,7 @@
         }
         self.duties["roster"].on_won = self.news.answer_all
         self.keeper = RosterKeeper(self, self.desk, platform, (self.duties["roster"], self.duties["steward"]))
+        self.keeper.on_blind = self.duties["roster"].give_up
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
         self.ring.on_mark.append(self._hear_mark)
--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -172,7 +172,8 @@
         if kind == "listed":
             for name, state in facts["runners"].items():
                 if state == "leaving":
-                    leaving.setdefault(name, at_us)
+                    lag_us = facts.get("lag_us", 0)
+                    leaving.setdefault(name, at_us + (lag_us if lag_us > SECOND else 0))
                 else:
                     leaving.pop(name, None)
         elif kind == "said_leaving":
--- a/packages/stage/src/linkhaven/stage/fleet.py
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -81,7 +81,8 @@
 
     __slots__ = (
         "world", "deployment", "registries", "routers", "runners", "platform", "caller", "operators", "seeds",
-        "is_loading", "load_dice", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan", "former",
+        "is_loading", "load_dice", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan", "former", "phases",
+        "keyed",
     )
 
     def __init__(self, deployment, seed, speeds=None, runner_given=None, plan=None, routers=None, platform_lag_us=500_000):
@@ -97,6 +98,8 @@
         self.prompts = {}
         self.moved = 0
         self.former = []
+        self.phases = {}
+        self.keyed = 0
         zones = deployment.zones
         self.registries = {}
         self.routers = {}
@@ -143,9 +146,10 @@
 
     def _build_runner(self, host, ports):
         place = int(host.name.rpartition("-")[2])
-        phase = "prefill" if place <= self.deployment.prefills else "decode"
+        phase = self.phases.get(host.name) or ("prefill" if place <= self.deployment.prefills else "decode")
         return StandInRunner(
-            host.name, host.address, ports, host.wall_us() + host.starts, phase, record=self.world.note, speeds=self.speeds, **self.runner_given
+            host.name, host.address, ports, host.wall_us() + host.starts, phase, record=self.world.note, speeds=self.speeds,
+            die=host.kill, **self.runner_given
         )
 
     def _build_caller(self, host, ports):
@@ -167,7 +171,9 @@
                 "incarnation": host.node.incarnation if host.node else before["incarnation"],
                 "state": states.get(name.replace("-", "_"), "leaving" if host.node and host.node.is_leaving else "serving"),
             }
-        self.world.note("listed", runners={name: record["state"] for name, record in listed.items()})
+        self.world.note(
+            "listed", runners={name: record["state"] for name, record in listed.items()}, lag_us=self.platform.node.lag_us,
+        )
         self.platform.node.set(listed, at_once)
 
     def start(self, ready=True):
@@ -193,10 +199,13 @@
 
     def live_registry(self):
         for host in self.registries.values():
-            if host.node is not None and not host.is_frozen and host.node.seat.is_voting:
+            if host.node is not None and not host.is_still and host.node.seat.is_voting:
                 return host
         return self.registries["a"]
 
+    def acked_mark(self):
+        return max([facts["mark"] for _, kind, facts in self.world.record if kind == "acked"], default=0)
+
     def put_plan(self, plan, expect, seat=None, operator=0, done=None):
         registry = self.registries[seat] if seat else self.live_registry()
         self.operators[operator].node.put(registry.address, plan, expect, done)
@@ -238,9 +247,18 @@
         kind = self._pick_kind()
         _, prompt_tokens, _ = self.mix[kind]
         spread = self.load_dice.choice((0.5, 0.75, 1.0, 1.25, 1.5))
-        self.ask(kind, tokens=int(prompt_tokens * spread))
+        self.ask(kind, key=self._pick_key(kind), tokens=int(prompt_tokens * spread))
         self.world.after(int(self.load_dice.expovariate(self.rate) * SECOND) + 1, self._load_next)
 
+    def _pick_key(self, kind):
+        """Half of what can't be repeated carries a key; one in ten of those is a key that was used before."""
+        if self.deployment.kinds[kind].get("repeatable", True) or self.load_dice.random() < 0.5:
+            return None
+        if self.keyed and self.load_dice.random() < 0.1:
+            return f"form-{self.load_dice.randrange(self.keyed) + 1}"
+        self.keyed += 1
+        return f"form-{self.keyed}"
+
     def stop_load(self):
         self.is_loading = False
 
--- a/packages/stage/src/linkhaven/stage/standins.py
+++ b/packages/stage/src/linkhaven/stage/standins.py
@@ -57,6 +57,7 @@
         "incarnation", "phase", "speeds", "kv_total", "hold_us", "report_every_us", "queue_most", "reads", "is_reading",
         "streams", "waiting", "handles", "mark", "fence", "is_leaving", "report", "reported_us", "is_stepping",
         "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute", "garble", "is_trusting",
+        "die", "dies", "lapses", "is_silent", "slow_to",
     )
 
     def __init__(self, name, address, ports, incarnation, phase, record=None, **given):
@@ -70,6 +71,10 @@
         self.queue_most = given.pop("queue_most", 256)
         self.can_resume = given.pop("can_resume", True)
         self.is_trusting = given.pop("is_trusting", False)
+        self.die = given.pop("die", None)
+        self.dies = None
+        self.lapses = self.is_silent = False
+        self.slow_to = {}
         self.record = record or (lambda kind, **facts: None)
         self.reads = deque()
         self.is_reading = False
@@ -114,6 +119,8 @@
             self.report = self._look()
 
     def serve_report(self, call):
+        if self.is_silent:
+            return
         call.answer_json(200, {**self.report, "age_us": self.now_us() - self.reported_us})
 
     def _admit(self, call, name):
@@ -206,6 +213,8 @@
             "request": told, "shot": shot, "handle": handle,
             "incarnation": self.incarnation, "prompt_tokens": job.tokens,
         })
+        if self.dies == "hand-over":
+            self.ports.clock.call_in(1, self.die)
 
     def _sweep_handles(self, now_us):
         for handle, held in list(self.handles.items()):
@@ -221,8 +230,16 @@
             raise Trouble("handle_foreign")
         del self.handles[ask["handle"]]
         cost_us = int(held[2] * self.speeds.kv_bytes * 1_000_000 / self.speeds.link_rate * self.link_slowness)
+        cost_us = int(cost_us * self.slow_to.get(ask.get("target"), 1))
+
+        def send_half():
+            call.begin(200, {"content-type": "application/json"})
+            call.write(b'{"request":')
+            self.ports.clock.call_in(5_000, call.cut if self.lapses else self.die)
 
         def send():
+            if self.lapses or self.dies == "transfer":
+                return send_half()
             if self.kv_fails > 0:
                 self.kv_fails -= 1
                 return call.cut()
@@ -275,7 +292,7 @@
             if not job.is_gone:
                 job.call.answer_trouble(Trouble("hand_over_failed"))
 
-        body = write_json({"handle": ask["handle"], "request": ask["request"], "shot": ask["shot"]})
+        body = write_json({"handle": ask["handle"], "request": ask["request"], "shot": ask["shot"], "target": self.name})
         self.ports.wire.open(
             ask["source"], "POST", "/v1/kv", {"content-type": "application/json"}, body,
             Hearer(on_head, on_data, on_end, on_trouble),
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -89,7 +89,7 @@
     def latency(self, source, target):
         base_us = LATENCY_US if source.zone == target.zone else FAR_US
         extra_us = self.slow.get((source.name, target.name), 0)
-        return base_us + extra_us + self.dice.randrange(base_us)
+        return base_us + extra_us + self.dice.randrange(base_us + extra_us // 2)
 
 
 class Link:
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -528,3 +528,15 @@
     begun = {facts["asked"] for _, facts in noted(fleet, "begin")}
     assert again.id in begun
     assert refused.id not in begun
+
+
+def test_a_holder_that_lost_the_platform_leaves_the_roster_to_another_seat():
+    fleet, faults = make(LICENSING, 31)
+    fleet.load(6.0)
+    begun_us = fleet.world.now_us
+    faults.begin("cut_platform_from_holder")
+    fleet.world.run_for(10 * SECOND)
+    fleet.settle()
+    told = fleet.summary(begun_us)
+    assert told["served"] >= 0.85 * told["asked"]
+    assert {host.node.roster.place[0] > 1 for host in fleet.routers.values()} == {True}
