Real processes killed, frozen and filled under load; corrupt data folders refused by code

Cause: on loopback only kills were tried, without puts; a data file that ends before its last page ended the process by a bus error, and a half-written record by a bare traceback. Ruled out: repairing in place; the seat rebuilds from the others once it is empty. Before: spoil_tail, spoil_head and spoil_record break the start without a code. After: disk_corrupt names the remedy and the folder is left as it is. New setting data_bytes. The loopback test kills a seat amid puts and restarts it on its folder, stops and wakes a router, a runner and a seat, and fills one seat's folder: no rule broken, all exit 0.

--- a/packages/registry/src/linkhaven/registry/disk.py
+++ b/packages/registry/src/linkhaven/registry/disk.py
@@ -1,4 +1,5 @@
 import json
+import os
 
 import lmdb
 
@@ -12,13 +13,29 @@
 
     __slots__ = ("env", "clock", "waiting")
 
-    def __init__(self, folder):
+    def __init__(self, folder, most_bytes=MAP_BYTES):
         try:
-            self.env = lmdb.open(folder, map_size=MAP_BYTES, sync=True, metasync=True, max_dbs=0)
+            self.env = lmdb.open(folder, map_size=most_bytes, sync=True, metasync=True, max_dbs=0)
+        except (lmdb.CorruptedError, lmdb.InvalidError, lmdb.VersionMismatchError, lmdb.PageNotFoundError) as fault:
+            raise Trouble("disk_corrupt", data=folder, why=str(fault)) from None
         except (lmdb.Error, OSError) as fault:
             raise Trouble("disk_failing", data=folder, why=str(fault)) from None
         self.clock = None
         self.waiting = []
+        self._check(folder)
+
+    def _check(self, folder):
+        """A file that ends before its last page would end this process without a word when it is read."""
+        needed = (self.env.info()["last_pgno"] + 1) * self.env.stat()["psize"]
+        held = os.path.getsize(os.path.join(folder, "data.mdb"))
+        try:
+            if held < needed:
+                raise ValueError(f"data.mdb has {held} of {needed} bytes")
+            if not all(isinstance(value, list) for key, value in self.load().items() if key.startswith("cell/")):
+                raise ValueError("a record is not one of this program's")
+        except (lmdb.Error, ValueError) as fault:
+            self.env.close()
+            raise Trouble("disk_corrupt", data=folder, why=str(fault)) from None
 
     def attach(self, clock):
         self.clock = clock
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -32,7 +32,7 @@
 
     def act(self):
         settings = self.read_core()
-        disk = LmdbDisk(settings["data"])
+        disk = LmdbDisk(settings["data"], settings["data_bytes"])
 
         def build(ports, incarnation):
             return RegistryNode(
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -32,6 +32,7 @@
     "seat_not_waiting": (409, "no", "Only a seat that waits without votes can be restored; see: linkhaven-registry core status."),
     "no_such_request": (404, "no", "This node keeps no record of that request; ask the node that served it, soon after."),
     "disk_failing": (503, "no", "The data folder cannot be written and synced; free space or replace the disk, then restart."),
+    "disk_corrupt": (503, "no", "The data folder holds what this program did not write whole; move it away and start the seat empty, it rebuilds from the others."),
     "settings_invalid": (500, "no", "Mend the named key in the settings file or flags and start again."),
     "question_invalid": (422, "no", "Mend each listed place of the what-if file and run it again."),
     "address_taken": (500, "no", "Another process listens on that address; stop it or choose another port."),
--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -13,7 +13,7 @@
 from linkhaven.wire.console import call_json
 from linkhaven.wire.settings import split_address
 
-from .checkers import every_caller_hears_back, streams_are_whole
+from .checkers import acknowledged_plans_survive, every_caller_hears_back, streams_are_whole
 from .fleet import LICENSING, Deployment, make_prompt, percentile, summarise
 from .people import Caller
 
@@ -70,9 +70,10 @@
 class LoopbackFleet:
     """A whole deployment as processes on loopback. A test tool: the one thing here that starts processes."""
 
-    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "runner_words", "given")
+    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "runner_words", "given", "core_settings")
 
-    def __init__(self, deployment, folder, port, runner_words=()):
+    def __init__(self, deployment, folder, port, runner_words=(), core_settings=None):
+        self.core_settings = core_settings or {}
         self.runner_words = runner_words
         self.given = {}
         self.deployment = deployment
@@ -120,6 +121,7 @@
             self._serve(name, "linkhaven-registry", {
                 "name": name, "zone": zones[place % len(zones)], "lines": self.seeds[place], "http": self.registries[name],
                 "seeds": self.seeds, "seat": seat, "platform": self.platform, "data": os.path.join(self.folder, f"{name}-data"),
+                **self.core_settings.get(name, {}),
             })
         for place in range(self.deployment.routers):
             name = f"edge-{place + 1}"
@@ -149,7 +151,16 @@
         self.processes[name].process.kill()
         self.processes[name].process.wait()
 
+    def freeze(self, name):
+        self.processes[name].process.send_signal(signal.SIGSTOP)
+
+    def wake(self, name):
+        if self.processes[name].process.poll() is None:
+            self.processes[name].process.send_signal(signal.SIGCONT)
+
     def stop(self):
+        for name in self.processes:
+            self.wake(name)
         order = [*self.routers, *self.registries, "platform", *self.runners]
         for name in order:
             if name in self.processes:
@@ -160,7 +171,7 @@
 class LoadRun:
     """A bounded load of callers on one loop, against routers on real sockets."""
 
-    __slots__ = ("deployment", "routers", "rate", "seconds", "dice", "caller", "shell", "prompts", "end_us", "stop_us", "left", "record", "only")
+    __slots__ = ("deployment", "routers", "rate", "seconds", "dice", "caller", "shell", "prompts", "end_us", "stop_us", "left", "record", "only", "keyed")
 
     def __init__(self, deployment, routers, rate, seconds, seed, record=None, only=None):
         self.deployment = deployment
@@ -172,6 +183,7 @@
         self.record = record or (lambda kind, /, **facts: None)
         self.only = only
         self.left = 0
+        self.keyed = 0
         self.shell = Shell("callers", None, None, self._build, level="warning")
 
     def _build(self, ports, incarnation):
@@ -202,7 +214,11 @@
         prompt = self.prompts.setdefault(tokens, make_prompt(tokens))
         self.dice.shuffle(self.routers)
         self.left += 1
-        self.caller.ask(kind, prompt, answer_tokens, self.routers[:3])
+        key = None
+        if not self.deployment.kinds[kind].get("repeatable", True):
+            self.keyed += 1
+            key = f"form-{self.keyed}"
+        self.caller.ask(kind, prompt, answer_tokens, self.routers[:3], key)
         self.shell.ticker.call_in(int(self.dice.expovariate(self.rate) * 1_000_000) + 1, self._next)
 
     def _note_end(self, asked):
@@ -268,11 +284,24 @@
         run.shell.ticker.call_in(at_us + share_us // 2, lambda name=name: fleet.run_again(name))
 
 
+def plan_freezes(fleet, run, steps):
+    """steps: (second, deed, process); frozen and woken stand in the record as in the simulated world."""
+    kinds = {"freeze": "frozen", "wake": "woken", "kill": "killed"}
+
+    def take(deed, name):
+        getattr(fleet, deed)(name)
+        if deed in kinds:
+            run.record(kinds[deed], node=name, address=fleet.routers.get(name))
+
+    for second, deed, name in steps:
+        run.shell.ticker.call_in(int(second * 1_000_000), lambda deed=deed, name=name: take(deed, name))
+
+
 def judge_callers(record, kinds):
     """What can be judged from the callers' side alone."""
     deadlines = {kind: terms["deadline_us"] for kind, terms in kinds.items()}
     found = {}
-    for checker in (every_caller_hears_back, streams_are_whole):
+    for checker in (every_caller_hears_back, streams_are_whole, acknowledged_plans_survive):
         breaches = list(checker(record, deadlines=deadlines))
         if breaches:
             found[checker.__name__] = breaches[:5]
--- a/packages/wire/src/linkhaven/wire/settings.py
+++ b/packages/wire/src/linkhaven/wire/settings.py
@@ -68,6 +68,7 @@
     "registry": t.Dict({
         **COMMON,
         t.Key("data"): t.Call(_folder),
+        t.Key("data_bytes", default=1 << 30): whole(65_536, 1 << 40),
         t.Key("seat"): t.Enum("a", "b", "c"),
         t.Key("platform"): ADDRESS,
     }),
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -17,8 +17,8 @@
             deed()
 
 
-def open_disk(folder):
-    disk, clock = module.LmdbDisk(str(folder)), Later()
+def open_disk(folder, **given):
+    disk, clock = module.LmdbDisk(str(folder), **given), Later()
     disk.attach(clock)
     return disk, clock
 
@@ -38,9 +38,8 @@
     again.close()
 
 
-def test_a_full_disk_answers_no_and_goes_on_when_there_is_room(tmp_path, monkeypatch):
-    monkeypatch.setattr(module, "MAP_BYTES", 65_536)
-    disk, clock = open_disk(tmp_path / "data")
+def test_a_full_disk_answers_no_and_goes_on_when_there_is_room(tmp_path):
+    disk, clock = open_disk(tmp_path / "data", most_bytes=65_536)
     told = []
     disk.write({"big": "x" * 200_000}, told.append)
     clock.run()
@@ -56,3 +55,34 @@
     with pytest.raises(Trouble) as caught:
         module.LmdbDisk(str(tmp_path / "file"))
     assert caught.value.code == "disk_failing"
+
+
+def spoil_head(file):
+    file.write_bytes(b"not a data file" * 1_000)
+
+
+def spoil_tail(file):
+    file.write_bytes(file.read_bytes()[:9_000])
+
+
+def spoil_record(file):
+    import lmdb
+
+    with lmdb.open(str(file.parent)) as env, env.begin(write=True) as txn:
+        txn.put(b"cell/plan", b"[[1, \"core-a\"], [1, ")
+
+
+@pytest.mark.parametrize("spoil", [spoil_head, spoil_tail, spoil_record])
+def test_a_corrupt_or_half_written_folder_is_refused_with_a_code_and_left_as_it_is(tmp_path, spoil):
+    disk, clock = open_disk(tmp_path / "data")
+    for place in range(40):
+        disk.write({f"cell/{place}": ["x" * 2_000]}, lambda is_kept: None)
+        clock.run()
+    disk.close()
+    file = tmp_path / "data" / "data.mdb"
+    spoil(file)
+    before = file.read_bytes()
+    with pytest.raises(Trouble) as caught:
+        open_disk(tmp_path / "data")
+    assert caught.value.code == "disk_corrupt"
+    assert file.read_bytes() == before
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,9 +1,11 @@
 import http.client
 import json
 import socket
+import threading
 
+from linkhaven.schema import Trouble
 from linkhaven.stage.fleet import LICENSING
-from linkhaven.stage.loopback import LoadRun, LoopbackFleet
+from linkhaven.stage.loopback import LoadRun, LoopbackFleet, judge_callers, plan_freezes
 from linkhaven.wire.console import call_json
 from linkhaven.wire.settings import split_address
 
@@ -77,3 +79,66 @@
     assert codes_of_misuse == [code for _, code in MISUSES]
     assert explained["decisions"][0]["winner"]
     assert explained["outcome"] == "done"
+
+
+class Putter(threading.Thread):
+    """Puts plan after plan through seats that live, and notes what was acknowledged, until told to stop."""
+
+    def __init__(self, fleet, record):
+        super().__init__(daemon=True)
+        self.fleet = fleet
+        self.record = record
+        self.mark = 1
+        self.is_over = threading.Event()
+
+    def run(self):
+        serial = 0
+        while not self.is_over.is_set():
+            serial += 1
+            document = {"expect": self.mark, "put_id": f"put-{serial}", "plan": LICENSING.plan()}
+            try:
+                told = call_json(self.fleet.registries[("core-a", "core-c")[serial % 2]], "PUT", "/v1/plan", document)
+            except Trouble as trouble:
+                self.mark = trouble.detail.get("mark", self.mark)
+                continue
+            self.mark = told["mark"]
+            self.record("acked", mark=self.mark, put_id=f"put-{serial}")
+
+
+def test_killed_frozen_and_full_processes_under_load_break_nothing(tmp_path):
+    record = []
+    fleet = LoopbackFleet(LICENSING, str(tmp_path), find_ports(), core_settings={"core-c": {"data_bytes": 262_144}})
+    putter = Putter(fleet, lambda kind, **facts: record.append((0, kind, facts)))
+    try:
+        fleet.start()
+        fleet.put_plan(LICENSING.plan(), 0)
+        fleet.wait_ready()
+        run = LoadRun(
+            LICENSING, fleet.routers.values(), 6, 9, 2,
+            lambda kind, /, **facts: record.append((run.shell.ticker.now_us(), kind, facts)),
+        )
+        plan_freezes(fleet, run, [
+            (0.5, "kill", "core-b"), (1.5, "run_again", "core-b"), (3.0, "freeze", "edge-1"), (3.5, "freeze", "runner-4"),
+            (5.0, "wake", "edge-1"), (5.5, "wake", "runner-4"), (6.0, "freeze", "core-a"), (7.5, "wake", "core-a"),
+        ])
+        putter.start()
+        told = run.run()
+        putter.is_over.set()
+        putter.join(30)
+        fleet.processes["core-b"].wait_event(1202)
+        kinds = LICENSING.plan()["kinds"]
+        big = {**kinds, **{f"{name}-{place}": kind for place in range(300) for name, kind in kinds.items()}}
+        mark = call_json(fleet.registries["core-a"], "GET", "/v1/plan")["mark"]
+        document = {"expect": mark, "put_id": "big", "plan": LICENSING.plan(kinds=big)}
+        record.append((0, "acked", {"mark": call_json(fleet.registries["core-a"], "PUT", "/v1/plan", document)["mark"], "put_id": "big"}))
+        fleet.processes["core-c"].wait_event(1205)
+        for name in ("core-a", "core-b"):
+            shown = call_json(fleet.registries[name], "GET", "/v1/plan")
+            record.append((0, "shown", {"mark": shown["mark"], "put_id": shown["put_id"]}))
+    finally:
+        putter.is_over.set()
+        codes = fleet.stop()
+    assert judge_callers(record, LICENSING.kinds) == {}
+    assert len([facts for _, kind, facts in record if kind == "acked"]) > 10
+    assert told["served"] >= 0.7 * told["asked"]
+    assert set(codes.values()) == {0}
