--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -1,6 +1,9 @@
+from pathlib import Path
+
 import pytest
 from pytest_bdd import given, parsers, scenarios, then, when
 
+from linkhaven.stage.faults import ALL
 from linkhaven.stage.fleet import DEPLOYMENTS
 from linkhaven.stage.scenario import Scenario
 from linkhaven.stage.sweep import run_course
@@ -52,3 +55,17 @@
         scenario.fault(fault).load(1)
     scenario.load(6).close().end(calm_s=17)
     assert scenario.breaches() == {}
+
+
+def test_every_fault_has_its_row():
+    rows = (Path(__file__).parent / "features" / "never.feature").read_text()
+    assert [name for name in ALL if f"| {name} " not in rows] == []
+
+
+@pytest.mark.parametrize("deployment, seed, lost", [
+    ("licensing", 171, "crash_runner"), ("licensing", 172, "kill_zone"), ("archive", 173, "freeze_holder"), ("archive", 174, "freeze_zone"),
+])
+def test_the_mix_swings_while_something_is_lost(deployment, seed, lost):
+    scenario = Scenario(deployment, seed).load(2)
+    scenario.fault("swing_mix").load(3).fault(lost).load(7).close().end(calm_s=21)
+    assert scenario.breaches() == {}
