Calls and commands for one group and one kind; usage over the fleet; diff of plans

Cause: an operator could only put whole plans, and what a group spent stood on each router alone. Queued work of a removed kind waited for credit until its deadline. Queued work of a removed kind is refused at once, of an attached one moves to the new group's queue. Ruled out: removing a group with its kinds in one go; it would take queued work by surprise. test_groups_and_kinds_are_changed_one_by_one... holds it.

--- a/packages/credit/src/linkhaven/credit/book.py
+++ b/packages/credit/src/linkhaven/credit/book.py
@@ -4,7 +4,10 @@
 
 
 class GroupBook:
-    __slots__ = ("name", "queue", "queued_tokens", "deficit", "bucket", "share", "share_until_us", "grant", "arrived", "demand", "terms", "served", "pace", "is_busy")
+    __slots__ = (
+        "name", "queue", "queued_tokens", "deficit", "bucket", "share", "share_until_us", "grant", "arrived", "demand", "terms", "served", "pace", "is_busy",
+        "spent", "refused",
+    )
 
     def __init__(self, name, now_us):
         self.name = name
@@ -21,6 +24,8 @@
         self.served = 0
         self.pace = None
         self.is_busy = False
+        self.spent = 0
+        self.refused = 0
 
     def wait_us(self, pace_at_first):
         """How long the queue takes at the pace seen while it was never empty, which is first taken for this
--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -124,7 +124,22 @@
     def charge(self, group, tokens):
         book = self.groups.get(group)
         if book is not None:
-            book.bucket.level -= tokens
+            self._spend(book, tokens)
+
+    def _spend(self, book, tokens):
+        book.bucket.level -= tokens
+        book.spent += tokens
+
+    def note_refused(self, group):
+        book = self.groups.get(group)
+        if book is not None:
+            book.refused += 1
+
+    def tell_usage(self):
+        return {
+            book.name: {"spent": book.spent, "refused": book.refused, "waiting": len(book.queue), "waiting_tokens": book.queued_tokens}
+            for book in self.groups.values()
+        }
 
     def has_credit(self, book, request, now_us):
         return book.bucket.fill(now_us) >= min(request.prompt_tokens, book.bucket.size) and book.bucket.size > 0
@@ -176,7 +191,7 @@
             book.served += request.prompt_tokens
             book.queued_tokens -= request.prompt_tokens
             book.deficit -= request.prompt_tokens
-            book.bucket.level -= request.prompt_tokens
+            self._spend(book, request.prompt_tokens)
         if not book.queue:
             book.deficit = 0
         return True
--- a/packages/plan/src/linkhaven/plan/__init__.py
+++ b/packages/plan/src/linkhaven/plan/__init__.py
@@ -1,6 +1,6 @@
-from .check import check_plan, fill_plan
+from .check import check_plan, diff_plans, fill_plan
 from .desk import PlanDesk
 from .image import PlanImage
 from .news import NewsDesk, NewsReader
 
-__all__ = ["NewsDesk", "NewsReader", "PlanDesk", "PlanImage", "check_plan", "fill_plan"]
+__all__ = ["NewsDesk", "NewsReader", "PlanDesk", "PlanImage", "check_plan", "diff_plans", "fill_plan"]
--- a/packages/plan/src/linkhaven/plan/check.py
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -101,3 +101,16 @@
     except Trouble as trouble:
         return trouble.detail["places"]
     return []
+
+
+def diff_plans(held, wanted, place=""):
+    """Each place where two plans differ, with both values."""
+    for key in sorted({*held, *wanted}):
+        here = f"{place}{key}"
+        old, new = held.get(key), wanted.get(key)
+        if old == new:
+            continue
+        if isinstance(old, dict) and isinstance(new, dict):
+            yield from diff_plans(old, new, f"{here}/")
+        else:
+            yield {"place": here, "held": old, "wanted": new}
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -12,6 +12,7 @@
 from .steward import Steward
 
 IMAGE_WAIT_US = 1_000_000
+USAGE_US = 5_000_000
 SEATS = ("a", "b", "c")
 DEPUTY = {"a": 0.3, "b": 0.5, "c": 0.7}
 DUTIES = ("steward", "bursar", "roster")
@@ -20,7 +21,7 @@
 class RegistryNode(Node):
     __slots__ = (
         "ring", "seat", "proposer", "image", "plan_desk", "news", "duties", "desk", "keeper", "steward",
-        "gate", "bursar", "is_draining", "told_image", "voted_us", "is_adopting", "incarnation", "adopt_us",
+        "gate", "usage", "bursar", "is_draining", "told_image", "voted_us", "is_adopting", "incarnation", "adopt_us",
     )
 
     def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, seats=SEATS):
@@ -30,6 +31,7 @@
         self.image = PlanImage()
         self.is_draining = False
         self.told_image = None
+        self.usage = {}
         self.voted_us = None
         self.is_adopting = False
         self.adopt_us = 0
@@ -50,12 +52,13 @@
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
         self.ring.on_mark.append(self._hear_mark)
-        self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences]
+        self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences, self._hear_usage]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.hearers["image"] = self._hear_image
         self.systems.append(self._adopt_image)
         self.paths.update({
             ("GET", "/v1/core"): self.serve_core,
+            ("GET", "/v1/groups"): self.serve_groups,
             ("POST", "/v1/core/restore"): self.serve_restore,
             ("GET", "/v1/standing"): self.serve_standing,
         })
@@ -83,6 +86,27 @@
             self.gate.was_behind = True
             self.tell(message["back"], "want_image")
 
+    def _hear_usage(self, message):
+        now_us = self.now_us()
+        self.usage[message["name"]] = (message["usage"], now_us)
+        for name in [name for name, (_, heard_us) in self.usage.items() if now_us - heard_us > USAGE_US]:
+            del self.usage[name]
+
+    def serve_groups(self, call):
+        """What each group may spend, and has spent, is waiting for and was refused at the routers heard lately."""
+        plan = self.image.plan
+        if plan is None:
+            raise Trouble("plan_absent", retry_us=2_000_000)
+        told = [usage for usage, heard_us in self.usage.values() if self.now_us() - heard_us <= USAGE_US]
+        groups = {
+            name: {
+                **terms, "kinds": sorted(kind for kind, of in plan["kinds"].items() if of["group"] == name),
+                **{what: sum(usage.get(name, {}).get(what, 0) for usage in told) for what in ("spent", "refused", "waiting", "waiting_tokens")},
+            }
+            for name, terms in plan["groups"].items()
+        }
+        call.answer_json(200, {"mark": self.image.mark, "routers": len(told), "groups": groups})
+
     def _hear_fences(self, message):
         for name, fence in message["fences"].items():
             self.duties[name].hear_fence(fence)
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -2,7 +2,7 @@
 
 from cleo.helpers import argument, option
 
-from linkhaven.plan import check_plan
+from linkhaven.plan import check_plan, diff_plans
 from linkhaven.schema import Trouble
 from linkhaven.wire import Shell
 from linkhaven.wire.console import PLACE_OPTIONS, CodedCommand, call_json, read_document, run_application
@@ -102,6 +102,114 @@
         self.show(call_json(self.option("registry"), "GET", "/v1/plan"))
 
 
+class PlanDiffCommand(CodedCommand):
+    name = "plan diff"
+    description = "Show what a plan file would change in the plan in force."
+    arguments = [argument("file", "the plan as JSON")]
+    options = [REGISTRY_OPTION]
+
+    def act(self):
+        wanted = read_document(self.argument("file"))
+        places = check_plan(wanted)
+        if places:
+            raise Trouble("plan_invalid", places=places)
+        held = call_json(self.option("registry"), "GET", "/v1/plan")
+        self.show({"mark": held["mark"], "changes": list(diff_plans(held["plan"] or {}, wanted))})
+
+
+class PartCommand(CodedCommand):
+    """One group or kind of the plan, changed under the mark that the operator expects."""
+
+    def change(self, method, part, document):
+        expect = self.option("expect")
+        if expect is None or not expect.isdigit() or not int(expect):
+            raise Trouble("bad_request", places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}])
+        document = {"expect": int(expect), "put_id": self.option("put-id") or str(uuid.uuid4()), **document}
+        self.line_error(f"put id {document['put_id']}")
+        self.show(call_json(self.option("registry"), method, f"/v1/{part}/{self.argument('name')}", document))
+
+
+PART_OPTIONS = [
+    REGISTRY_OPTION,
+    option("expect", "e", "the mark of the plan that is changed", flag=False),
+    option("put-id", None, "id of this put, to repeat one whose outcome is unknown", flag=False),
+]
+NAME_ARGUMENT = argument("name", "its name in the plan")
+
+
+class GroupListCommand(CodedCommand):
+    name = "group list"
+    description = "Show the groups: allowance, kinds, and what each has spent, is waiting for and was refused."
+    options = [REGISTRY_OPTION]
+
+    def act(self):
+        self.show(call_json(self.option("registry"), "GET", "/v1/groups"))
+
+
+class GroupPutCommand(PartCommand):
+    name = "group put"
+    description = "Create or change a group with its credit allowance."
+    arguments = [NAME_ARGUMENT]
+    options = [
+        *PART_OPTIONS,
+        option("tokens", None, "tokens of credit in a period", flag=False),
+        option("period-ms", None, "the period", flag=False, default="10000"),
+        option("weight", None, "its weight where groups with credit meet", flag=False, default="1"),
+    ]
+
+    def act(self):
+        fields = {name: self.option(name) or "" for name in ("tokens", "period-ms", "weight")}
+        wrong = [name for name, text in fields.items() if not text.replace(".", "", name == "weight").isdigit()]
+        if wrong:
+            raise Trouble("bad_request", places=[{"place": f"--{name}", "fault": "is not a number"} for name in wrong])
+        credit = {"tokens": int(fields["tokens"]), "period_us": int(fields["period-ms"]) * 1_000}
+        self.change("PUT", "groups", {"group": {"credit": credit, "weight": float(fields["weight"])}})
+
+
+class GroupRemoveCommand(PartCommand):
+    name = "group remove"
+    description = "Remove a group that no kind is attached to any more."
+    arguments = [NAME_ARGUMENT]
+    options = PART_OPTIONS
+
+    def act(self):
+        self.change("DELETE", "groups", {})
+
+
+class KindPutCommand(PartCommand):
+    name = "kind put"
+    description = "Create or change a kind of request from a JSON file."
+    arguments = [NAME_ARGUMENT, argument("file", "the kind as JSON, as it stands in a plan")]
+    options = PART_OPTIONS
+
+    def act(self):
+        self.change("PUT", "kinds", {"kind": read_document(self.argument("file"))})
+
+
+class KindAttachCommand(PartCommand):
+    name = "kind attach"
+    description = "Attach a kind to another group; its queued work moves to that group's queue."
+    arguments = [NAME_ARGUMENT, argument("group", "the group")]
+    options = PART_OPTIONS
+
+    def act(self):
+        held = call_json(self.option("registry"), "GET", "/v1/plan")
+        kind = ((held["plan"] or {}).get("kinds") or {}).get(self.argument("name"))
+        if kind is None:
+            raise Trouble("plan_invalid", places=[{"place": f"kinds/{self.argument('name')}", "fault": "is not in the plan"}])
+        self.change("PUT", "kinds", {"kind": {**kind, "group": self.argument("group")}})
+
+
+class KindRemoveCommand(PartCommand):
+    name = "kind remove"
+    description = "Remove a kind; its queued work is refused at once, what runs goes on."
+    arguments = [NAME_ARGUMENT]
+    options = PART_OPTIONS
+
+    def act(self):
+        self.change("DELETE", "kinds", {})
+
+
 class CoreStatusCommand(CodedCommand):
     name = "core status"
     description = "Show a seat's standing, the other seats and the holders of the duties."
@@ -133,6 +241,7 @@
 
 def main():
     run_application("linkhaven-registry", [
-        ServeCommand(), CheckCommand(), PlanCheckCommand(), PlanPutCommand(), PlanShowCommand(),
+        ServeCommand(), CheckCommand(), PlanCheckCommand(), PlanPutCommand(), PlanShowCommand(), PlanDiffCommand(),
+        GroupListCommand(), GroupPutCommand(), GroupRemoveCommand(), KindPutCommand(), KindAttachCommand(), KindRemoveCommand(),
         CoreStatusCommand(), SeatRestoreCommand(), StandingCommand(),
     ])
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -91,6 +91,24 @@
         self.keys.take_plan(plan)
         self.rooms = {group: room_for_others(plan, group) for group in plan["groups"]}
         self.ports.log(2001, mark=self.image.mark)
+        for request in self.requests.rows():
+            if request.state == states.QUEUED:
+                self._place_anew(request, plan)
+        self.credit.take_plan(plan)
+
+    def _place_anew(self, request, plan):
+        """Queued work of a kind that is gone is refused at once; that of one now in another group goes to its queue."""
+        kind = plan["kinds"].get(request.kind_name)
+        if kind is None:
+            return self.end_in_trouble(request, Trouble("unknown_kind", kind=request.kind_name))
+        if kind["group"] == request.group:
+            return
+        self.credit.leave(request.group, request)
+        request.kind, request.group, request.admitted_mark = kind, kind["group"], self.image.mark
+        try:
+            self.credit.enqueue(request.group, request)
+        except Trouble as trouble:
+            self.end_in_trouble(request, trouble)
 
     def _pace_at_first(self):
         """This router's even part of what all runners read, until its own queue has shown its pace."""
@@ -98,6 +116,7 @@
 
     def _add_facts(self, facts):
         facts["credit"] = self.credit.tell_demand()
+        facts["usage"] = self.credit.tell_usage()
         facts["extra"] = self.extra.tell_want()
         facts["evidence"] = self.roster.tell_evidence()
         facts["rates"] = self.rates
@@ -210,6 +229,8 @@
         is_refused = trouble.done == "no"
         self.counts["refused" if is_refused else "troubled"] += 1
         self.ports.log(2103 if is_refused else 2102, request=request.id, kind=request.kind_name, code=trouble.code)
+        if is_refused and request.group:
+            self.credit.note_refused(request.group)
         if is_refused and request.claim_key:
             self.keys.give_back(request)
         call = request.call
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -53,8 +53,9 @@
 def test_every_path_a_node_serves_is_in_the_schema_file():
     served = set()
     for path in SOURCES:
-        for method, place in re.findall(r'\("(GET|PUT|POST)", "(/v1/[a-z/]*)"\)', path.read_text()):
-            served.add((method.lower(), place + "{request}" if place.endswith("explain/") else place))
+        for method, place in re.findall(r'\("(GET|PUT|POST|DELETE)", "(/v1/[a-z/]*)"\)', path.read_text()):
+            named = "{request}" if place.endswith("explain/") else "{name}" if place.endswith("/") else ""
+            served.add((method.lower(), place + named))
     described = {(method, place) for place, calls in read_schema()["paths"].items() for method in calls}
     assert served - described == {("put", "/v1/runners")}
     assert described - served == set()
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -646,3 +646,44 @@
         seen.append(sizes())
     for name, last in seen[-1].items():
         assert last <= max(1.3 * seen[3][name], seen[3][name] + 3), (name, seen)
+
+
+def test_groups_and_kinds_are_changed_one_by_one_and_their_queued_work_hears_what_becomes_of_it():
+    fleet, _ = make(LICENSING, 38)
+    world, registry, operator = fleet.world, fleet.registries["a"].address, fleet.operators[0].node
+    world.run_for(2 * SECOND)
+
+    def call(method, path, **document):
+        told = []
+        operator._call(registry, method, path, document or None, lambda status, answer: told.append((status, answer)))
+        world.wait_for(lambda: told, 5 * SECOND, 1_000)
+        return told[0]
+
+    router = fleet.routers["edge-1"]
+    poor = {"credit": {"tokens": 100, "period_us": 10 * SECOND}}
+    assert call("PUT", "/v1/groups/poor", expect=1, put_id="g1", group=poor)[1]["mark"] == 2
+    assert call("PUT", "/v1/groups/poor", expect=1, put_id="g2", group=poor)[1]["code"] == "mark_conflict"
+    kind = {**LICENSING.kinds["audit-digest"], "group": "poor"}
+    assert call("PUT", "/v1/kinds/audit-digest", expect=2, put_id="k1", kind={**kind, "group": "nobody"})[1]["code"] == "plan_invalid"
+    assert call("PUT", "/v1/kinds/audit-digest", expect=2, put_id="k2", kind=kind)[1]["mark"] == 3
+    assert call("DELETE", "/v1/groups/poor", expect=3, put_id="g3")[1]["code"] == "plan_invalid"
+    world.run_for(3 * SECOND)
+    waiting = [fleet.ask("audit-digest", [router.address], tokens=tokens, answer=8) for tokens in (90, 95)]
+    world.run_for(SECOND)
+    told = call("GET", "/v1/groups")[1]
+    assert told["mark"] == 3 and told["groups"]["poor"]["kinds"] == ["audit-digest"]
+    assert told["groups"]["poor"]["waiting"] + told["groups"]["poor"]["refused"] >= 1
+    left = [one for one in waiting if one.ended_us is None]
+    moved = {**kind, "group": "audit"}
+    assert call("PUT", "/v1/kinds/audit-digest", expect=3, put_id="k3", kind=moved)[1]["mark"] == 4
+    world.run_for(4 * SECOND)
+    assert {one.how for one in left} == {"done"}
+    assert call("PUT", "/v1/kinds/audit-digest", expect=4, put_id="k4", kind=kind)[1]["mark"] == 5
+    world.run_for(4 * SECOND)
+    waiting = [fleet.ask("audit-digest", [router.address], tokens=tokens, answer=8) for tokens in (90, 95, 96)]
+    world.run_for(SECOND)
+    left = [one for one in waiting if one.ended_us is None]
+    assert left
+    assert call("DELETE", "/v1/kinds/audit-digest", expect=5, put_id="k5")[1]["mark"] == 6
+    world.run_for(SECOND)
+    assert {one.code or one.how for one in left} <= {"unknown_kind", "done"} and "unknown_kind" in {one.code for one in left}
