Any router explains a request, with what happened in the fleet around it

Cause: explain answered only at the router that served, without the events that moved or refused a request. Before: no_such_request elsewhere. Ruled out: telling every router every event; each tells what it saw itself.

--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -1,5 +1,3 @@
-from cachetools import FIFOCache
-
 from linkhaven.clockwork import Node, Table
 from linkhaven.credit import GRANTS_A_FENCE, SHARE_US, CreditDesk, ExtraBudget
 from linkhaven.pairing import NO_BOUND_US, Flow, Pairing
@@ -11,12 +9,12 @@
 
 from . import request as states
 from .chain import Filters
+from .explain import Explainer
 from .keys import Keys
 from .request import Request
 from .shots import Shots
 
 DRAIN_US = 10_000_000
-EXPLAINED = 2_000
 RATE_US = 1_000_000
 CLOSED_US = 1_000_000
 CLOSED_MOST_US = 30_000_000
@@ -32,7 +30,7 @@
 class RouterNode(Node):
     __slots__ = (
         "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "shots", "flow",
-        "requests", "chain", "explained", "is_draining", "drain_us", "on_drained", "serial", "counts",
+        "requests", "chain", "explainer", "is_draining", "drain_us", "on_drained", "serial", "counts",
         "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open", "rooms", "on_end",
         "closed_us", "unserved", "keys",
     )
@@ -55,7 +53,7 @@
         self.shots = Shots(self, self.pairing, self.desk, self.roster, self.extra)
         self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.shots.move)
         self.chain = Filters(self).chain(self.end_in_trouble)
-        self.explained = FIFOCache(EXPLAINED)
+        self.explainer = Explainer(self, self.ring, self.requests)
         self.requests_at_most = requests_at_most
         self.is_draining = False
         self.drain_us = None
@@ -79,7 +77,7 @@
         self.systems += [self._keep_deadlines, self._serve_queue, self._rate, self._watch_openness, self._give_up_closed, self._drain]
         self.paths = {
             ("POST", "/v1/requests"): self.serve_request,
-            ("GET", "/v1/explain/"): self.serve_explain,
+            ("GET", "/v1/explain/"): self.explainer.serve,
             ("GET", "/v1/standing"): self.serve_standing,
         }
 
@@ -249,7 +247,7 @@
         request.parked = None
         request.outcome = outcome
         request.prompt = None
-        self.explained[request.id] = request
+        self.explainer.keep(request)
         self.requests.drop(request.id)
         request.note(self.now_us(), outcome)
         for hear in self.on_end:
@@ -338,12 +336,6 @@
             drained, self.on_drained = self.on_drained, None
             drained()
 
-    def serve_explain(self, call, id):
-        request = self.requests.get(id) or self.explained.get(id)
-        if request is None:
-            raise Trouble("no_such_request", request=id)
-        call.answer_json(200, request.as_record())
-
     def serve_standing(self, call):
         now_us = self.now_us()
         call.answer_json(200, {
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -687,3 +687,26 @@
     assert call("DELETE", "/v1/kinds/audit-digest", expect=5, put_id="k5")[1]["mark"] == 6
     world.run_for(SECOND)
     assert {one.code or one.how for one in left} <= {"unknown_kind", "done"} and "unknown_kind" in {one.code for one in left}
+
+
+def test_any_router_explains_a_request_with_what_happened_around_it():
+    fleet, faults = make(LICENSING, 39)
+    fleet.world.run_for(2 * SECOND)
+    asked = fleet.ask("audit-digest", [fleet.routers["edge-1"].address])
+    fleet.put_plan(fleet.plan, 1)
+    fleet.world.wait_for(lambda: asked.ended_us, 30 * SECOND)
+    told = []
+
+    def explain(router, id):
+        told.clear()
+        fleet.operators[0].node.get(fleet.routers[router].address, f"/v1/explain/{id}", lambda status, document: told.append((status, document)))
+        fleet.world.wait_for(lambda: told, 5 * SECOND, 10_000)
+        return told[0]
+
+    status, record = explain("edge-5", asked.request)
+    assert (status, record["router"], record["outcome"]) == (200, "edge-1", "done")
+    assert record["decisions"][0]["candidates"]
+    assert 2001 in {event["event"] for event in record["around"]}
+    assert explain("edge-5", "edge-1-1-999")[1]["code"] == "no_such_request"
+    fleet.routers["edge-1"].kill()
+    assert explain("edge-5", asked.request)[1]["code"] == "no_such_request"
