A runner whose clock was set back is taken for a new start, not for an old one

Cause: starts of a runner were ordered by number, and a runner numbers them by its wall clock. One that started again an hour back was shown as its former start for ever: its answers were refused as another start's. Ruled out: comparing clocks; a report is first-hand, so another number in it is a new start, unless it is one already known to be over (eight are kept for each listed runner).

--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -1,5 +1,5 @@
 from linkhaven.clockwork import Table
-from linkhaven.runner import Runner
+from linkhaven.runner import Runner, Starts
 
 POLL_US = 250_000
 REPORT_US = 250_000
@@ -17,7 +17,7 @@
 
     __slots__ = (
         "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
-        "reported_us", "heard_us", "serial", "since_us", "leaving", "on_blind",
+        "reported_us", "heard_us", "serial", "since_us", "leaving", "on_blind", "starts",
     )
 
     def __init__(self, node, desk, platform, needs):
@@ -36,6 +36,7 @@
         self.since_us = None
         self.leaving = {}
         self.on_blind = lambda: None
+        self.starts = Starts()
         node.systems.append(self.tick)
 
     def is_ready(self):
@@ -105,7 +106,7 @@
             name, incarnation = record["name"], record["incarnation"]
             listed.add(name)
             runner = self.runners.get(name)
-            if runner is None or incarnation > runner.incarnation:
+            if runner is None or self.starts.is_new(runner, incarnation, is_reported=False):
                 runner = self.runners[name] = Runner(name, record["address"], record["zone"], incarnation)
                 self._ask_report(runner, sent_us)
             if incarnation in (ANY_INCARNATION, runner.incarnation):
@@ -120,6 +121,7 @@
             del self.heard_us[name]
         for key in [key for key, left_us in self.leaving.items() if key[0] not in listed and sent_us - left_us > LEFT_US]:
             del self.leaving[key]
+        self.starts.forget(listed)
         self.listed_us = sent_us
         self.serial += 1
 
@@ -148,6 +150,10 @@
 
     def _take_report(self, runner, report):
         now_us = self.node.now_us()
+        if runner.incarnation != report["incarnation"]:
+            if runner.incarnation and not self.starts.is_new(runner, report["incarnation"], is_reported=True):
+                return
+            runner = self.runners[runner.name] = Runner(runner.name, runner.address, runner.zone, report["incarnation"])
         runner.take_report(report, now_us)
         if report["is_leaving"] or (runner.name, runner.incarnation) in self.leaving:
             self._mark_leaving(runner)
--- a/packages/runner/src/linkhaven/runner/__init__.py
+++ b/packages/runner/src/linkhaven/runner/__init__.py
@@ -1,5 +1,5 @@
 from .adapter import RunnerDesk
 from .pieces import Piece, PieceReader, write_event
-from .roster import Roster, Runner
+from .roster import Roster, Runner, Starts
 
-__all__ = ["Piece", "PieceReader", "Roster", "Runner", "RunnerDesk", "write_event"]
+__all__ = ["Piece", "PieceReader", "Roster", "Runner", "RunnerDesk", "Starts", "write_event"]
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -4,6 +4,7 @@
 STALE_US = 3_000_000
 DARK_US = 1_500_000
 ALIVE_US = 500_000
+FORMER = 8
 
 
 class Runner:
@@ -31,9 +32,7 @@
         self.alive_us = None
 
     def take_report(self, report, now_us):
-        if report["incarnation"] < self.incarnation:
-            return
-        if report["incarnation"] > self.incarnation:
+        if report["incarnation"] != self.incarnation:
             self.incarnation = report["incarnation"]
             self.is_leaving = False
         self.phase = report["phase"]
@@ -59,10 +58,33 @@
         }
 
 
+class Starts:
+    """Which starts of a runner are over. A runner's own report names its start, and one whose clock was set back
+    names a lower number than before; a list behind reality may still name the former one."""
+
+    __slots__ = ("former",)
+
+    def __init__(self):
+        self.former = {}
+
+    def is_new(self, runner, incarnation, is_reported):
+        former = self.former.get(runner.name, ())
+        if incarnation == runner.incarnation or incarnation in former:
+            return False
+        if incarnation < runner.incarnation and not is_reported:
+            return False
+        self.former[runner.name] = (*former, runner.incarnation)[-FORMER:]
+        return True
+
+    def forget(self, names):
+        for name in [name for name in self.former if name not in names]:
+            del self.former[name]
+
+
 class Roster:
     """A router's list of runners, told by the roster duty's holder, with its own first-hand word on top."""
 
-    __slots__ = ("node", "runners", "place", "taken_us", "evidence", "on_new")
+    __slots__ = ("node", "runners", "place", "taken_us", "evidence", "on_new", "starts")
 
     def __init__(self, node):
         self.node = node
@@ -71,6 +93,7 @@
         self.taken_us = None
         self.evidence = {}
         self.on_new = []
+        self.starts = Starts()
 
     def is_fresh(self):
         return self.taken_us is not None and self.node.now_us() - self.taken_us <= STALE_US
@@ -88,16 +111,17 @@
             self._take_record(record, now_us)
         for name in [name for name in self.runners if name not in named]:
             self.runners.drop(name)
+        self.starts.forget(self.runners)
         for hear in self.on_new:
             hear()
 
     def _take_record(self, record, now_us):
         runner = self.runners.get(record["name"])
-        if runner is None or record["incarnation"] > runner.incarnation:
+        if runner is None or self.starts.is_new(runner, record["incarnation"], record["age_us"] is not None):
             runner = self.runners[record["name"]] = Runner(
                 record["name"], record["address"], record["zone"], record["incarnation"]
             )
-        elif record["incarnation"] < runner.incarnation:
+        elif record["incarnation"] != runner.incarnation:
             return
         runner.address = record["address"]
         runner.is_listed = record["is_listed"]
--- a/packages/stage/src/linkhaven/stage/faults/edge.py
+++ b/packages/stage/src/linkhaven/stage/faults/edge.py
@@ -76,7 +76,7 @@
         for name in self.pick_some([*self.fleet.routers, *[host.name for host in self.fleet.registries.values()]], 4):
             hosts[name].skew_us += dice.choice((SECOND // 2, 2 * SECOND, 7 * SECOND, 40 * SECOND))
         router, runner = self.fleet.routers[self.pick(self.fleet.routers)], self.fleet.runners[self.pick(self.fleet.runners)]
-        router.wall_skew_us = runner.wall_skew_us = -self.world.now_us // 2
+        router.wall_skew_us = runner.wall_skew_us = -3_600 * SECOND
         return self._kill_all([router, runner])
 
     def cut_router(self, name=None):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -710,3 +710,21 @@
     assert explain("edge-5", "edge-1-1-999")[1]["code"] == "no_such_request"
     fleet.routers["edge-1"].kill()
     assert explain("edge-5", asked.request)[1]["code"] == "no_such_request"
+
+
+def test_a_runner_that_starts_again_with_its_clock_set_back_is_used_again():
+    fleet, _ = make(LICENSING, 40)
+    fleet.load(8.0)
+    world, host = fleet.world, fleet.runners["runner-4"]
+    world.run_for(2 * SECOND)
+    host.kill()
+    host.wall_skew_us = -3_600 * SECOND
+    world.run_for(SECOND)
+    host.start()
+    fleet.list_runners()
+    begun_us = world.now_us
+    world.run_for(8 * SECOND)
+    assert {router.node.roster.runners["runner-4"].incarnation for router in fleet.routers.values()} == {host.node.incarnation}
+    assert [facts for at_us, facts in noted(fleet, "begin") if facts["runner"] == "runner-4" and at_us > begun_us]
+    fleet.settle()
+    assert fleet.summary(begun_us + 4 * SECOND)["troubled"] == 0
