--- a/packages/stage/src/linkhaven/stage/measure.py
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -1,7 +1,7 @@
 from linkhaven.pairing import NO_BOUND_US, Decision, Pairing
 from linkhaven.runner.roster import PREFILL
 
-from .faults import Faults
+from .faults import ALL, Faults
 from .fleet import DEPLOYMENTS, SimFleet, percentile
 from .scenario import Scenario
 
@@ -168,17 +168,12 @@
     return None
 
 
-RECOVERIES = (
-    "kill_router", "kill_many_routers", "freeze_router", "cut_router", "cut_router_one_way", "kill_core", "freeze_holder",
-    "empty_core", "restart_core", "cut_core", "stall_disk", "crash_runner", "dark_runner", "freeze_runner", "replace_runner",
-    "lapse_handles", "slow_links", "break_conns", "crowd",
-)
 
 
 def measure_recovery(deployment, seeds, tell):
     """Per fault: served share while it lasts, and time from its close until 90 percent of each second's requests are served."""
-    for fault in RECOVERIES:
-        times, during = [], []
+    for fault in ALL:
+        times, during, good = [], [], []
         for seed in range(1, seeds + 1):
             scenario = Scenario(deployment, seed).load(3)
             begun_us = scenario.fleet.world.now_us
@@ -187,8 +182,9 @@
             scenario.close().end(calm_s=20)
             seen = scenario.fleet.summary(begun_us, closed_us)
             during.append(seen["served"] / max(1, seen["asked"]))
+            good.append(seen["good"] / max(1, seen["asked"]))
             times.append(_recovered_s(scenario.fleet, closed_us))
-        tell({"fault": fault, "served_during": round(sum(during) / len(during), 3), "recovered_s_median": percentile(times, 0.5), "recovered_s_max": max(times)})
+        tell({"fault": fault, "served_during": round(sum(during) / len(during), 3), "goodput_during": round(sum(good) / len(good), 3), "recovered_s_median": percentile(times, 0.5), "recovered_s_max": max(times)})
 
 
 def _without_credit(deployment):
