Simulator: what if groups, credit or kinds change; answers per group; faults aimed by list

Cause: what-if questions knew fleet, demand, TaiChi and faults only, and guessed from a fault's name what it may be aimed at, which no longer held with 65 faults. Example questions ask about credit.

--- a/packages/simulator/src/linkhaven/simulator/answer.py
+++ b/packages/simulator/src/linkhaven/simulator/answer.py
@@ -49,6 +49,9 @@
     return {
         "all": summarise(asked, kinds),
         "kinds": {kind: summarise([one for one in asked if one.kind == kind], kinds) for kind in fleet.mix},
+        "groups": {
+            group: summarise([one for one in asked if kinds[one.kind]["group"] == group], kinds) for group in fleet.plan["groups"]
+        },
         "prefill_runners": sum(phase == "prefill" for phase in phases.values()), "runners": len(phases),
         "extra_shots": sum(sum(host.node.extra.spent.values()) for host in fleet.routers.values() if host.node),
         "broken_rules": sorted(judge(
--- a/packages/simulator/src/linkhaven/simulator/question.py
+++ b/packages/simulator/src/linkhaven/simulator/question.py
@@ -3,9 +3,10 @@
 import trafaret as t
 
 from linkhaven.plan import check_plan
+from linkhaven.registry import DUTIES
 from linkhaven.schema import Trouble
 from linkhaven.schema.fields import NAME, list_places, number, whole
-from linkhaven.stage.faults import ALL, CORE_FAULTS
+from linkhaven.stage.faults import ALL
 from linkhaven.stage.fleet import DEPLOYMENTS
 
 SECONDS = number(least=0, most=600)
@@ -38,6 +39,8 @@
     t.Key("fleet", default=dict): t.Mapping(t.String(), t.Any()),
     t.Key("demand", default=dict): t.Mapping(NAME, number(least=0, most=100)),
     t.Key("taichi", default=dict): t.Mapping(t.String(), t.Any()),
+    t.Key("groups", default=dict): t.Mapping(NAME, t.Mapping(t.String(), t.Any())),
+    t.Key("kinds", default=dict): t.Mapping(NAME, t.Mapping(t.String(), t.Any())),
     t.Key("faults", default=list): t.List(FAULT),
 })
 
@@ -64,19 +67,37 @@
             places.append({"place": f"{place}demand/{kind}", "fault": "the plan names no such kind"})
     return places + [
         {"place": f"{place}faults/{number}/on", "fault": f"{fault['name']} cannot strike {fault['on']}"}
-        for number, fault in enumerate(question["faults"]) if "on" in fault and fault["on"] not in _targets_of(fault["name"], fleet)
+        for number, fault in enumerate(question["faults"]) if "on" in fault and fault["on"] not in _targets_of(fault["name"], question)
     ]
 
 
-def _targets_of(fault, fleet):
-    if fault == "cut_zone":
+ZONE_FAULTS = {"cut_zone", "kill_zone", "freeze_zone"}
+DUTY_FAULTS = {"freeze_holder"}
+SEAT_FAULTS = {
+    "kill_core", "freeze_core", "freeze_seat_in_a_put", "empty_core", "exchange_awake_core", "lossy_core", "full_disk",
+    "full_disk_in_a_rejoin", "stall_disk", "stall_disk_in_a_put", "slow_disk", "cut_core", "cut_seat_from_seats",
+    "cut_seat_from_edge", "slow_seat",
+}
+ROUTER_FAULTS = {"kill_router", "freeze_router", "cut_router", "cut_router_one_way", "cut_router_from_core", "jump_clock"}
+RUNNER_FAULTS = {"crash_runner", "dark_runner", "freeze_runner", "replace_runner", "rename_runner", "leave_unlisted"}
+GROUP_FAULTS = {"remove_group"}
+
+
+def _targets_of(fault, question):
+    """What a fault may be aimed at by name; every other fault picks for itself."""
+    fleet = question["fleet"]
+    if fault in ZONE_FAULTS:
         return fleet["zones"]
-    if fault in CORE_FAULTS - {"freeze_holder", "restart_core", "jump_clock"}:
+    if fault in SEAT_FAULTS:
         return ("a", "b", "c")
-    if "router" in fault and "many" not in fault or fault == "jump_clock":
+    if fault in DUTY_FAULTS:
+        return DUTIES
+    if fault in ROUTER_FAULTS:
         return [f"edge-{place + 1}" for place in range(fleet["routers"])]
-    if "runner" in fault:
+    if fault in RUNNER_FAULTS:
         return [f"runner-{place + 1}" for place in range(fleet["runners"])]
+    if fault in GROUP_FAULTS:
+        return list(question["plan"].get("groups", ()))
     return ()
 
 
@@ -114,6 +135,10 @@
     changed["demand"] = {kind: demand for kind, demand in changed["demand"].items() if demand["rate"] > 0}
     if change["taichi"]:
         changed["plan"]["taichi"] = {**changed["plan"].get("taichi", {}), **change["taichi"]}
+    for part in ("groups", "kinds"):
+        held = changed["plan"].get(part, {})
+        for name, terms in change[part].items():
+            held[name] = {**held.get(name, {}), **terms}
     changed["faults"] = [*question["faults"], *change["faults"]]
     return changed
 
@@ -132,6 +157,12 @@
         "what_if": {
             "one runner less": {"fleet": {"runners": deployment.runners - 1}},
             "twice the long work": {"demand": {min(deployment.mix, key=lambda kind: deployment.mix[kind][0]): 2}},
+            "a third of the credit for the commonest kind": {
+                "groups": {
+                    group: {"credit": {**deployment.groups[group]["credit"], "tokens": deployment.groups[group]["credit"]["tokens"] // 3}}
+                    for group in [deployment.kinds[max(deployment.mix, key=lambda kind: deployment.mix[kind][0])]["group"]]
+                },
+            },
             "a zone cut off": {"faults": [{"name": "cut_zone", "on": deployment.zones[-1], "at_s": 8, "for_s": 8}]},
             "a core machine lost": {"faults": [{"name": "empty_core", "on": "b", "at_s": 8}]},
         },
