Log and trace files that were moved away are begun anew; loopback tests have own ports

Cause: files grew without bound, and two loopback tests that run side by side could take the same hundred ports (seen once: address_taken, both failed). Before: a moved log went on in the moved file. After: the next line begins a new one, by the library's watched handler for the log, by device and inode for traces; each test has its own range below the system's own ports. Ruled out: reopening on a signal; the loop would need a third signal for what a look can tell.

--- a/packages/traces/src/linkhaven/traces/writer.py
+++ b/packages/traces/src/linkhaven/traces/writer.py
@@ -1,3 +1,4 @@
+import os
 import time
 
 from opentelemetry.exporter.otlp.json.file.trace_exporter import FileSpanExporter
@@ -10,22 +11,40 @@
 
 
 class TraceWriter:
-    """Writes each ended request as one trace: a span for the request, one for each step until the next."""
+    """Writes each ended request as one trace: a span for the request, one for each step until the next. A file that
+    was moved away is begun anew."""
 
-    __slots__ = ("provider", "tracer", "wall_ns")
+    __slots__ = ("path", "name", "file", "provider", "tracer", "wall_ns")
 
     def __init__(self, path, name, wall_ns=time.time_ns):
+        self.path = path
+        self.name = name
+        self.wall_ns = wall_ns
+        self.provider = None
         try:
-            exporter = FileSpanExporter(path)
+            self._open()
         except OSError as fault:
             raise Trouble("settings_invalid", places=[{"place": "traces", "fault": f"{path}: {fault.strerror}"}]) from None
-        resource = Resource({"service.name": "linkhaven-router", "service.instance.id": name})
+
+    def _open(self):
+        exporter = FileSpanExporter(self.path)
+        self.close()
+        resource = Resource({"service.name": "linkhaven-router", "service.instance.id": self.name})
         self.provider = TracerProvider(resource=resource, shutdown_on_exit=False)
         self.provider.add_span_processor(SimpleSpanProcessor(exporter))
         self.tracer = self.provider.get_tracer("linkhaven")
-        self.wall_ns = wall_ns
+        self.file = self._find()
+
+    def _find(self):
+        try:
+            found = os.stat(self.path)
+        except FileNotFoundError:
+            return None
+        return found.st_dev, found.st_ino
 
     def write(self, request, ended_us):
+        if self._find() != self.file:
+            self._open()
         ended_ns = self.wall_ns()
         begun_ns = ended_ns - (ended_us - request.arrived_us) * 1_000
         span = self.tracer.start_span("request", start_time=begun_ns, attributes={
@@ -40,4 +59,5 @@
         span.end(ended_ns)
 
     def close(self):
-        self.provider.shutdown()
+        if self.provider is not None:
+            self.provider.shutdown()
--- a/packages/wire/src/linkhaven/wire/log.py
+++ b/packages/wire/src/linkhaven/wire/log.py
@@ -1,6 +1,7 @@
 import time
 
 import picologging
+from picologging.handlers import WatchedFileHandler
 
 from linkhaven.clockwork import write_json
 from linkhaven.schema import EVENTS
@@ -15,7 +16,7 @@
 
 def make_log(name, level="info", path=None):
     logger = picologging.Logger(f"linkhaven.{name}", LEVELS[level])
-    handler = picologging.FileHandler(path) if path else picologging.StreamHandler()
+    handler = WatchedFileHandler(path) if path else picologging.StreamHandler()
     handler.setFormatter(picologging.Formatter("%(message)s"))
     logger.addHandler(handler)
     writers = {
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -58,12 +58,13 @@
     return True
 
 
-def find_ports():
-    return next(base for base in range(21_000, 60_000, 100) if all(is_free(base + place) for place in PORTS))
+def find_ports(first):
+    """A hundred ports below those that the system hands out; each test has a range of its own, as they run side by side."""
+    return next(base for base in range(first, first + 5_000, 100) if all(is_free(base + place) for place in PORTS))
 
 
 def test_the_whole_fleet_serves_on_real_sockets_and_stops_cleanly(tmp_path):
-    fleet = LoopbackFleet(LICENSING, str(tmp_path), find_ports())
+    fleet = LoopbackFleet(LICENSING, str(tmp_path), find_ports(16_000))
     try:
         fleet.start()
         fleet.put_plan(LICENSING.plan(), 0)
@@ -107,7 +108,7 @@
 
 def test_killed_frozen_and_full_processes_under_load_break_nothing(tmp_path):
     record = []
-    fleet = LoopbackFleet(LICENSING, str(tmp_path), find_ports(), core_settings={"core-c": {"data_bytes": 262_144}})
+    fleet = LoopbackFleet(LICENSING, str(tmp_path), find_ports(24_000), core_settings={"core-c": {"data_bytes": 262_144}})
     putter = Putter(fleet, lambda kind, **facts: record.append((0, kind, facts)))
     try:
         fleet.start()
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -24,3 +24,22 @@
     assert all(span.get("parentSpanId") == whole["spanId"] for span in spans if span is not whole)
     span_us = (int(whole["endTimeUnixNano"]) - int(whole["startTimeUnixNano"])) // 1_000
     assert 0 <= asked.ended_us - asked.asked_us - span_us < 20_000
+
+
+def test_a_log_and_a_trace_file_that_were_moved_away_are_begun_anew(tmp_path):
+    from linkhaven.router.request import Request
+    from linkhaven.wire.log import make_log
+
+    request = Request("edge-1-1-1", None, 1_000_000)
+    request.outcome = "done"
+    log_file, trace_file = tmp_path / "log", tmp_path / "traces"
+    log, traces = make_log("edge-1", path=str(log_file)), TraceWriter(str(trace_file), "edge-1")
+    for turn in range(2):
+        log(1001)
+        traces.write(request, 2_000_000)
+        log_file.rename(tmp_path / f"log.{turn}")
+        trace_file.rename(tmp_path / f"traces.{turn}")
+    traces.close()
+    for turn in range(2):
+        assert (tmp_path / f"log.{turn}").read_text().count("LH1001") == 1
+        assert (tmp_path / f"traces.{turn}").read_text().count("edge-1-1-1") == 1
