A seat that no router asks gives up its duties

The seat cut from the routers alone went on renewing the roster's duty, and nobody heard its rosters. Ruled out: the routers' majority (two seats answered them all the while); the platform.

--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -20,7 +20,7 @@
 class NewsDesk:
     """Core side of the news: holds each router's ask until there is something to tell or a hold runs out."""
 
-    __slots__ = ("node", "seat", "proposer", "image", "asks", "extras", "on_ask", "is_reading", "read_us")
+    __slots__ = ("node", "seat", "proposer", "image", "asks", "extras", "on_ask", "is_reading", "read_us", "asked_us")
 
     def __init__(self, node, seat, proposer, image):
         self.node = node
@@ -32,10 +32,12 @@
         self.on_ask = []
         self.is_reading = False
         self.read_us = 0
+        self.asked_us = node.now_us()
         node.hearers["ask"] = self.hear_ask
         node.systems.append(self.tick)
 
     def hear_ask(self, message):
+        self.asked_us = self.node.now_us()
         self.seat.directory.learn_seats(message["known"])
         for hear in self.on_ask:
             hear(message)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -13,6 +13,7 @@
 
 IMAGE_WAIT_US = 1_000_000
 USAGE_US = 5_000_000
+UNASKED_US = 1_200_000
 SEATS = ("a", "b", "c")
 DEPUTY = {"a": 0.3, "b": 0.5, "c": 0.7}
 DUTIES = ("steward", "bursar", "roster")
@@ -55,7 +56,7 @@
         self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences, self._hear_usage]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.hearers["image"] = self._hear_image
-        self.systems.append(self._adopt_image)
+        self.systems += [self._adopt_image, self._watch_edge]
         self.paths.update({
             ("GET", "/v1/core"): self.serve_core,
             ("GET", "/v1/groups"): self.serve_groups,
@@ -146,6 +147,13 @@
 
         self.proposer.change("plan", step, done)
 
+    def _watch_edge(self, now_us):
+        """A seat that no router asks any more, though routers run, serves nobody with its duties."""
+        if now_us - self.news.asked_us < UNASKED_US or not self.ring.live("router"):
+            return
+        for duty in self.duties.values():
+            duty.give_up()
+
     def _add_roster(self, ask, facts):
         rank = self._roster_rank()
         if rank is not None and self.keeper.is_ready():
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -728,3 +728,17 @@
     assert [facts for at_us, facts in noted(fleet, "begin") if facts["runner"] == "runner-4" and at_us > begun_us]
     fleet.settle()
     assert fleet.summary(begun_us + 4 * SECOND)["troubled"] == 0
+
+
+def test_a_seat_that_no_router_reaches_leaves_its_duties_to_the_others():
+    fleet, faults = make(LICENSING, 41)
+    fleet.load(6.0)
+    fleet.world.run_for(2 * SECOND)
+    begun_us = fleet.world.now_us
+    lone = next(seat for seat, host in fleet.registries.items() if host.node.duties["roster"].is_held())
+    faults.begin("cut_seat_from_edge", lone)
+    fleet.world.run_for(12 * SECOND)
+    fleet.settle()
+    told = fleet.summary(begun_us)
+    assert told["served"] >= 0.85 * told["asked"]
+    assert holder_of(fleet, "roster") is not fleet.registries[lone]
