Sabotage: a shot kept at every router breaks the budget once more run than planned

Before: the bound over more routers than planned was only shown to hold. After: with the bursar's parts taken out, 18 routers spend past a fifth and the margin in ten seconds; with them they do not.

--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -102,6 +102,27 @@
     return scenario.fault("garble_streams", "end").load(6).close().end(calm_s=3)
 
 
+def keep_a_shot_at_every_router(monkeypatch):
+    def take_part(self, part, grant, until_us):
+        self.until_us = 1 << 60
+        self.bucket.resize(0.0, 1.0, self.node.now_us())
+
+    monkeypatch.setattr(ExtraBudget, "take_part", take_part)
+
+
+def fail_after_a_crowd_at_more_routers_than_planned(fleet_of):
+    scenario = fleet_of("licensing", 21, routers=18).load(6, 40.0)
+    fleet = scenario.fleet
+    fleet.settle()
+    fleet.world.run_for(11 * SECOND)
+    scenario.fault("garble_streams", "end")
+    for host in list(fleet.routers.values()) * 2:
+        fleet.ask("seat-question", [host.address])
+        fleet.world.run_for(50_000)
+    fleet.world.run_for(3 * SECOND)
+    return scenario.close().end(calm_s=3)
+
+
 def overlook_leaving(monkeypatch):
     monkeypatch.setattr(RosterKeeper, "_mark_leaving", lambda self, runner: None)
 
@@ -326,6 +347,7 @@
     (let_keys_pass, one_key_through_two_routers, "one_time_work_runs_once"),
     (trust_any_plan, put_while_a_router_is_cut_off, "plans_are_in_force"),
     (spend_freely, break_every_stream, "extra_shots_keep_to_the_budget"),
+    (keep_a_shot_at_every_router, fail_after_a_crowd_at_more_routers_than_planned, "extra_shots_keep_to_the_budget"),
     (overlook_leaving, leave_slowly, "leaving_runners_get_no_work"),
     (relay_anything, skip_pieces, "streams_are_whole"),
     (refuse_what_was_begun, crash_under_checks, "a_refusal_means_not_done"),
