Checker: queued work of a removed kind is refused when the removal is known

Ruled out: a late router; each was refused as it took the plan. After: judged within two seconds of a plan's acknowledgement; a record that is later than that still fails.

--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -238,10 +238,11 @@
             fences[facts["runner"]] = max(fence, fences.get(facts["runner"], 0))
 
 
-def refusals_come_in_time(record, at_once_us=SECOND // 2, claim_us=5 * SECOND // 2, closed_us=11 * SECOND // 5, **terms):
+def refusals_come_in_time(record, at_once_us=SECOND // 2, claim_us=5 * SECOND // 2, closed_us=11 * SECOND // 5, in_force_us=2 * SECOND, **terms):
     """What is refused hears so when it is known: at once where only the call was looked at, soon after its router shut
     (a conn still being made has two seconds), never at the deadline for want of credit or behind a closed router."""
     asked, shuts, still = {}, defaultdict(list), _still_spans(record)
+    acked = [at_us for at_us, facts in _of(record, "acked")]
     for at_us, kind, facts in record:
         if kind == "asked":
             asked[facts["id"]] = (at_us, facts)
@@ -257,6 +258,8 @@
             known_us = asked_us + at_once_us + (claim_us if call["key"] else 0)
             if facts["code"] in CLOSED:
                 known_us = max([known_us, *[shut_us + closed_us for shut_us in shuts[router] if shut_us < at_us]])
+            if facts["code"] == "unknown_kind":
+                known_us = max([known_us, *[acked_us + in_force_us for acked_us in acked if acked_us < at_us]])
             if facts["code"] in (*AT_ONCE, *CLOSED) and at_us > known_us:
                 yield f"{facts['id']} was refused with {facts['code']} {at_us - known_us} us later than {router} could know"
 
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -146,6 +146,11 @@
         [asked("a"), ended("a", "refused", at=5 * S, code="deadline_unserved", cause="no_room")],
         [asked("a"), ended("a", "refused", at=5 * S, code="deadline_unserved", cause="credit")],
     ),
+    (
+        checkers.refusals_come_in_time,
+        [asked("a"), acked(2, "p", at=5 * S), ended("a", "refused", at=6 * S, code="unknown_kind")],
+        [asked("a"), acked(2, "p", at=S), ended("a", "refused", at=6 * S, code="unknown_kind")],
+    ),
     (
         checkers.answers_fit_their_mark,
         [put("p", {"check": {"group": "g"}}), acked(1, "p"), asked("a"), ended("a", "done", mark=1)],
