--- a/packages/credit/src/linkhaven/credit/bursar.py
+++ b/packages/credit/src/linkhaven/credit/bursar.py
@@ -104,7 +104,7 @@
         part = parts.get(router, 1 if spare > 0 else 0)
         return max(0, min(part, int(self._left(EXTRA, router, margin, now_us))))
 
-    def _rate_for(self, group, router, total, now_us, floor=0.0):
+    def _rate_for(self, group, router, total, now_us, floor):
         wanted = self._wanted(group, now_us)
         if router not in wanted:
             return 0.0
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -78,7 +78,7 @@
     def _cell_to_keep(self, key):
         cell = self.cells.get(key)
         if cell is None:
-            cell = self.cells[key] = Cell(kept_us=self.run_us())
+            cell = self.cells[key] = Cell(kept_us=self.clock_us)
             if key.startswith(CLAIM):
                 self.claims.append((cell.kept_us, key))
         return cell
@@ -206,10 +206,6 @@
         cell = self.cells.get(key)
         return cell is None or cell.accepted is None or cell.chosen == cell.accepted
 
-    def run_us(self):
-        """Time that this core lived through; a leap of its clock ages nothing."""
-        return self.clock_us
-
     def restore(self):
         return self.rejoin.restore()
 
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -70,6 +70,13 @@
         self.line("The plan fits.")
 
 
+def read_expect(command, least):
+    text = command.option("expect")
+    if text is None or not text.isdigit() or int(text) < least:
+        raise Trouble("bad_request", places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}])
+    return int(text)
+
+
 class PlanPutCommand(CodedCommand):
     name = "plan put"
     description = "Put a plan file in the place of the plan with the expected mark."
@@ -81,11 +88,8 @@
     ]
 
     def act(self):
-        expect = self.option("expect")
-        if expect is None or not expect.isdigit():
-            raise Trouble("bad_request", places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}])
         document = {
-            "expect": int(expect), "put_id": self.option("put-id") or str(uuid.uuid4()),
+            "expect": read_expect(self, 0), "put_id": self.option("put-id") or str(uuid.uuid4()),
             "plan": read_document(self.argument("file")),
         }
         self.line_error(f"put id {document['put_id']}")
@@ -121,10 +125,7 @@
     """One group or kind of the plan, changed under the mark that the operator expects."""
 
     def change(self, method, part, document):
-        expect = self.option("expect")
-        if expect is None or not expect.isdigit() or not int(expect):
-            raise Trouble("bad_request", places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}])
-        document = {"expect": int(expect), "put_id": self.option("put-id") or str(uuid.uuid4()), **document}
+        document = {"expect": read_expect(self, 1), "put_id": self.option("put-id") or str(uuid.uuid4()), **document}
         self.line_error(f"put id {document['put_id']}")
         self.show(call_json(self.option("registry"), method, f"/v1/{part}/{self.argument('name')}", document))
 
