--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -1,12 +1,15 @@
 from linkhaven.schema import Trouble
 
+from .terms import Terms
+
 LATE_TICK_US = 1_000_000
 
 
 class Node:
-    __slots__ = ("name", "address", "ports", "hearers", "paths", "systems", "ticked_us", "on_late", "on_hear")
+    __slots__ = ("name", "address", "ports", "hearers", "paths", "systems", "ticked_us", "on_late", "on_hear", "terms")
 
-    def __init__(self, name, address, ports):
+    def __init__(self, name, address, ports, terms=None):
+        self.terms = terms or Terms()
         self.name = name
         self.address = address
         self.ports = ports
