Wire: Door for opaque requests, pooled outgoing connections, direct calls by the poller

Cause: a router of opaque traffic needs callers' requests whole and unchanged, runners' connections kept open, and a cheap turn of the loop. Until now every read was two events of circuits, every outgoing call opened a connection of its own, and each line to a fellow was a write of its own.

Before: WebInlet (circuits.web) only; Outlet.open always with connection: close. A turn without events of circuits goes straight to clock and poller. A runner's reset no longer passes for the end of a body that lasts until close.

--- a/packages/wire/src/linkhaven/wire/__init__.py
+++ b/packages/wire/src/linkhaven/wire/__init__.py
@@ -1,5 +1,6 @@
+from .door import Door, DoorCall, DoorLimits
 from .log import make_log
 from .settings import check_settings, read_settings
 from .shell import Shell
 
-__all__ = ["Shell", "check_settings", "make_log", "read_settings"]
+__all__ = ["Door", "DoorCall", "DoorLimits", "Shell", "check_settings", "make_log", "read_settings"]
--- /dev/null
+++ b/packages/wire/src/linkhaven/wire/door.py
@@ -0,0 +1,394 @@
+import re
+from http import HTTPStatus
+
+import h11
+from circuits import BaseComponent
+
+from linkhaven.clockwork import Call, write_json
+
+from .plug import Listener, Plug
+from .pool import gather_headers, list_fields
+
+ROOM_BYTES = 65_536
+LINGER_US = 1_000_000
+LOOK_US = 250_000
+HEAD_END = re.compile(rb"\n\r?\n")
+UNFIT_HEAD = re.compile(rb"(?<!\r)\n|\r(?!\n)|\n[ \t]|\x00")
+OWN = frozenset(("connection", "keep-alive", "transfer-encoding", "content-length"))
+REASONS = {status.value: status.phrase for status in HTTPStatus}
+FAULTS = {400: "bad_request", 408: "too_slow", 413: "too_large", 431: "head_too_large"}
+REMEDIES = {
+    400: "Send a request that is proper HTTP/1.1.",
+    408: "Send the request sooner; it was not read.",
+    413: "Send a smaller body.",
+    431: "Send fewer or shorter headers.",
+}
+
+
+class DoorLimits:
+    __slots__ = ("head_bytes", "body_bytes", "head_us", "idle_us", "connections")
+
+    def __init__(self, head_bytes=16_384, body_bytes=4_194_304, head_us=3_000_000, idle_us=15_000_000, connections=2_000):
+        self.head_bytes = head_bytes
+        self.body_bytes = body_bytes
+        self.head_us = head_us
+        self.idle_us = idle_us
+        self.connections = connections
+
+
+def write_head(status, fields):
+    head = "".join([f"HTTP/1.1 {status} {REASONS.get(status, '')}\r\n", *[f"{name}: {value}\r\n" for name, value in fields], "\r\n"])
+    if head.count("\n") != len(fields) + 2 or head.count("\r") != len(fields) + 2 or "\0" in head:
+        raise ValueError("a header of the answer holds a line end")
+    return head.encode("latin-1")
+
+
+def has_token(headers, name, token):
+    return token in [part.strip() for part in headers.get(name, "").lower().split(",")]
+
+
+class DoorCall(Call):
+    """One request of a caller, whole, and the way to answer it."""
+
+    __slots__ = ("connection", "fields", "is_full", "is_bare", "is_chunked", "left")
+
+    def __init__(self, connection, method, path, headers, fields, body):
+        super().__init__(method, path, headers, body)
+        self.connection = connection
+        self.fields = fields
+        self.is_full = False
+        self.is_bare = method == "HEAD"
+        self.is_chunked = False
+        self.left = None
+
+    def _own_fields(self, headers):
+        return [(name, value) for name, value in list_fields(headers) if name.lower() not in OWN]
+
+    def _told_length(self, headers):
+        for name, value in list_fields(headers):
+            if name.lower() == "content-length":
+                return int(value)
+        return None
+
+    def answer(self, status, headers, body):
+        if self.is_ended or self.is_begun:
+            return
+        fields = self._own_fields(headers)
+        if status == 204:
+            length, body = None, b""
+        elif status == 304 or self.is_bare:
+            length = self._told_length(headers) if not body else len(body)
+            body = b""
+        else:
+            length = len(body)
+        if length is not None:
+            fields.append(("content-length", length))
+        data = write_head(status, fields + self.connection.life_fields()) + body
+        self.is_begun = self.is_ended = True
+        self.connection.plug.send(data)
+        self.connection.end_answer()
+
+    def begin(self, status, headers):
+        if self.is_ended or self.is_begun:
+            return
+        fields = self._own_fields(headers)
+        length = self._told_length(headers)
+        self.is_bare = self.is_bare or status in (204, 304)
+        if length is not None and status != 204:
+            fields.append(("content-length", length))
+        if self.is_bare:
+            self.left = None
+        elif length is not None:
+            self.left = length
+        elif self.connection.is_old:
+            self.connection.is_last = True
+        else:
+            self.is_chunked = True
+            fields.append(("transfer-encoding", "chunked"))
+        data = write_head(status, fields + self.connection.life_fields())
+        self.is_begun = True
+        self.connection.plug.send(data)
+
+    def write(self, data):
+        if self.is_ended or not self.is_begun:
+            return False
+        plug = self.connection.plug
+        if data and not self.is_bare:
+            if self.is_chunked:
+                data = b"%x\r\n%b\r\n" % (len(data), data)
+            elif self.left is not None:
+                if len(data) > self.left:
+                    self.cut()
+                    return False
+                self.left -= len(data)
+            plug.send(data)
+        if plug.out_bytes <= ROOM_BYTES:
+            return True
+        self.is_full = True
+        return False
+
+    def finish(self):
+        if self.is_ended:
+            return
+        if self.left or not self.is_begun:
+            return self.cut()
+        self.is_ended = True
+        if self.is_chunked:
+            self.connection.plug.send(b"0\r\n\r\n")
+        self.connection.end_answer()
+
+    def cut(self):
+        if self.is_ended:
+            return
+        self.is_ended = True
+        by_close = self.is_begun and not self.is_bare and not self.is_chunked and self.left is None
+        self.connection.close(by_reset=by_close)
+
+    def make_room(self, out_bytes):
+        if not self.is_full or self.is_ended or out_bytes >= ROOM_BYTES // 2:
+            return
+        self.is_full = False
+        if self.on_room:
+            self.on_room()
+
+
+class DoorConnection:
+    """One caller's connection: a request is read whole, answered, and only then is the next one read."""
+
+    __slots__ = (
+        "door", "plug", "http", "head", "request", "parts", "body_bytes", "call", "rest",
+        "since_us", "is_idle", "is_last", "is_old", "is_closing", "is_lingering", "is_continued",
+    )
+
+    def __init__(self, door, sock):
+        self.door = door
+        self.rest = b""
+        self.call = None
+        self.is_last = False
+        self.is_old = False
+        self.is_closing = False
+        self.is_lingering = False
+        self._await_request()
+        self.plug = Plug(door.poller, self._on_data, self._on_close, self._on_sent)
+        self.plug.take(sock)
+
+    def _await_request(self):
+        self.http = None
+        self.head = bytearray()
+        self.request = None
+        self.parts = []
+        self.body_bytes = 0
+        self.is_continued = False
+        self.is_idle = True
+        self.since_us = self.door.clock.now_us()
+
+    def life_fields(self):
+        self.is_last = self.is_last or self.door.is_closing
+        return [("connection", "close")] if self.is_last else []
+
+    def _on_data(self, data):
+        if self.is_closing:
+            return
+        if self.call is None and not self.rest:
+            return self._take(data)
+        self.rest += data
+        if len(self.rest) > self.door.limits.head_bytes:
+            self.plug.hold()
+
+    def _take(self, data):
+        if self.http is not None:
+            if self.request is not None:
+                self.since_us = self.door.clock.now_us()
+            self.http.receive_data(data)
+            return self._read_events()
+        begun = len(self.head)
+        self.head += data
+        while not begun and self.head.startswith(b"\r\n"):
+            del self.head[:2]
+        if not self.head:
+            return
+        if self.is_idle and self.head != b"\r":
+            self.is_idle = False
+            self.since_us = self.door.clock.now_us()
+        limit = self.door.limits.head_bytes
+        found = HEAD_END.search(self.head, max(0, begun - 3))
+        if found is None:
+            if len(self.head) > limit:
+                self.refuse(431)
+            return
+        if found.end() > limit:
+            return self.refuse(431)
+        if UNFIT_HEAD.search(self.head, 0, found.end()):
+            return self.refuse(400)
+        self.http = h11.Connection(h11.SERVER, max_incomplete_event_size=limit)
+        self.http.receive_data(bytes(self.head))
+        self.head = bytearray()
+        self._read_events()
+
+    def _read_events(self):
+        try:
+            while True:
+                event = self.http.next_event()
+                if event is h11.NEED_DATA:
+                    return self._continue()
+                kind = type(event)
+                if kind is h11.Request:
+                    if not self._take_request(event):
+                        return
+                elif kind is h11.Data:
+                    self.body_bytes += len(event.data)
+                    if self.body_bytes > self.door.limits.body_bytes:
+                        return self.refuse(413)
+                    self.parts.append(event.data)
+                elif kind is h11.EndOfMessage:
+                    return self._open_call()
+                else:
+                    return self.refuse(400)
+        except h11.RemoteProtocolError:
+            self.refuse(400)
+
+    def _take_request(self, request):
+        self.request = gather_headers(request.headers), request
+        headers = self.request[0]
+        self.is_old = request.http_version != b"1.1"
+        self.is_last = self.is_old or has_token(headers, "connection", "close")
+        if "transfer-encoding" in headers and ("content-length" in headers or self.is_old):
+            self.refuse(400)
+            return False
+        if int(headers.get("content-length", 0)) > self.door.limits.body_bytes:
+            self.refuse(413)
+            return False
+        self.since_us = self.door.clock.now_us()
+        return True
+
+    def _continue(self):
+        if self.is_continued or self.request is None or not self.http.they_are_waiting_for_100_continue:
+            return
+        self.is_continued = True
+        self.plug.send(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def _open_call(self):
+        headers, request = self.request
+        fields = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers.raw_items()]
+        self.rest = self.http.trailing_data[0]
+        self.http = self.request = None
+        body, self.parts = b"".join(self.parts), []
+        call = self.call = DoorCall(self, request.method.decode("latin-1"), request.target.decode("latin-1"), headers, fields, body)
+        self.door.on_call(call)
+
+    def end_answer(self):
+        self.call = None
+        if self.is_last:
+            self.is_closing = True
+            self.since_us = self.door.clock.now_us()
+            if not self.plug.out_bytes:
+                self.door.poller.after(self._on_sent)
+            return
+        self._await_request()
+        if self.rest:
+            self.is_idle = False
+            self.door.poller.after(self._take_rest)
+
+    def _take_rest(self):
+        if self.plug.is_over or self.is_closing or self.call is not None:
+            return
+        data, self.rest = self.rest, b""
+        self.plug.release()
+        self._take(data)
+
+    def refuse(self, status):
+        """Answers a request that was not read whole, and closes once the caller has had time to read the answer."""
+        body = write_json({"code": FAULTS[status], "done": "no", "message": REMEDIES[status]})
+        fields = [("content-type", "application/json"), ("content-length", len(body)), ("connection", "close")]
+        head = write_head(status, fields)
+        is_bare = self.request is not None and self.request[1].method == b"HEAD"
+        self.http = self.request = None
+        self.parts = []
+        self.is_closing = self.is_lingering = True
+        self.since_us = self.door.clock.now_us()
+        self.plug.send(head if is_bare else head + body)
+
+    def _on_sent(self):
+        if self.plug.is_over:
+            return
+        if self.call is not None:
+            return self.call.make_room(self.plug.out_bytes)
+        if not self.is_closing or self.plug.out_bytes:
+            return
+        if not self.is_lingering and not self.rest:
+            return self.close()
+        self.is_lingering = True
+        self.plug.release()
+        self.plug.end_sending()
+
+    def _on_close(self, has_begun):
+        self.door.connections.discard(self)
+        call, self.call = self.call, None
+        if call is not None:
+            call.has_gone()
+
+    def close(self, by_reset=False):
+        self.call = None
+        self.door.connections.discard(self)
+        if by_reset:
+            return self.plug.reset()
+        self.plug.close()
+
+    def look(self, now_us, limits):
+        """Ends what took too long: an idle connection, a head, a body that stalls, an end nobody reads."""
+        if self.call is not None:
+            return
+        spent_us = now_us - self.since_us
+        if self.is_closing:
+            if spent_us > (LINGER_US if not self.plug.out_bytes else limits.idle_us):
+                self.close()
+        elif self.is_idle:
+            if spent_us > limits.idle_us:
+                self.close()
+        elif spent_us > (limits.head_us if self.request is None else limits.idle_us):
+            self.refuse(408)
+
+
+class Door(BaseComponent):
+    """HTTP in, by h11: opaque requests of callers, each handed on once it was read whole."""
+
+    channel = "door"
+
+    def __init__(self, address, on_call, limits, poller, clock):
+        super().__init__()
+        self.on_call = on_call
+        self.limits = limits or DoorLimits()
+        self.poller = poller
+        self.clock = clock
+        self.is_closing = False
+        self.connections = set()
+        self.looked_us = 0
+        self.listener = Listener(poller, clock, address, self._on_sock)
+        self.address = self.listener.address
+
+    def _on_sock(self, sock):
+        if len(self.connections) >= self.limits.connections and not self._close_longest_idle():
+            return sock.close()
+        self.connections.add(DoorConnection(self, sock))
+
+    def _close_longest_idle(self):
+        idle = [connection for connection in self.connections if connection.call is None and connection.is_idle]
+        if not idle:
+            return False
+        min(idle, key=lambda connection: connection.since_us).close()
+        return True
+
+    def close_idle(self):
+        for connection in list(self.connections):
+            if connection.call is None and connection.is_idle:
+                connection.close()
+
+    def stop_listening(self):
+        self.listener.close()
+
+    def look(self, now_us):
+        if now_us - self.looked_us < LOOK_US:
+            return
+        self.looked_us = now_us
+        for connection in list(self.connections):
+            connection.look(now_us, self.limits)
--- a/packages/wire/src/linkhaven/wire/inlet.py
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -7,6 +7,7 @@
 from linkhaven.clockwork import Call, read_json, write_json
 from linkhaven.schema import Trouble
 
+from .plug import Listener, Plug
 from .settings import split_address
 
 LINE_BYTES = 16_000_000
@@ -16,39 +17,53 @@
 CODES = {404: "unknown_path", 413: "too_large"}
 
 
-class LinesInlet(BaseComponent):
-    """JSON lines from fellows."""
+class LinesConnection:
+    """One fellow's connection, read line by line."""
 
-    channel = "lines"
+    __slots__ = ("inlet", "plug", "rest")
 
-    def __init__(self, address, on_line):
-        super().__init__()
-        self.on_line = on_line
-        self.rests = {}
-        TCPServer(split_address(address), channel="lines", bufsize=READ_BYTES).register(self)
+    def __init__(self, inlet, sock):
+        self.inlet = inlet
+        self.rest = b""
+        self.plug = Plug(inlet.poller, self._on_data, self._on_close)
+        self.plug.take(sock)
 
-    @handler("read")
-    def _on_read(self, sock, data):
-        lines = (self.rests.pop(sock, b"") + data).split(b"\n")
-        rest = lines.pop()
+    def _on_data(self, data):
+        *lines, self.rest = (self.rest + data).split(b"\n")
         for line in lines:
             if not line.strip():
                 continue
             try:
                 message = read_json(line)
             except Trouble:
-                self.fire(close(sock))
-                return
+                return self.close()
             if isinstance(message, dict):
-                self.on_line(message)
-        if len(rest) > LINE_BYTES:
-            self.fire(close(sock))
-        elif rest:
-            self.rests[sock] = rest
-
-    @handler("disconnect")
-    def _on_disconnect(self, sock):
-        self.rests.pop(sock, None)
+                self.inlet.on_line(message)
+        if len(self.rest) > LINE_BYTES:
+            self.close()
+
+    def _on_close(self, has_begun):
+        self.inlet.connections.discard(self)
+
+    def close(self):
+        self.plug.close()
+        self.inlet.connections.discard(self)
+
+
+class LinesInlet(BaseComponent):
+    """JSON lines from fellows."""
+
+    channel = "lines"
+
+    def __init__(self, address, on_line, poller, clock):
+        super().__init__()
+        self.on_line = on_line
+        self.poller = poller
+        self.connections = set()
+        self.listener = Listener(poller, clock, address, self._on_sock)
+
+    def _on_sock(self, sock):
+        self.connections.add(LinesConnection(self, sock))
 
 
 class WebCall(Call):
--- /dev/null
+++ b/packages/wire/src/linkhaven/wire/pool.py
@@ -0,0 +1,213 @@
+import re
+
+import h11
+
+from .plug import Plug
+
+SECOND_US = 1_000_000
+TOLD_LIFE = re.compile(r"timeout\s*=\s*\"?(\d{1,6})")
+OWN = frozenset(("host", "connection", "content-length", "transfer-encoding"))
+WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+
+
+def gather_headers(fields):
+    headers = {}
+    for name, value in fields:
+        name, value = name.decode("latin-1"), value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return headers
+
+
+def list_fields(headers):
+    return headers.items() if isinstance(headers, dict) else headers
+
+
+class PooledConnection:
+    """One connection to another process: it serves an exchange, or stands idle until its life is over."""
+
+    __slots__ = ("pool", "plug", "exchange", "until_us", "is_used")
+
+    def __init__(self, pool):
+        self.pool = pool
+        self.exchange = None
+        self.until_us = 0
+        self.is_used = False
+        outlet = pool.outlet
+        self.plug = Plug(outlet.poller, self._on_data, self._on_close)
+        self.plug.connect(pool.address)
+        outlet.soon(self.plug.give_up, outlet.connect_us)
+
+    def serve(self, exchange, data):
+        self.exchange = exchange
+        self.plug.has_begun = False
+        self.plug.send(data)
+
+    def _on_data(self, data):
+        if self.exchange is not None:
+            return self.exchange.take_data(data)
+        self.close()
+
+    def _on_close(self, has_begun):
+        self.pool.leave(self)
+        if self.exchange is not None:
+            self.exchange.take_close(has_begun, self.plug.is_eof)
+
+    def rest(self, life_us):
+        self.exchange = None
+        self.is_used = True
+        self.until_us = self.pool.outlet.clock.now_us() + life_us
+        self.plug.release()
+        self.pool.idle.append(self)
+
+    def close(self):
+        self.plug.close()
+        self.pool.leave(self)
+
+
+class Pool:
+    """The connections of this process to one address; of the idle ones the newest is taken first."""
+
+    __slots__ = ("outlet", "address", "open", "idle")
+
+    def __init__(self, outlet, address):
+        self.outlet = outlet
+        self.address = address
+        self.open = set()
+        self.idle = []
+
+    def take(self, keep, most):
+        if self.idle:
+            now_us = self.outlet.clock.now_us()
+            while keep and self.idle:
+                connection = self.idle.pop()
+                if connection.until_us > now_us and connection.plug.is_quiet():
+                    return connection
+                connection.close()
+            self.close_lapsed(now_us)
+        if most is not None and len(self.open) >= most:
+            return None
+        self.outlet.opened += 1
+        connection = PooledConnection(self)
+        self.open.add(connection)
+        return connection
+
+    def leave(self, connection):
+        self.open.discard(connection)
+        if connection in self.idle:
+            self.idle.remove(connection)
+        if not self.open:
+            self.outlet.drop_pool(self)
+
+    def close_lapsed(self, now_us):
+        for connection in [connection for connection in self.idle if connection.until_us <= now_us]:
+            connection.close()
+
+
+class Exchange:
+    """One HTTP call to another process, read by h11 from a pooled connection."""
+
+    __slots__ = ("outlet", "address", "connection", "http", "hearer", "data", "keep", "life_us", "is_over", "is_reused", "is_answered")
+
+    def __init__(self, outlet, address, method, path, headers, body, hearer, keep=False, host=None):
+        self.outlet = outlet
+        self.address = address
+        self.hearer = hearer
+        self.keep = keep
+        self.life_us = outlet.idle_us
+        self.connection = None
+        self.is_over = False
+        self.is_reused = False
+        self.is_answered = False
+        self.http = h11.Connection(h11.CLIENT)
+        fields = [("host", host or address)]
+        fields += [(name, value) for name, value in list_fields(headers) if name.lower() not in OWN]
+        if body or method in WITH_BODY:
+            fields.append(("content-length", str(len(body))))
+        if not keep:
+            fields.append(("connection", "close"))
+        data = self.http.send(h11.Request(method=method, target=path, headers=fields))
+        if body:
+            data += self.http.send(h11.Data(data=body))
+        self.http.send(h11.EndOfMessage())
+        self.data = data
+
+    def begin(self, connection):
+        self.connection = connection
+        self.is_reused = connection.is_used
+        connection.serve(self, self.data)
+
+    def take_data(self, data):
+        self.is_answered = True
+        try:
+            self.http.receive_data(data)
+            self._read_events()
+        except h11.RemoteProtocolError:
+            self._break(True)
+
+    def _read_events(self):
+        while not self.is_over:
+            event = self.http.next_event()
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+            kind = type(event)
+            if kind is h11.Data:
+                self.hearer.on_data(bytes(event.data))
+            elif kind is h11.Response:
+                headers = gather_headers(event.headers)
+                self._note_life(headers)
+                self.hearer.on_head(event.status_code, headers)
+            elif kind is h11.EndOfMessage:
+                return self._end()
+            elif kind is h11.ConnectionClosed:
+                return self._break(True)
+
+    def _note_life(self, headers):
+        told = TOLD_LIFE.search(headers.get("keep-alive", ""))
+        if told is None:
+            return
+        told_us = int(told[1]) * SECOND_US
+        self.life_us = max(told_us - SECOND_US, told_us // 2)
+
+    def _end(self):
+        self.is_over = True
+        connection, plug = self.connection, self.connection.plug
+        whole = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+        if self.keep and whole and not plug.is_over and not plug.out_bytes and self.http.trailing_data == (b"", False) and self.life_us:
+            connection.rest(self.life_us)
+        else:
+            connection.exchange = None
+            connection.close()
+        self.hearer.on_end()
+
+    def take_close(self, has_begun, is_eof):
+        if self.is_over:
+            return
+        if self.is_reused and not has_begun and not self.is_answered:
+            return self.begin(self.outlet.take_connection(self.address, True, None))
+        if is_eof and self.is_answered:
+            try:
+                self.http.receive_data(b"")
+                self._read_events()
+            except h11.RemoteProtocolError:
+                pass
+        self._break(has_begun or self.is_answered)
+
+    def _break(self, has_begun):
+        if self.is_over:
+            return
+        self.close()
+        self.hearer.on_trouble(has_begun)
+
+    def hold(self):
+        self.connection.plug.hold()
+
+    def release(self):
+        if not self.is_over:
+            self.connection.plug.release()
+
+    def close(self):
+        if self.is_over:
+            return
+        self.is_over = True
+        self.connection.exchange = None
+        self.connection.close()
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -1,18 +1,25 @@
+import gc
 import random
+import signal as signals
+import sys
+import threading
 import time
 
 from circuits import BaseComponent, handler
-from circuits.core.pollers import EPoll
+from circuits.core.events import exception
 
 from linkhaven.clockwork import Ports
 from linkhaven.schema import Trouble
 
+from .door import Door
 from .inlet import LinesInlet, WebInlet
 from .log import make_log
 from .outlet import Outlet
-from .ticker import Ticker
+from .poller import DirectPoller
+from .ticker import TICK_US, Ticker
 
 LOOK_US = 1_000_000
+YOUNG_OBJECTS = 20_000
 
 
 class Shell(BaseComponent):
@@ -20,34 +27,60 @@
 
     channel = "shell"
 
-    def __init__(self, name, lines, http, build, disk=None, level="info", log_path=None, body_bytes=2_000_000, conns=4_000):
+    def __init__(
+        self, name, lines, http, build, disk=None, level="info", log_path=None, body_bytes=2_000_000, conns=4_000,
+        tick_us=TICK_US, on_hangup=None,
+    ):
         super().__init__()
         self.code = 0
         self.is_stopping = False
         self.looked_us = 0
+        self.on_hangup = on_hangup
+        self.doors = []
         self.log = make_log(name, level, log_path)
-        self.ticker = Ticker(self._tick)
-        poller = EPoll().register(self)
-        self.outlet = Outlet(self.ticker, poller, lines or http, lambda message: self.node.hear(message)).register(self)
+        self.ticker = Ticker(self._tick, tick_us)
+        self.poller = DirectPoller().register(self)
+        self.outlet = Outlet(self.ticker, self.poller, lines or http, self._hear).register(self)
         if disk is not None:
             disk.attach(self.ticker)
         ports = Ports(self.ticker, self.outlet, disk, random.Random(), self.log)
         self.node = build(ports, time.time_ns() // 1_000)
         self.ticker.register(self)
-        try:
-            if lines:
-                LinesInlet(lines, lambda message: self.node.hear(message)).register(self)
-            self.web = None
-            if http:
+        self.web = None
+        if lines:
+            self.add_lines(lines)
+        if http:
+            try:
                 self.web = WebInlet(http, lambda call: self.node.serve(call), body_bytes, conns).register(self)
+            except OSError as fault:
+                raise Trouble("address_taken", http=http, why=fault.strerror) from None
+
+    def _hear(self, message):
+        self.node.hear(message)
+
+    def add_lines(self, address):
+        try:
+            return LinesInlet(address, self._hear, self.poller, self.ticker).register(self)
+        except OSError as fault:
+            raise Trouble("address_taken", lines=address, why=fault.strerror) from None
+
+    def add_door(self, address, on_call, limits=None):
+        try:
+            door = Door(address, on_call, limits, self.poller, self.ticker).register(self)
         except OSError as fault:
-            raise Trouble("address_taken", lines=lines, http=http, why=fault.strerror) from None
+            raise Trouble("address_taken", http=address, why=fault.strerror) from None
+        self.doors.append(door)
+        return door
 
     def _tick(self):
         self.node.tick()
+        now_us = self.ticker.now_us()
+        self.outlet.look(now_us)
+        for door in self.doors:
+            door.look(now_us)
         if self.web is not None:
             self.web.look_for_room()
-            self._close_idle(self.ticker.now_us())
+            self._close_idle(now_us)
 
     def _close_idle(self, now_us):
         if now_us - self.looked_us < LOOK_US:
@@ -55,14 +88,39 @@
         self.looked_us = now_us
         self.web.close_idle(now_us)
 
+    def tick(self, timeout=-1):
+        """A turn without events of circuits goes straight to the clock and the poller."""
+        if self._queue or self._tasks or not self._running:
+            return super().tick(timeout)
+        try:
+            time_left = self.ticker.turn()
+        except Exception:
+            kind, fault, trace = sys.exc_info()
+            self.fire(exception(kind, fault, trace, handler=self.ticker.turn, fevent=None))
+            return
+        self.poller.turn(0 if self._queue else time_left)
+
     def run_to_end(self):
-        self.log(1001, http=f"{self.web.host}:{self.web.port}" if self.web else None)
+        facts = {"http": f"{self.web.host}:{self.web.port}"} if self.web else {"http": self.doors[0].address if self.doors else None}
+        self.log(1001, **facts)
+        signals.signal(signals.SIGPIPE, signals.SIG_IGN)
+        if threading.current_thread() is threading.main_thread():
+            signals.signal(signals.SIGHUP, self._signal_handler)
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(YOUNG_OBJECTS, 20, 20)
         self.run()
         self.log(1003)
         return self.code
 
     @handler("signal", channel="*")
     def _on_signal(self, signo, stack):
+        if signo == signals.SIGHUP:
+            if self.on_hangup:
+                self.on_hangup()
+            return
+        if self.is_stopping and signo == signals.SIGTERM:
+            return
         if self.is_stopping or not hasattr(self.node, "drain"):
             return self.stop()
         self.is_stopping = True
--- a/packages/wire/src/linkhaven/wire/ticker.py
+++ b/packages/wire/src/linkhaven/wire/ticker.py
@@ -15,9 +15,10 @@
 
     channel = "ticker"
 
-    def __init__(self, on_tick):
+    def __init__(self, on_tick, tick_us=TICK_US):
         super().__init__()
         self.on_tick = on_tick
+        self.tick_us = tick_us
         self.agenda = []
         self.serial = 0
         self.due_us = monotonic_us()
@@ -34,13 +35,21 @@
         try:
             self._run_due()
         finally:
-            until_us = min(self.due_us, self.agenda[0][0]) if self.agenda else self.due_us
-            event.reduce_time_left(max(0.0, (until_us - monotonic_us()) / 1_000_000))
+            event.reduce_time_left(self.time_left())
+
+    def time_left(self):
+        until_us = min(self.due_us, self.agenda[0][0]) if self.agenda else self.due_us
+        return max(0.0, (until_us - monotonic_us()) / 1_000_000)
+
+    def turn(self):
+        """What falls due now; gives the seconds until the next falls due."""
+        self._run_due()
+        return self.time_left()
 
     def _run_due(self):
         now_us = monotonic_us()
         while self.agenda and self.agenda[0][0] <= now_us:
             heapq.heappop(self.agenda)[2]()
         if now_us >= self.due_us:
-            self.due_us = now_us + TICK_US
+            self.due_us = now_us + self.tick_us
             self.on_tick()
