Core: terms in use, documents kept as sent, groups without an allowance, lighter news

Cause: on the users' platform bounds are told at the start, the operator's configuration has its own text and numbers, and bytes between zones are priced. Before: bounds were constants of each module; the register held only a plan; every answer carried the whole roster; every group was capped. After: Terms set leases, holds, beats, polls and the waits of a seat; the register's value keeps document, revision and overlay beside the plan, PlanDesk.put_document and read_document serve other doors; a roster that its router holds is told by its age; kinds have doors, pools, attempts, gaps and priorities.

--- a/packages/credit/src/linkhaven/credit/book.py
+++ b/packages/credit/src/linkhaven/credit/book.py
@@ -35,10 +35,16 @@
 
     def credit_wait_us(self, ahead, tokens, now_us):
         """Until there is credit for what stands ahead and for this one, at the rate that this router has now."""
+        if not self.is_capped:
+            return 0
         if self.allowance <= 0 or self.bucket.size <= 0:
             return self.terms["credit"]["period_us"]
         return self.bucket.wait_us(ahead + min(tokens, self.bucket.size), now_us)
 
+    @property
+    def is_capped(self):
+        return self.terms["credit"] is not None
+
     @property
     def period_s(self):
         return self.terms["credit"]["period_us"] / 1_000_000
--- a/packages/credit/src/linkhaven/credit/bursar.py
+++ b/packages/credit/src/linkhaven/credit/bursar.py
@@ -49,7 +49,7 @@
             if any(share.grant == told["grant"] for share in held):
                 held[:] = [share for share in held if share.grant >= told["grant"]]
             elif told["rate"] > 0:
-                held.append(Outstanding(told["grant"], told["rate"], now_us + SHARE_US))
+                held.append(Outstanding(told["grant"], told["rate"], now_us + self.node.terms.lease_us))
 
     def _most_out(self, group, router, now_us):
         held = self.out.get(group, {}).get(router, [])
@@ -64,11 +64,11 @@
             return
         now_us = self.node.now_us()
         plan, router = self.image.plan, ask["name"]
-        is_settling = self.duty.fence > 1 and now_us - self.won_us < SHARE_US
+        is_settling = self.duty.fence > 1 and now_us - self.won_us < self.node.terms.lease_us
         shares = {}
         for group, terms in plan["groups"].items():
             told = ask.get("credit", {}).get(group)
-            if told is None:
+            if told is None or terms["credit"] is None:
                 continue
             rate = told["rate"] if is_settling else self._rate_for(group, router, self.total_of(terms), now_us, plan["floor"])
             if rate > 0:
@@ -82,7 +82,7 @@
     def _grant(self, name, router, amount, now_us):
         self.serial += 1
         grant = self.duty.fence * GRANTS_A_FENCE + self.serial
-        self.out.setdefault(name, {}).setdefault(router, []).append(Outstanding(grant, amount, now_us + SHARE_US))
+        self.out.setdefault(name, {}).setdefault(router, []).append(Outstanding(grant, amount, now_us + self.node.terms.lease_us))
         return grant
 
     def _wanted(self, name, now_us):
--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -46,6 +46,8 @@
 
     def _set_rate(self, book, now_us):
         """Without a share nothing is added; what was saved under one stays."""
+        if not book.is_capped:
+            return
         if book.share is None or now_us >= book.share_until_us:
             book.bucket.fill(now_us)
             book.bucket.rate = 0.0
@@ -56,7 +58,7 @@
 
     def take_share(self, name, rate, grant, until_us):
         book = self.groups.get(name)
-        if book is None:
+        if book is None or not book.is_capped:
             return
         if book.share is None:
             book.bucket.level = rate * FIRST_US / 1_000_000
@@ -74,7 +76,7 @@
                 "rate": book.share if book.share is not None and now_us < book.share_until_us else 0.0,
                 "grant": book.grant,
             }
-            for book in self.groups.values()
+            for book in self.groups.values() if book.is_capped
         }
 
     def enqueue(self, group, request):
@@ -127,7 +129,8 @@
             self._spend(book, tokens)
 
     def _spend(self, book, tokens):
-        book.bucket.level -= tokens
+        if book.is_capped:
+            book.bucket.level -= tokens
         book.spent += tokens
 
     def note_refused(self, group):
@@ -142,6 +145,8 @@
         }
 
     def has_credit(self, book, request, now_us):
+        if not book.is_capped:
+            return True
         return book.bucket.fill(now_us) >= min(request.prompt_tokens, book.bucket.size) and book.bucket.size > 0
 
     def serve(self, start):
--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -1,11 +1,8 @@
 import math
 
-GRANT_US = 3_000_000
 MARGIN_US = 200_000
-RENEW_US = 1_000_000
 CONTEST_US = 50_000
 RANK_US = 120_000
-QUIET_US = 1_600_000
 STEP_AT_MOST_US = 250_000
 
 
@@ -15,7 +12,7 @@
 
     __slots__ = (
         "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
-        "seen", "seen_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us", "vacant_us", "ticked_us",
+        "seen", "seen_us", "grant_us", "renew_us", "quiet_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us", "vacant_us", "ticked_us",
     )
 
     def __init__(self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None):
@@ -26,7 +23,10 @@
         self.seat = seat
         self.on_won = on_won
         self.on_lapsed = on_lapsed
-        self.rank_us = rank * RANK_US
+        self.set_rank(rank)
+        self.grant_us = node.terms.lease_us
+        self.renew_us = self.grant_us // 3
+        self.quiet_us = self.grant_us * 8 // 15
         self.fence = None
         self.renewal = 0
         self.floor = 0
@@ -35,17 +35,20 @@
         self.is_asking = False
         self.seen = None
         self.seen_us = self.ticked_us = node.now_us()
-        self.vacant_us = GRANT_US + MARGIN_US
+        self.vacant_us = self.grant_us + MARGIN_US
         self.contest_us = 0
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
 
+    def set_rank(self, rank):
+        self.rank_us = rank * RANK_US
+
     def is_held(self):
         return self.fence is not None and self.node.now_us() < self.granted_us
 
     def is_quiet(self):
         """Nobody renewed for a while: who may soon hold the duty can make ready."""
-        return self.seat.is_voting and self.node.now_us() - self.seen_us > QUIET_US
+        return self.seat.is_voting and self.node.now_us() - self.seen_us > self.quiet_us
 
     def holder(self):
         return self.seat.cell(self.key).value
@@ -68,7 +71,7 @@
         if self.fence is None:
             return
         self._lapse()
-        self._wait_anew(self.node.now_us() + GRANT_US)
+        self._wait_anew(self.node.now_us() + self.grant_us)
 
     def observe(self, value, now_us):
         seen = value and (value["fence"], value["renewal"])
@@ -79,7 +82,7 @@
 
     def _wait_anew(self, now_us):
         self.vacant_us = 0
-        self.contest_us = now_us + GRANT_US + MARGIN_US + self.rank_us + self.node.ports.dice.randrange(CONTEST_US * 2)
+        self.contest_us = now_us + self.grant_us + MARGIN_US + self.rank_us + self.node.ports.dice.randrange(CONTEST_US * 2)
 
     def _count_wait(self, now_us):
         """Only time that this node lived through counts against a holder: a leap of the clock is no wait."""
@@ -102,12 +105,12 @@
         if self.fence is not None:
             if self.floor > self.fence:
                 self._ask(now_us, self.floor + 1, 0)
-            elif now_us - self.asked_us >= RENEW_US:
+            elif now_us - self.asked_us >= self.renew_us:
                 self._ask(now_us, self.fence, self.renewal + 1)
             return
         if now_us < self.contest_us or now_us < self.seat.votes_from_us + self.rank_us:
             return
-        if self.vacant_us < GRANT_US + MARGIN_US:
+        if self.vacant_us < self.grant_us + MARGIN_US:
             return
         held = self.seen or (0, 0)
         self._ask(now_us, max(held[0], self.floor) + 1, 0)
@@ -132,12 +135,12 @@
                 self.observe(value, self.node.now_us())
             if outcome != "chosen" or value != wanted:
                 return self._rest()
-            if self.node.now_us() >= now_us + GRANT_US:
+            if self.node.now_us() >= now_us + self.grant_us:
                 return
             is_new = self.fence != fence
             self.fence = fence
             self.renewal = renewal
-            self.granted_us = now_us + GRANT_US
+            self.granted_us = now_us + self.grant_us
             if is_new:
                 self.node.ports.log(1401, duty=self.name, fence=fence)
                 self.on_won()
--- a/packages/plan/src/linkhaven/plan/check.py
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -1,13 +1,17 @@
 import trafaret as t
 
 from linkhaven.schema import Trouble
-from linkhaven.schema.fields import NAME, list_places, number, whole
+from linkhaven.schema.fields import list_places, number, whole
 
 US = whole(gte=1, lte=86_400_000_000)
 SHARE = number(least=0, most=1)
+NAME = t.Regexp(r"^[A-Za-z0-9._-]{1,128}$")
+ROUTERS = 1
+
+CREDIT = t.Dict({t.Key("tokens"): whole(gte=0), t.Key("period_us"): US})
 
 GROUP = t.Dict({
-    t.Key("credit"): t.Dict({t.Key("tokens"): whole(gte=0), t.Key("period_us"): US}),
+    t.Key("credit", default=None): t.Call(lambda credit: None if credit is None else CREDIT.check(credit)),
     t.Key("weight", default=1.0): number(above=0, most=1000),
     t.Key("queue", default=dict): t.Dict({
         t.Key("requests", default=128): whole(gte=1, lte=100_000),
@@ -26,6 +30,29 @@
     t.Key("key_required", default=False): t.Bool(),
     t.Key("prompt_tokens", default=16_000): whole(gte=1),
     t.Key("answer_tokens", default=2_000): whole(gte=1),
+    t.Key("door", optional=True): t.Dict({
+        t.Key("host"): t.String(max_length=253), t.Key("prefix"): t.Regexp(r"^/(.{0,4000}/)?$"),
+    }),
+    t.Key("pools", default=list): t.List(t.Dict({t.Key("pool"): NAME, t.Key("weight"): whole(gte=0)})),
+    t.Key("attempts", default=0): whole(gte=0),
+    t.Key("gap_us", optional=True): US,
+    t.Key("priority", default=0): whole(),
+})
+
+POOL = t.Dict({
+    t.Key("conns", default=256): whole(gte=1),
+    t.Key("health", default="/health"): t.String(max_length=4_000),
+    t.Key("slots", default=0): whole(gte=0),
+    t.Key("kv_tokens", default=0): whole(gte=0),
+    t.Key("kv_bytes_per_token", optional=True): whole(gte=0),
+    t.Key("link_bytes_per_s", optional=True): whole(gte=1),
+    t.Key("hold_us", optional=True): US,
+    t.Key("switch_us", optional=True): US,
+})
+
+LIMITS = t.Dict({
+    t.Key("head_bytes", optional=True): whole(gte=1), t.Key("body_bytes", optional=True): whole(gte=1),
+    t.Key("head_us", optional=True): US, t.Key("idle_us", optional=True): US,
 })
 
 TAICHI = t.Dict({
@@ -54,20 +81,46 @@
         t.Key("keep_us", default=86_400_000_000): whole(gte=60_000_000, lte=31_536_000_000_000),
         t.Key("most", default=200_000): whole(gte=1, lte=2_000_000),
     }),
-    t.Key("fleet"): t.Dict({t.Key("routers"): whole(gte=1, lte=1000)}),
+    t.Key("fleet", default=lambda: {"routers": ROUTERS}): t.Dict({t.Key("routers"): whole(gte=1, lte=1000)}),
+    t.Key("pools", default=dict): t.Mapping(NAME, POOL),
+    t.Key("limits", optional=True): LIMITS,
     t.Key("floor", default=0.02): SHARE,
 })
 
 
+def _door_of(kind):
+    door = kind.get("door")
+    if not isinstance(door, dict) or not isinstance(door.get("host"), str):
+        return None
+    return door["host"].lower(), str(door.get("prefix"))
+
+
+def _list_pool_clashes(name, kind, pools):
+    named = [entry for entry in kind["pools"] if isinstance(entry, dict)] if isinstance(kind.get("pools"), list) else []
+    if isinstance(pools, dict) and pools:
+        for place, entry in enumerate(named):
+            if isinstance(entry.get("pool"), str) and entry["pool"] not in pools:
+                yield {"place": f"kinds/{name}/pools/{place}/pool", "fault": f"no pool is named {entry['pool']}"}
+    weights = [entry.get("weight") for entry in named]
+    if weights and all(weight == 0 for weight in weights):
+        yield {"place": f"kinds/{name}/pools", "fault": "the weights sum to 0"}
+
+
 def _list_clashes(document):
     places = []
     groups = document.get("groups") if isinstance(document, dict) else None
     kinds = document.get("kinds") if isinstance(document, dict) else None
     if not isinstance(groups, dict) or not isinstance(kinds, dict):
         return places
+    pools = document.get("pools")
+    doors = {}
     for name, kind in kinds.items():
         if not isinstance(kind, dict):
             continue
+        places += _list_pool_clashes(name, kind, pools)
+        door = _door_of(kind)
+        if door is not None and doors.setdefault(door, name) != name:
+            places.append({"place": f"kinds/{name}/door", "fault": f"is the door of {doors[door]} too"})
         group = kind.get("group")
         if isinstance(group, str) and group not in groups:
             places.append({"place": f"kinds/{name}/group", "fault": f"no group is named {group}"})
--- a/packages/plan/src/linkhaven/plan/image.py
+++ b/packages/plan/src/linkhaven/plan/image.py
@@ -1,4 +1,4 @@
-from .check import fill_plan
+from .overlay import effective_plan
 
 
 class PlanImage:
@@ -24,7 +24,7 @@
     def take(self, value):
         if value is None or value["mark"] <= self.mark or value["mark"] < self.highest:
             return False
-        self.plan = fill_plan(value["plan"])
+        self.plan = effective_plan(value)
         self.mark = value["mark"]
         self.value = value
         self.highest = self.mark
--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -1,6 +1,4 @@
-HOLD_US = 250_000
-ANEW_US = 600_000
-STALE_US = 1_500_000
+LATE_US = 350_000
 READ_US = 100_000
 
 KEY = "plan"
@@ -41,7 +39,7 @@
         self.seat.directory.learn_seats(message["known"])
         for hear in self.on_ask:
             hear(message)
-        ask = Ask(message, self.node.now_us() + HOLD_US)
+        ask = Ask(message, self.node.now_us() + self.node.terms.news_hold_us)
         if message["mark"] > self.held_mark():
             self.image.hear_mark(message["mark"])
         self.asks[ask.back] = ask
@@ -120,11 +118,11 @@
 
     __slots__ = ("node", "directory", "image", "majority", "told", "serial", "facts", "on_news", "confirmed_us")
 
-    def __init__(self, node, directory, image, majority=2):
+    def __init__(self, node, directory, image, majority=None):
         self.node = node
         self.directory = directory
         self.image = image
-        self.majority = majority
+        self.majority = majority or node.terms.seats // 2 + 1
         self.told = {}
         self.serial = 0
         self.facts = []
@@ -134,9 +132,14 @@
         node.systems.append(self.tick)
 
     def is_fresh(self):
-        if self.image.plan is None or self.image.is_behind or self.confirmed_us is None:
+        if self.image.plan is None:
             return False
-        return self.node.now_us() - self.confirmed_us <= STALE_US
+        stale_us = self.node.terms.plan_stale_us
+        if stale_us is None:
+            return True
+        if self.image.is_behind or self.confirmed_us is None:
+            return False
+        return self.node.now_us() - self.confirmed_us <= stale_us
 
     def _ask(self, seat, address, now_us):
         told = self.told.get(seat)
@@ -186,5 +189,5 @@
     def tick(self, now_us):
         for seat, (address, _) in self.directory.seats().items():
             told = self.told.get(seat)
-            if told is None or told.id is None or now_us - told.sent_us > ANEW_US:
+            if told is None or told.id is None or now_us - told.sent_us > self.node.terms.news_hold_us + LATE_US:
                 self._ask(seat, address, now_us)
--- a/packages/register/src/linkhaven/register/proposer.py
+++ b/packages/register/src/linkhaven/register/proposer.py
@@ -37,10 +37,10 @@
 
     __slots__ = ("node", "directory", "majority", "counter", "changes", "serial")
 
-    def __init__(self, node, directory, majority=2):
+    def __init__(self, node, directory, majority=None):
         self.node = node
         self.directory = directory
-        self.majority = majority
+        self.majority = majority or node.terms.seats // 2 + 1
         self.counter = 0
         self.changes = {}
         self.serial = 0
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -3,7 +3,6 @@
 REJOINING, VOTING, WAITING, FENCED = "rejoining", "voting", "waiting", "fenced"
 
 ASK_US = 200_000
-ALONE_US = 5_000_000
 PAGE = 500
 BROWSERS_AT_MOST = 4
 
@@ -77,7 +76,7 @@
                 return self._adopt(self.told.values())
             if not is_any_empty:
                 return self._adopt(self.told.values())
-        if now_us - self.started_us < ALONE_US:
+        if now_us - self.started_us < self.node.terms.alone_us:
             return
         if not seat.is_empty:
             fit = [state for state in self.told.values() if not state["is_empty"]]
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -2,7 +2,6 @@
 
 from .rejoin import FENCED, REJOINING, VOTING, Rejoin
 
-GRANT_US = 3_000_000
 SWEEP_US = 10_000_000
 SWEPT_AT_ONCE = 2_000
 STEP_AT_MOST_US = 250_000
@@ -102,7 +101,7 @@
     def begin_votes(self):
         self.is_empty = self.is_failing = False
         self.standing = VOTING
-        self.votes_from_us = self.node.now_us() + GRANT_US
+        self.votes_from_us = self.node.now_us() + self.node.terms.lease_us
         self.directory.learn_seats(self.known_of_all())
         self.node.ports.log(1202, seat=self.seat, incarnation=self.incarnation)
         self.on_votes()
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -1,10 +1,8 @@
 from linkhaven.clockwork import Table
 from linkhaven.runner import Runner, Starts
 
-POLL_US = 250_000
-REPORT_US = 250_000
 ABANDON_US = 1_000_000
-DARK_US = 1_200_000
+PRESS_US = 250_000
 SETTLE_US = 700_000
 BLIND_US = 1_200_000
 LEFT_US = 60_000_000
@@ -17,7 +15,7 @@
 
     __slots__ = (
         "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
-        "reported_us", "heard_us", "serial", "since_us", "leaving", "on_blind", "starts",
+        "reported_us", "pressed_us", "owed_us", "heard_us", "blind_us", "changed", "serial", "since_us", "leaving", "on_blind", "starts",
     )
 
     def __init__(self, node, desk, platform, needs):
@@ -26,11 +24,15 @@
         self.platform = platform
         self.needs = needs
         self.runners = Table()
-        self.polled_us = -POLL_US
+        self.polled_us = -node.terms.poll_us
         self.listed_us = None
         self.poll = None
         self.reports = {}
-        self.reported_us = -REPORT_US
+        self.reported_us = -node.terms.report_us
+        self.pressed_us = 0
+        self.owed_us = {}
+        self.blind_us = max(BLIND_US, 3 * node.terms.poll_us)
+        self.changed = 0
         self.heard_us = {}
         self.serial = 0
         self.since_us = None
@@ -43,7 +45,7 @@
         if self.listed_us is None or self.since_us is None:
             return False
         now_us = self.node.now_us()
-        return now_us - self.since_us >= SETTLE_US and now_us - self.listed_us < BLIND_US
+        return now_us - self.since_us >= SETTLE_US and now_us - self.listed_us < self.blind_us
 
     def hear_evidence(self, message):
         now_us = self.node.now_us()
@@ -54,14 +56,17 @@
             if runner is None or runner.incarnation != incarnation:
                 continue
             if what == "leaving":
-                runner.is_leaving = True
+                self._mark_leaving(runner)
             elif what == "alive":
                 self._hear_alive(runner, now_us - age_us)
             else:
                 self._hear_dark(runner, now_us - age_us)
 
-    def document(self):
+    def document(self, held=None):
+        """The whole list, or only how old it is for who holds a serial since which nothing changed."""
         now_us = self.node.now_us()
+        if held is not None and self.changed <= held <= self.serial:
+            return {"serial": held, "age_us": now_us - self.listed_us}
         return {
             "serial": self.serial, "age_us": now_us - self.listed_us,
             "runners": [runner.as_record(now_us) for runner in self.runners.values() if runner.is_listed],
@@ -74,17 +79,36 @@
         if self.since_us is None:
             self.since_us = now_us
             self.listed_us = None
+            self._change()
             self.runners.clear()
             self.heard_us.clear()
-            self.polled_us = self.reported_us = now_us - POLL_US
-        if now_us - max(self.since_us, self.listed_us or 0) >= BLIND_US:
+            self.polled_us = now_us - self.node.terms.poll_us
+            self.reported_us = now_us - self.node.terms.report_us
+            self.owed_us.clear()
+        if now_us - max(self.since_us, self.listed_us or 0) >= self.blind_us:
             self.on_blind()
-        if now_us - self.polled_us >= POLL_US:
+        if now_us - self.polled_us >= self.node.terms.poll_us:
             self._poll(now_us)
-        if now_us - self.reported_us >= REPORT_US:
-            self.reported_us = now_us
+        if now_us - self.reported_us >= self.node.terms.report_us:
+            self.reported_us = self.pressed_us = now_us
             for runner in self.runners.rows():
                 self._ask_report(runner, now_us)
+        elif now_us - self.pressed_us >= PRESS_US:
+            self._press(now_us)
+
+    def _change(self):
+        self.serial += 1
+        self.changed = self.serial
+
+    def _facts(self, runner):
+        return {**runner.as_record(0), "age_us": None}
+
+    def _press(self, now_us):
+        """Who owes an answer is asked again sooner than the others."""
+        self.pressed_us = now_us
+        for runner in self.runners.rows():
+            if runner.is_dark or runner.name in self.owed_us:
+                self._ask_report(runner, now_us)
 
     def _poll(self, now_us):
         if self.poll is not None:
@@ -102,6 +126,7 @@
 
     def _take_list(self, document, sent_us):
         listed = set()
+        before = {name: self._facts(runner) for name, runner in self.runners.items()}
         for record in document.get("runners", []):
             name, incarnation = record["name"], record["incarnation"]
             listed.add(name)
@@ -119,16 +144,20 @@
             self.runners.drop(name)
         for name in [name for name in self.heard_us if name not in listed]:
             del self.heard_us[name]
+            self.owed_us.pop(name, None)
         for key in [key for key, left_us in self.leaving.items() if key[0] not in listed and sent_us - left_us > LEFT_US]:
             del self.leaving[key]
         self.starts.forget(listed)
         self.listed_us = sent_us
         self.serial += 1
+        if before != {name: self._facts(runner) for name, runner in self.runners.items()}:
+            self.changed = self.serial
 
     def _mark_leaving(self, runner):
         if not runner.is_leaving:
             self.node.ports.log(1603, runner=runner.name)
-        runner.is_leaving = True
+            runner.is_leaving = True
+            self._change()
         self.leaving[(runner.name, runner.incarnation)] = self.node.now_us()
 
     def _ask_report(self, runner, now_us):
@@ -138,6 +167,7 @@
                 return
             asked[1].abandon()
             del self.reports[runner.name]
+        self.owed_us.setdefault(runner.name, now_us)
         self._judge_dark(runner, now_us)
 
         def done(trouble, document, has_begun):
@@ -154,21 +184,25 @@
             if runner.incarnation and not self.starts.is_new(runner, report["incarnation"], is_reported=True):
                 return
             runner = self.runners[runner.name] = Runner(runner.name, runner.address, runner.zone, report["incarnation"])
+        before = self._facts(runner) if runner.reported_us is not None else None
         runner.take_report(report, now_us)
         if report["is_leaving"] or (runner.name, runner.incarnation) in self.leaving:
             self._mark_leaving(runner)
         self._hear_alive(runner, now_us)
         self.serial += 1
+        if before != self._facts(runner):
+            self.changed = self.serial
 
     def _hear_alive(self, runner, seen_us):
         """By its own report, or by a router that it answers."""
         if seen_us <= self.heard_us.get(runner.name, -1):
             return
         self.heard_us[runner.name] = seen_us
+        self.owed_us.pop(runner.name, None)
         if not runner.is_dark:
             return
         runner.is_dark = False
-        self.serial += 1
+        self._change()
         self.node.ports.log(1602, runner=runner.name)
 
     def _hear_dark(self, runner, seen_us):
@@ -179,11 +213,14 @@
         self._darken(runner)
 
     def _judge_dark(self, runner, now_us):
+        terms = self.node.terms
         heard_us = self.heard_us.setdefault(runner.name, now_us)
-        if now_us - heard_us > DARK_US and not runner.is_dark:
+        if 2 * terms.report_us > terms.dark_us:
+            heard_us = max(heard_us, self.owed_us.get(runner.name, now_us))
+        if now_us - heard_us > terms.dark_us and not runner.is_dark:
             self._darken(runner)
 
     def _darken(self, runner):
         runner.is_dark = True
-        self.serial += 1
+        self._change()
         self.node.ports.log(1601, runner=runner.name)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -13,9 +13,9 @@
 
 IMAGE_WAIT_US = 1_000_000
 USAGE_US = 5_000_000
-UNASKED_US = 1_200_000
-SEATS = ("a", "b", "c")
-DEPUTY = {"a": 0.3, "b": 0.5, "c": 0.7}
+UNASKED_US = 700_000
+SEATS = ("a", "b", "c", "d", "e")
+DEPUTY = {"a": 0.3, "b": 0.5, "c": 0.7, "d": 0.8, "e": 0.9}
 DUTIES = ("steward", "bursar", "roster")
 
 
@@ -25,9 +25,9 @@
         "gate", "usage", "bursar", "is_draining", "told_image", "voted_us", "is_adopting", "incarnation", "adopt_us",
     )
 
-    def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, seats=SEATS):
-        super().__init__(name, address, ports)
-        majority = len(seats) // 2 + 1
+    def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, terms=None, desk_of=RunnerDesk):
+        super().__init__(name, address, ports, terms)
+        seats = SEATS[:self.terms.seats]
         self.incarnation = incarnation
         self.image = PlanImage()
         self.is_draining = False
@@ -37,12 +37,12 @@
         self.is_adopting = False
         self.adopt_us = 0
         self.ring = Ring(self, "registry", zone, seeds, incarnation, seat, mark_of=lambda: self.image.mark)
-        self.proposer = Proposer(self, self.ring, majority)
+        self.proposer = Proposer(self, self.ring)
         self.seat = Seat(self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms)
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
         self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
         self.news = NewsDesk(self, self.seat, self.proposer, self.image)
-        self.desk = RunnerDesk(self)
+        self.desk = desk_of(self)
         own = seats.index(seat)
         self.duties = {
             duty: Duty(self, duty, self.proposer, self.seat, (place - own) % len(seats)) for place, duty in enumerate(DUTIES)
@@ -149,7 +149,7 @@
 
     def _watch_edge(self, now_us):
         """A seat that no router asks any more, though routers run, serves nobody with its duties."""
-        if now_us - self.news.asked_us < UNASKED_US or not self.ring.live("router"):
+        if now_us - self.news.asked_us < 2 * self.terms.news_hold_us + UNASKED_US or not self.ring.live("router"):
             return
         for duty in self.duties.values():
             duty.give_up()
@@ -157,7 +157,8 @@
     def _add_roster(self, ask, facts):
         rank = self._roster_rank()
         if rank is not None and self.keeper.is_ready():
-            facts["roster"] = {"fence": rank, **self.keeper.document()}
+            fence, serial = ask.get("roster") or (None, None)
+            facts["roster"] = {"fence": rank, **self.keeper.document(serial if fence == rank else None)}
         self.steward.add_news(facts)
 
     def _roster_rank(self):
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -13,7 +13,7 @@
 
     __slots__ = (
         "node", "duty", "keeper", "desk", "image", "search", "rates", "looked_us", "changing",
-        "wanted_phase", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us", "settled",
+        "wanted_phase", "won_us", "woken_us", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us", "settled",
     )
 
     def __init__(self, node, duty, keeper, desk, image):
@@ -27,6 +27,8 @@
         self.looked_us = 0
         self.changing = None
         self.wanted_phase = None
+        self.won_us = 0
+        self.woken_us = -node.terms.thaw_us
         self.told_us = 0
         self.is_sent = False
         self.sent_us = 0
@@ -34,9 +36,21 @@
         self.serial = 0
         self.settled = {}
         self.orders = 0
-        duty.on_won = self.forget
+        duty.on_won = self.win
         duty.on_lapsed = self.forget
         node.systems.append(self.tick)
+        node.on_late.append(self.wake)
+
+    def win(self):
+        self.won_us = self.node.now_us()
+        self.forget()
+
+    def wake(self, now_us):
+        self.woken_us = now_us
+
+    def may_order(self, now_us):
+        terms = self.node.terms
+        return now_us - self.won_us >= terms.orders_after_us and now_us - self.woken_us >= terms.thaw_us
 
     def forget(self):
         self.search = RatioSearch()
@@ -62,7 +76,7 @@
             del self.settled[name]
         if self.changing is not None:
             return self._work_off(now_us)
-        if now_us - self.looked_us < LOOK_US or now_us < self.dwell_us:
+        if now_us - self.looked_us < LOOK_US or now_us < self.dwell_us or not self.may_order(now_us):
             return
         self.looked_us = now_us
         self._look(now_us)
@@ -110,7 +124,7 @@
             self._finish(now_us)
 
     def _order(self, runner, now_us):
-        if not self.duty.is_held():
+        if not self.duty.is_held() or not self.may_order(now_us):
             return
         self.is_sent = True
         self.sent_us = now_us
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -3,8 +3,6 @@
 
 from linkhaven.clockwork import Table
 
-BEAT_US = 250_000
-MISSED_US = 1_000_000
 WATCHERS = 3
 GOSSIP_US = 1_000_000
 FORGET_US = 60_000_000
@@ -200,13 +198,13 @@
             return True
         now_us = self.node.now_us()
         watcher = self.fellows[name]
-        if watcher.spoke_us is not None and now_us - watcher.spoke_us <= MISSED_US:
+        if watcher.spoke_us is not None and now_us - watcher.spoke_us <= self.node.terms.missed_us:
             return True
         if watcher.probed_us is None or (watcher.spoke_us or 0) > watcher.probed_us:
             watcher.probed_us = now_us
             self.node.tell(watcher.address, "hello", fellow=self.me.as_record())
             return True
-        return now_us - watcher.probed_us <= MISSED_US
+        return now_us - watcher.probed_us <= self.node.terms.missed_us
 
     def hear_bye(self, message):
         fellow = self.fellows.get(message["name"])
@@ -227,7 +225,7 @@
         self.beat_us = 0
 
     def tick(self, now_us):
-        if now_us - self.beat_us >= BEAT_US:
+        if now_us - self.beat_us >= self.node.terms.beat_us:
             self.beat_us = now_us
             self._beat()
             self._watch(now_us)
@@ -248,7 +246,7 @@
                 continue
             if fellow.heard_us is None:
                 fellow.heard_us = now_us
-            if now_us - fellow.heard_us > MISSED_US and not fellow.verdicts.get(self.node.name):
+            if now_us - fellow.heard_us > self.node.terms.missed_us and not fellow.verdicts.get(self.node.name):
                 self._judge(fellow, True)
         for fellow in self.fellows.rows():
             if fellow.is_up and any(fellow.verdicts.values()):
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -27,6 +27,8 @@
     "cut_by_drain": (503, "unknown", "This node stopped before the stream ended; resume through another node."),
     "plan_invalid": (422, "no", "Mend each listed place of the plan and put it again."),
     "mark_conflict": (409, "no", "The plan has another mark than expected; read the plan, merge, and put with its mark."),
+    "revision_conflict": (412, "no", "The document builds on another revision than the one in force; read the document, merge, and put on its revision."),
+    "revision_old": (409, "no", "The document's revision is not above the one in force; put it with a higher revision."),
     "put_unknown": (504, "unknown", "No majority answered in time; read the plan, compare its put id, and put again if it is not yours."),
     "core_unready": (503, "no", "This seat may not vote yet; ask another seat, or see: linkhaven-registry core status."),
     "seat_not_waiting": (409, "no", "Only a seat that waits without votes can be restored; see: linkhaven-registry core status."),
