--- a/packages/wire/src/linkhaven/wire/door.py
+++ b/packages/wire/src/linkhaven/wire/door.py
@@ -6,14 +6,15 @@
 
 from linkhaven.clockwork import Call, write_json
 
+from .heads import gather_headers, list_fields, write_head
 from .plug import Listener, Plug
-from .pool import gather_headers, list_fields
 
 ROOM_BYTES = 65_536
 LINGER_US = 1_000_000
 LOOK_US = 250_000
 HEAD_END = re.compile(rb"\n\r?\n")
 UNFIT_HEAD = re.compile(rb"(?<!\r)\n|\r(?!\n)|\n[ \t]|\x00")
+VERSIONS = (b"1.0", b"1.1")
 OWN = frozenset(("connection", "keep-alive", "transfer-encoding", "content-length"))
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 FAULTS = {400: "bad_request", 408: "too_slow", 413: "too_large", 431: "head_too_large"}
@@ -36,11 +37,8 @@
         self.connections = connections
 
 
-def write_head(status, fields):
-    head = "".join([f"HTTP/1.1 {status} {REASONS.get(status, '')}\r\n", *[f"{name}: {value}\r\n" for name, value in fields], "\r\n"])
-    if head.count("\n") != len(fields) + 2 or head.count("\r") != len(fields) + 2 or "\0" in head:
-        raise ValueError("a header of the answer holds a line end")
-    return head.encode("latin-1")
+def write_status(status, fields):
+    return write_head(f"HTTP/1.1 {status} {REASONS.get(status, '')}", fields)
 
 
 def has_token(headers, name, token):
@@ -83,7 +81,7 @@
             length = len(body)
         if length is not None:
             fields.append(("content-length", length))
-        data = write_head(status, fields + self.connection.life_fields()) + body
+        data = write_status(status, fields + self.connection.life_fields()) + body
         self.is_begun = self.is_ended = True
         self.connection.plug.send(data)
         self.connection.end_answer()
@@ -105,7 +103,7 @@
         else:
             self.is_chunked = True
             fields.append(("transfer-encoding", "chunked"))
-        data = write_head(status, fields + self.connection.life_fields())
+        data = write_status(status, fields + self.connection.life_fields())
         self.is_begun = True
         self.connection.plug.send(data)
 
@@ -250,6 +248,9 @@
     def _take_request(self, request):
         self.request = gather_headers(request.headers), request
         headers = self.request[0]
+        if request.http_version not in VERSIONS:
+            self.refuse(400)
+            return False
         self.is_old = request.http_version != b"1.1"
         self.is_last = self.is_old or has_token(headers, "connection", "close")
         if "transfer-encoding" in headers and ("content-length" in headers or self.is_old):
@@ -300,7 +301,7 @@
         """Answers a request that was not read whole, and closes once the caller has had time to read the answer."""
         body = write_json({"code": FAULTS[status], "done": "no", "message": REMEDIES[status]})
         fields = [("content-type", "application/json"), ("content-length", len(body)), ("connection", "close")]
-        head = write_head(status, fields)
+        head = write_status(status, fields)
         is_bare = self.request is not None and self.request[1].method == b"HEAD"
         self.http = self.request = None
         self.parts = []
--- a/packages/wire/src/linkhaven/wire/outlet.py
+++ b/packages/wire/src/linkhaven/wire/outlet.py
@@ -76,10 +76,10 @@
 
     def open(self, address, method, path, headers, body, hearer, keep=False, most=None, host=None):
         """Begins a call and gives its exchange, or None where `most` connections to the address are open and busy."""
+        exchange = Exchange(self, address, method, path, headers, body, hearer, keep, host)
         connection = self.take_connection(address, keep, most)
         if connection is None:
             return None
-        exchange = Exchange(self, address, method, path, headers, body, hearer, keep, host)
         exchange.begin(connection)
         return exchange
 
--- a/packages/wire/src/linkhaven/wire/pool.py
+++ b/packages/wire/src/linkhaven/wire/pool.py
@@ -2,24 +2,36 @@
 
 import h11
 
+from .heads import gather_headers, list_fields, write_head
 from .plug import Plug
 
 SECOND_US = 1_000_000
 TOLD_LIFE = re.compile(r"timeout\s*=\s*\"?(\d{1,6})")
 OWN = frozenset(("host", "connection", "content-length", "transfer-encoding"))
 WITH_BODY = frozenset(("POST", "PUT", "PATCH"))
+METHODS = WITH_BODY | {"GET", "HEAD", "DELETE", "OPTIONS"}
+ASKED = {}
+ASKED_ALL = h11.EndOfMessage()
 
 
-def gather_headers(fields):
-    headers = {}
-    for name, value in fields:
-        name, value = name.decode("latin-1"), value.decode("latin-1")
-        headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return headers
 
+def write_request(method, path, fields, body):
+    if not path or " " in path or "\t" in path:
+        raise ValueError("a request's path holds a blank")
+    return write_head(f"{method} {path} HTTP/1.1", fields) + body
 
-def list_fields(headers):
-    return headers.items() if isinstance(headers, dict) else headers
+
+def expect_answer(method):
+    """An h11 connection that awaits the answer to a request; the request itself is written without it, which is cheaper."""
+    asked = ASKED.get(method)
+    if asked is None:
+        asked = h11.Request(method=method, target="/", headers=[("host", "-")])
+        if method in METHODS:
+            ASKED[method] = asked
+    http = h11.Connection(h11.CLIENT)
+    http.send(asked)
+    http.send(ASKED_ALL)
+    return http
 
 
 class PooledConnection:
@@ -118,18 +130,14 @@
         self.is_over = False
         self.is_reused = False
         self.is_answered = False
-        self.http = h11.Connection(h11.CLIENT)
+        self.http = expect_answer(method)
         fields = [("host", host or address)]
         fields += [(name, value) for name, value in list_fields(headers) if name.lower() not in OWN]
         if body or method in WITH_BODY:
             fields.append(("content-length", str(len(body))))
         if not keep:
             fields.append(("connection", "close"))
-        data = self.http.send(h11.Request(method=method, target=path, headers=fields))
-        if body:
-            data += self.http.send(h11.Data(data=body))
-        self.http.send(h11.EndOfMessage())
-        self.data = data
+        self.data = write_request(method, path, fields, body)
 
     def begin(self, connection):
         self.connection = connection
@@ -199,7 +207,8 @@
         self.hearer.on_trouble(has_begun)
 
     def hold(self):
-        self.connection.plug.hold()
+        if not self.is_over:
+            self.connection.plug.hold()
 
     def release(self):
         if not self.is_over:
