--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -10,6 +10,7 @@
 from .fleet import DEPLOYMENTS
 from .loopback import LoadRun, measure_overhead, run_fleet
 from .measure import MEASURES
+from .slopes.program import SlopesCommand
 from .standins import Speeds, StandInPlatform, StandInRunner
 from .sweep import sweep
 
@@ -164,5 +165,5 @@
 def main():
     run_application("linkhaven-stage", [
         RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand(), SweepCommand(), MeasureCommand(),
-        OverheadCommand(),
+        OverheadCommand(), SlopesCommand(),
     ])
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/slopes/fit.py
@@ -0,0 +1,64 @@
+import numpy
+
+CONSTANT, LINEAR, SQUARE = "constant", "linear", "square"
+ORDERS = (CONSTANT, LINEAR, SQUARE)
+TELLING = 4.0
+WORTH = 0.1
+
+
+class Fit:
+    """y = start + slope * x, or + slope * x², with the standard error of the slope and the spread of what is left."""
+
+    __slots__ = ("order", "start", "slope", "slope_error", "spread")
+
+    def __init__(self, order, start, slope, slope_error, spread):
+        self.order = order
+        self.start = start
+        self.slope = slope
+        self.slope_error = slope_error
+        self.spread = spread
+
+    def at(self, x):
+        return self.start + self.slope * x ** ORDERS.index(self.order)
+
+    def as_record(self):
+        return {name: value if isinstance(value, str) else float(f"{value:.4g}") for name in self.__slots__ if (value := getattr(self, name)) is not None}
+
+
+def _solve(columns, y):
+    """Least squares with the covariance of what it finds."""
+    matrix = numpy.column_stack(columns)
+    found, _, rank, _ = numpy.linalg.lstsq(matrix, y, rcond=None)
+    left = y - matrix @ found
+    free = max(1, len(y) - rank)
+    variance = float(left @ left) / free
+    errors = numpy.sqrt(numpy.diag(numpy.linalg.pinv(matrix.T @ matrix)) * variance)
+    return found, errors, variance ** 0.5
+
+
+def fit(points):
+    """Constant, unless a line explains a tenth of the highest value; a line, unless a square beside it does."""
+    x = numpy.array([point[0] for point in points], dtype=float)
+    y = numpy.array([point[1] for point in points], dtype=float)
+    scale = float(x.max()) or 1.0
+    unit, ones = x / scale, numpy.ones_like(x)
+    worth = WORTH * float(abs(y).max())
+    if worth == 0.0:
+        return Fit(CONSTANT, 0.0, 0.0, 0.0, 0.0)
+    found, errors, spread = _solve([ones, unit, unit ** 2], y)
+    if found[2] > worth and found[2] > TELLING * errors[2]:
+        found, errors, spread = _solve([ones, unit ** 2], y)
+        return Fit(SQUARE, float(found[0]), float(found[1]) / scale ** 2, float(errors[1]) / scale ** 2, spread)
+    found, errors, spread = _solve([ones, unit], y)
+    if abs(found[1]) > worth and abs(found[1]) > TELLING * errors[1]:
+        return Fit(LINEAR, float(found[0]), float(found[1]) / scale, float(errors[1]) / scale, spread)
+    return Fit(CONSTANT, float(y.mean()), 0.0, 0.0, float(y.std()))
+
+
+def fit_plane(points, names):
+    """y = start + a slope for each of several numbers that vary together, each slope with its standard error."""
+    y = numpy.array([point[-1] for point in points], dtype=float)
+    columns = [numpy.ones_like(y), *(numpy.array([point[place] for point in points], dtype=float) for place in range(len(names)))]
+    found, errors, spread = _solve(columns, y)
+    told = {name: [float(f"{slope:.4g}"), float(f"{error:.2g}")] for name, slope, error in zip(names, found[1:], errors[1:])}
+    return {"start": float(f"{found[0]:.4g}"), "slopes": told, "spread": float(f"{spread:.4g}")}
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/slopes/program.py
@@ -0,0 +1,86 @@
+import json
+import tempfile
+
+from cleo.helpers import argument, option
+
+from linkhaven.wire.console import CodedCommand
+from linkhaven.wire.settings import misfit
+
+NUMBERS = {
+    "routers": 1000, "runners": 5000, "groups": 5000, "kinds": 5000, "rate": 500, "configurations": 600, "zones": 16,
+    "answer_tokens": 400,
+}
+
+
+MAY_BE_NONE = ("rate", "configurations")
+
+
+def check_whole(place, text, least, most):
+    if not str(text).isdigit() or not least <= int(text) <= most:
+        raise misfit(place, f"is not a whole number from {least} to {most}")
+    return int(text)
+
+
+def check_number(place, name, text):
+    return check_whole(place, text, 0 if name in MAY_BE_NONE else 1, NUMBERS[name])
+
+
+class SlopesCommand(CodedCommand):
+    name = "slopes"
+    description = (
+        "Measure what each role spends, with hollow nodes: by one number varied (its name, or all), "
+        "a whole fleet of a given size (fleet), or a request on real sockets (request)."
+    )
+    arguments = [argument("what", f"{', '.join(NUMBERS)}, all, fleet or request")]
+    options = [
+        *(option(name.replace("_", "-"), None, f"how many {name.replace('_', ' ')}, all else held there", flag=False) for name in NUMBERS),
+        option("values", None, "values of the number that is varied, with commas between", flag=False),
+        option("seeds", None, "how many seeds, from 1", flag=False, default="3"),
+        option("seconds", None, "how long each window is", flag=False, default="5"),
+        option("processes", None, "how many shapes to measure at once", flag=False, default="1"),
+        option("lose", None, "fleet: then lose a machine, a rack and a zone"),
+        option("port", None, "request: first of a hundred ports on 127.0.0.1", flag=False, default="19000"),
+    ]
+
+    def act(self):
+        what, seconds = self.argument("what"), self._whole("seconds", 1, 600)
+        if what == "fleet":
+            from .large import LargeRun
+
+            return LargeRun(self._shape(), 1, self._tell).run(seconds, self.option("lose"))
+        if what == "request":
+            return self._measure_requests(seconds)
+        if what != "all" and what not in NUMBERS:
+            raise misfit("what", f"is not one of {', '.join(NUMBERS)}, all, fleet or request")
+        from .vary import tell_slopes, vary
+
+        for axis in NUMBERS if what == "all" else (what,):
+            points = vary(axis, self._whole("seeds", 1, 100), seconds, self._given(), self._values(axis), self._whole("processes", 1, 64))
+            tell_slopes(axis, points, self._tell)
+
+    def _whole(self, name, least, most):
+        return check_whole(f"--{name}", self.option(name), least, most)
+
+    def _tell(self, row):
+        self.line(json.dumps(row))
+
+    def _given(self):
+        texts = {name: self.option(name.replace("_", "-")) for name in NUMBERS}
+        return {name: check_number(f"--{name.replace('_', '-')}", name, text) for name, text in texts.items() if text is not None}
+
+    def _shape(self):
+        from .hollow import Shape
+
+        return Shape(**self._given())
+
+    def _values(self, axis):
+        text = self.option("values")
+        return None if text is None else [check_number("--values", axis, part) for part in text.split(",")]
+
+    def _measure_requests(self, seconds):
+        from .fit import fit_plane
+        from .request import measure_requests
+
+        folder = tempfile.mkdtemp(prefix="linkhaven-")
+        for role, points in measure_requests(folder, self._whole("port", 1024, 65_000), seconds, self._tell).items():
+            self._tell({"axis": "requests on sockets", "role": role, "figure": "cpu_us", **fit_plane(points, ("requests", "pieces"))})
