--- a/packages/stage/src/linkhaven/stage/slopes/hollow.py
+++ b/packages/stage/src/linkhaven/stage/slopes/hollow.py
@@ -4,7 +4,7 @@
 
 from ..fleet import Deployment, SimFleet
 from ..standins import Speeds
-from ..world import Conn, Host, World
+from ..world import Conn, Host, SimDisk, World
 from .heap import heap_bytes
 from .meter import Meter, Tally, is_data
 
@@ -100,7 +100,7 @@
         return roles
 
     def heap_of(self, host):
-        return heap_bytes(host.node.node, (World, Host, Conn, Meter, Tally))
+        return heap_bytes(host.node.node, (World, Host, Conn, SimDisk, Meter, Tally))
 
     def measure(self, seconds):
         gc.collect()
--- a/packages/stage/src/linkhaven/stage/slopes/program.py
+++ b/packages/stage/src/linkhaven/stage/slopes/program.py
@@ -29,9 +29,10 @@
     name = "slopes"
     description = (
         "Measure what each role spends, with hollow nodes: by one number varied (its name, or all), "
-        "a whole fleet of a given size (fleet), or a request on real sockets (request)."
+        "a whole fleet of a given size (fleet), the fleet to come worked out from slopes (target), "
+        "or a request on real sockets (request)."
     )
-    arguments = [argument("what", f"{', '.join(NUMBERS)}, all, fleet or request")]
+    arguments = [argument("what", f"{', '.join(NUMBERS)}, all, fleet, target or request")]
     options = [
         *(option(name.replace("_", "-"), None, f"how many {name.replace('_', ' ')}, all else held there", flag=False) for name in NUMBERS),
         option("values", None, "values of the number that is varied, with commas between", flag=False),
@@ -39,6 +40,7 @@
         option("seconds", None, "how long each window is", flag=False, default="5"),
         option("processes", None, "how many shapes to measure at once", flag=False, default="1"),
         option("lose", None, "fleet: then lose a machine, a rack and a zone"),
+        option("rows", None, "target: a file of what slopes all told", flag=False),
         option("port", None, "request: first of a hundred ports on 127.0.0.1", flag=False, default="19000"),
     ]
 
@@ -48,10 +50,12 @@
             from .large import LargeRun
 
             return LargeRun(self._shape(), 1, self._tell).run(seconds, self.option("lose"))
+        if what == "target":
+            return self._work_out_target()
         if what == "request":
             return self._measure_requests(seconds)
         if what != "all" and what not in NUMBERS:
-            raise misfit("what", f"is not one of {', '.join(NUMBERS)}, all, fleet or request")
+            raise misfit("what", f"is not one of {', '.join(NUMBERS)}, all, fleet, target or request")
         from .vary import tell_slopes, vary
 
         for axis in NUMBERS if what == "all" else (what,):
@@ -62,7 +66,7 @@
         return check_whole(f"--{name}", self.option(name), least, most)
 
     def _tell(self, row):
-        self.line(json.dumps(row))
+        self.line(json.dumps(row, ensure_ascii=False))
 
     def _given(self):
         texts = {name: self.option(name.replace("_", "-")) for name in NUMBERS}
@@ -77,6 +81,13 @@
         text = self.option("values")
         return None if text is None else [check_number("--values", axis, part) for part in text.split(",")]
 
+    def _work_out_target(self):
+        from .target import read_rows, tell_target
+
+        if self.option("rows") is None:
+            raise misfit("--rows", "is missing: a file of what slopes all told")
+        tell_target(read_rows(self.option("rows")), self._tell)
+
     def _measure_requests(self, seconds):
         from .fit import fit_plane
         from .request import measure_requests
