Door: a fault in the node cuts the call it met, not the door

Cause: an exception out of on_call left the call open with nobody to answer it.

Before: the caller waited until it gave up. After: its connection is closed, the fault is logged (1005), other connections go on.

--- a/packages/wire/src/linkhaven/wire/door.py
+++ b/packages/wire/src/linkhaven/wire/door.py
@@ -275,7 +275,11 @@
         self.http = self.request = None
         body, self.parts = b"".join(self.parts), []
         call = self.call = DoorCall(self, request.method.decode("latin-1"), request.target.decode("latin-1"), headers, fields, body)
-        self.door.on_call(call)
+        try:
+            self.door.on_call(call)
+        except Exception:
+            call.cut()
+            raise
 
     def end_answer(self):
         self.call = None
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -242,6 +242,20 @@
     assert call.fields == [("Host", "A.example"), ("X-One", "1"), ("x-one", "2"), ("TE", "trailers"), ("Content-Length", "4")]
 
 
+def test_a_fault_in_the_node_ends_the_call_and_not_the_door(bench):
+    def on_call(call):
+        if call.path == "/fault":
+            raise RuntimeError("a fault")
+        echo(call)
+
+    door = bench.door(on_call)
+    faults = []
+    bench.shell.log = lambda number, **facts: faults.append((number, facts["fault"]))
+    assert bench.ask(door.address, b"GET /fault HTTP/1.1\r\n" + HOST + b"\r\n").data == b""
+    assert bench.ask(door.address, b"GET / HTTP/1.0\r\n\r\n").data.endswith(b"GET ")
+    assert faults == [(1005, "RuntimeError: a fault")]
+
+
 def test_door_waits_for_the_whole_request_and_decodes_chunks(bench):
     door = bench.door()
     sock = bench.connect(door.address, b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n")
