Seats are learned: disk, first contacts, or a vacant one; spares stand by

Cause: the users' machines are told no seat, come and go for good, and lose disks at their old address. Before: every registry was told its seat a, b or c; whoever started last in it took it over. After: 3 or 5 seats by Terms; the disk names the seat, contacts of the first start vote at once, others wait as spares and take their former seat, one never had, one whose occupant said bye, or one gone for vacant_us. Seats keep (incarnation, occupant) synced and note one occupant an incarnation; who isn't noted or read within 1 s begins again; who was fenced drops what votes and becomes a spare.

--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -43,6 +43,11 @@
     def set_rank(self, rank):
         self.rank_us = rank * RANK_US
 
+    def stand_free(self):
+        """Nobody can have held it: it may be asked for at once."""
+        self.vacant_us = self.grant_us + MARGIN_US
+        self.contest_us = 0
+
     def is_held(self):
         return self.fence is not None and self.node.now_us() < self.granted_us
 
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -1,8 +1,9 @@
 from bisect import bisect_right
 
-REJOINING, VOTING, WAITING, FENCED = "rejoining", "voting", "waiting", "fenced"
+REJOINING, VOTING, WAITING, FENCED, SPARE, BEGINNING = "rejoining", "voting", "waiting", "fenced", "spare", "beginning"
 
 ASK_US = 200_000
+STUCK_US = 1_000_000
 PAGE = 500
 BROWSERS_AT_MOST = 4
 
@@ -12,7 +13,7 @@
     has them record that, and only then reads what they hold, page by page; so nothing that an older occupant of
     this seat took part in can be chosen behind its back."""
 
-    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "wait_reason", "browsers")
+    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "moved_us", "wait_reason", "browsers")
 
     def __init__(self, node, seat):
         self.node = node
@@ -23,7 +24,7 @@
         self.notes = None
         self.cursors = {}
         self.asked_us = 0
-        self.started_us = now_us
+        self.started_us = self.moved_us = now_us
         self.is_genesis = False
         self.is_doubted = False
         self.wait_reason = None
@@ -39,14 +40,30 @@
         self.notes = None
         self.cursors = {}
         self.told = {}
-        self.started_us = self.node.now_us()
+        self.started_us = self.moved_us = self.node.now_us()
+
+    def forget(self):
+        self.notes = None
+        self.cursors = {}
+        self.told = {}
+        self.browsers = {}
+        self.is_genesis = self.is_doubted = False
+
+    def _try_anew(self):
+        """Not noted, or not read, for too long: another occupant may have been first."""
+        if self.seat.is_learned and self.seat.is_empty:
+            return self.seat.retire()
+        self.begin_anew()
 
     def hear_rejoin(self, message):
         seat = self.seat
+        if not seat.seat:
+            return
         self.node.tell(
             message["back"], "rejoin_state", seat=seat.seat, for_seat=message["seat"], is_voting=seat.is_voting,
             is_empty=seat.is_empty, incarnation=seat.incarnation, known=seat.known_of_all(), start=self.start,
-            asked=message["asked"],
+            asked=message["asked"], occupant=seat.occupants.name_of(message["seat"]),
+            is_taken=seat.is_voting and seat.occupants.is_taken(message),
         )
 
     def hear_state(self, message):
@@ -58,9 +75,16 @@
         newest = message["known"].get(seat.seat, 0)
         if self.is_doubted and newest > seat.incarnation:
             return seat.fence(newest)
+        if seat.is_learned and self._is_anothers(message, newest):
+            return seat.fence(newest)
         self.told[message["seat"]] = message
         self._weigh(self.node.now_us())
 
+    def _is_anothers(self, message, newest):
+        if self.seat.occupants.is_trying:
+            return message["is_taken"]
+        return newest >= self.seat.incarnation and message["occupant"] not in ("", self.node.name)
+
     def _weigh(self, now_us):
         seat = self.seat
         others = len(seat.seats) - 1
@@ -71,7 +95,7 @@
         if len(self.told) == others:
             is_any_empty = seat.is_empty or any(state["is_empty"] for state in self.told.values())
             is_all_empty = seat.is_empty and all(state["is_empty"] for state in self.told.values())
-            if is_all_empty:
+            if is_all_empty and not seat.is_learned:
                 self.is_genesis = True
                 return self._adopt(self.told.values())
             if not is_any_empty:
@@ -103,11 +127,14 @@
         seat.incarnation = highest + 1
         self.notes = {state["seat"] for state in states}
         self.cursors = {}
-        record = {"incarnation": seat.incarnation, "known": seat.known, "clock_us": seat.clock_us, "is_partial": seat.is_empty}
+        self.moved_us = self.node.now_us()
+        record = {"seat": seat.seat, "incarnation": seat.incarnation, "known": seat.known, "clock_us": seat.clock_us, "is_partial": seat.is_empty}
 
         def go_on(is_kept):
             if not is_kept:
                 return self._hear_full_disk()
+            if self.notes is None:
+                return
             self._tell_notes()
             self._end_if_read()
 
@@ -124,13 +151,13 @@
                 self._browse(name, address)
             elif name in (self.notes or ()):
                 self.node.tell(
-                    address, "rejoin_note", seat=self.seat.seat, incarnation=self.seat.incarnation,
+                    address, "rejoin_note", seat=self.seat.seat, incarnation=self.seat.incarnation, start=self.start,
                     genesis=self.told[name]["start"] if self.is_genesis and name in self.told else None,
                 )
 
     def hear_note(self, message):
         seat, name, incarnation = self.seat, message["seat"], message["incarnation"]
-        if name == seat.seat:
+        if name == seat.seat or not seat.seat or not seat.occupants.note(message):
             return
         seat.learn_known({name: incarnation})
 
@@ -141,7 +168,7 @@
                 self.is_genesis = True
                 self._adopt(self.told.values())
 
-        self.node.ports.disk.write({"known": dict(seat.known)}, answer)
+        self.node.ports.disk.write({"known": dict(seat.known), "occupants": dict(seat.occupants.records)}, answer)
 
     def _is_waiting_empty(self):
         return self.seat.is_empty and self.notes is None and self.seat.standing in (REJOINING, WAITING)
@@ -151,6 +178,7 @@
         if self.notes is None or message["incarnation"] != self.seat.incarnation or name in self.cursors or name not in self.notes:
             return
         self.cursors[name] = ""
+        self.moved_us = self.node.now_us()
         self._browse(name, message["back"])
 
     def _browse(self, name, address):
@@ -179,6 +207,7 @@
         if name in self.told and self.told[name]["start"] != message["start"]:
             return self.begin_anew()
         self.cursors[name] = None
+        self.moved_us = self.node.now_us()
         changed = self.seat.merge(message["cells"])
 
         def go_on(is_kept):
@@ -196,7 +225,7 @@
         self.node.ports.disk.write(changed, go_on)
 
     def _end_if_read(self):
-        if self.notes or self.seat.standing == VOTING:
+        if self.notes is None or self.notes or self.seat.standing == VOTING:
             return
         seat = self.seat
         seat.are_claims_open = seat.are_claims_open and not self.is_genesis
@@ -204,6 +233,8 @@
         def vote(is_kept):
             if not is_kept:
                 return self._hear_full_disk()
+            if self.notes is None:
+                return
             self.is_doubted = False
             self.cursors = {}
             seat.begin_votes()
@@ -214,6 +245,8 @@
         if now_us - self.asked_us < ASK_US:
             return
         self.asked_us = now_us
+        if now_us - self.moved_us > STUCK_US and (self.notes is not None or self.seat.occupants.is_trying):
+            return self._try_anew()
         if self.notes is not None:
             return self._tell_notes()
         for name, (address, _) in self.seat.directory.seats().items():
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -1,6 +1,7 @@
 from collections import deque
 
-from .rejoin import FENCED, REJOINING, VOTING, Rejoin
+from .occupants import Occupants
+from .rejoin import BEGINNING, FENCED, REJOINING, SPARE, VOTING, Rejoin
 
 SWEEP_US = 10_000_000
 SWEPT_AT_ONCE = 2_000
@@ -34,12 +35,15 @@
     __slots__ = (
         "node", "seat", "seats", "majority", "directory", "cells", "incarnation", "known", "standing", "is_empty",
         "is_failing", "votes_from_us", "on_change", "on_votes", "clock_us", "clocked_us", "claim_terms", "claims",
-        "rejoin", "are_claims_open", "ticked_us",
+        "rejoin", "are_claims_open", "ticked_us", "is_learned", "occupants",
     )
 
+    OWN_KEYS = ("seat", "incarnation", "known", "clock_us", "is_partial", "are_claims_open", "occupants")
+
     def __init__(self, node, seat, seats, directory, on_change, on_votes, claim_terms=default_terms):
+        """`seat` None: which one it is stands on the disk, or is learned."""
         self.node = node
-        self.seat = seat
+        self.is_learned = seat is None
         self.seats = seats
         self.majority = len(seats) // 2 + 1
         self.directory = directory
@@ -48,6 +52,7 @@
         self.claim_terms = claim_terms
         now_us = node.now_us()
         held = node.ports.disk.load()
+        self.seat = held.get("seat", "") if self.is_learned else seat
         self.cells = {
             key[5:]: Cell(*record) for key, record in held.items() if key.startswith("cell/")
         }
@@ -59,13 +64,21 @@
         self.is_empty = not self.incarnation or held.get("is_partial", False)
         self.are_claims_open = held.get("are_claims_open", True)
         self.is_failing = False
-        self.standing = REJOINING
+        self.standing = REJOINING if self.seat else SPARE
         self.votes_from_us = 0
+        self.occupants = Occupants(node, self, held.get("occupants", {}))
         self.ticked_us = now_us
         self.rejoin = Rejoin(node, self)
         node.hearers.update(prepare=self.hear_prepare, accept=self.hear_accept, chosen=self.hear_chosen)
         node.systems.append(self.tick)
-        node.ports.log(1201, seat=seat, empty=self.is_empty)
+        if self.seat:
+            node.ports.log(1201, seat=self.seat, empty=self.is_empty)
+        else:
+            node.ports.log(1209)
+        if self.is_learned:
+            directory.me.seat, directory.me.seat_incarnation = self.seat, self.incarnation
+            directory.raises_own = False
+            directory.add_seeds(self.occupants.addresses())
 
     @property
     def is_voting(self):
@@ -98,10 +111,44 @@
             if seat != self.seat:
                 self.known[seat] = max(incarnation, self.known.get(seat, 0))
 
-    def begin_votes(self):
+    def begin_first(self, seat, contacts):
+        """The first start of the whole system: nothing was ever chosen, so this seat votes at once."""
+        self.standing = BEGINNING
+        self.seat, self.incarnation = seat, 1
+        self.occupants.expect(contacts)
+
+        def vote(is_kept):
+            if not is_kept:
+                self.seat, self.standing, self.incarnation = "", SPARE, 0
+                return
+            self.begin_votes(is_first=True)
+
+        self.node.ports.disk.write({"seat": seat, "incarnation": 1, "occupants": self.occupants.records}, vote)
+
+    def take(self, seat):
+        """A spare tries for a seat: what it needs to vote comes by the rejoin."""
+        self.seat = seat
+        self.rejoin.begin_anew()
+        self.node.ports.log(1201, seat=seat, empty=self.is_empty)
+
+    def retire(self):
+        """Back to a spare that keeps nothing which votes."""
+        dropped = [*self.node.ports.disk.load(), *self.OWN_KEYS, *(f"cell/{key}" for key in self.cells)]
+        self.seat, self.standing, self.incarnation = "", SPARE, 0
+        self.cells, self.known = {}, {}
+        self.claims.clear()
+        self.is_empty, self.is_failing, self.are_claims_open = True, False, True
+        self.rejoin.forget()
+        self.node.ports.disk.write(dict.fromkeys(dropped), lambda is_kept: None)
+        self.directory.sit("", 0)
+        self.node.ports.log(1209)
+
+    def begin_votes(self, is_first=False):
         self.is_empty = self.is_failing = False
         self.standing = VOTING
-        self.votes_from_us = self.node.now_us() + self.node.terms.lease_us
+        self.votes_from_us = 0 if is_first else self.node.now_us() + self.node.terms.lease_us
+        if self.is_learned:
+            self.directory.sit(self.seat, self.incarnation)
         self.directory.learn_seats(self.known_of_all())
         self.node.ports.log(1202, seat=self.seat, incarnation=self.incarnation)
         self.on_votes()
@@ -113,7 +160,7 @@
         )
 
     def known_of_all(self):
-        return {**self.known, self.seat: self.incarnation}
+        return {**self.known, self.seat: self.incarnation} if self.seat else dict(self.known)
 
     def _may_vote(self, message, say):
         if self.standing != VOTING:
@@ -153,6 +200,8 @@
     def fence(self, incarnation):
         self.standing = FENCED
         self.node.ports.log(1204, seat=self.seat, incarnation=incarnation)
+        if self.is_learned:
+            self.retire()
 
     def hear_prepare(self, message):
         if not self._may_vote(message, "promise"):
@@ -216,11 +265,14 @@
         if leap_us > 0 and self.votes_from_us:
             self.votes_from_us += leap_us
         if self.standing == VOTING:
+            self.occupants.tick(now_us)
             newest = self.directory.seats()[self.seat][1]
             if newest > self.incarnation:
                 return self._hear_newer(newest)
             return self._sweep_claims(now_us)
-        if self.standing != FENCED:
+        if self.standing == SPARE:
+            return self.occupants.search(now_us)
+        if self.standing not in (FENCED, BEGINNING):
             self.rejoin.tick(now_us)
 
     def _sweep_claims(self, now_us):
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -22,10 +22,11 @@
 class RegistryNode(Node):
     __slots__ = (
         "ring", "seat", "proposer", "image", "plan_desk", "news", "duties", "desk", "keeper", "steward",
-        "gate", "usage", "bursar", "is_draining", "told_image", "voted_us", "is_adopting", "incarnation", "adopt_us",
+        "gate", "usage", "bursar", "is_draining", "told_image", "voted_us", "contacts", "is_adopting", "incarnation", "adopt_us",
     )
 
-    def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, terms=None, desk_of=RunnerDesk):
+    def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, terms=None, contacts=(), contact=None, desk_of=RunnerDesk):
+        """`seat` None: the disk says it, a first start's contacts say it, or it is learned."""
         super().__init__(name, address, ports, terms)
         seats = SEATS[:self.terms.seats]
         self.incarnation = incarnation
@@ -36,17 +37,17 @@
         self.voted_us = None
         self.is_adopting = False
         self.adopt_us = 0
-        self.ring = Ring(self, "registry", zone, seeds, incarnation, seat, mark_of=lambda: self.image.mark)
+        self.ring = Ring(self, "registry", zone, seeds, incarnation, seat or "", mark_of=lambda: self.image.mark)
         self.proposer = Proposer(self, self.ring)
         self.seat = Seat(self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms)
+        self.seat.occupants.contact = contact or address
+        self.contacts = sorted(contacts)
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
         self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
         self.news = NewsDesk(self, self.seat, self.proposer, self.image)
         self.desk = desk_of(self)
-        own = seats.index(seat)
-        self.duties = {
-            duty: Duty(self, duty, self.proposer, self.seat, (place - own) % len(seats)) for place, duty in enumerate(DUTIES)
-        }
+        self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in DUTIES}
+        self._rank_duties()
         self.duties["roster"].on_won = self.news.answer_all
         self.keeper = RosterKeeper(self, self.desk, platform, (self.duties["roster"], self.duties["steward"]))
         self.keeper.on_blind = self.duties["roster"].give_up
@@ -63,6 +64,22 @@
             ("POST", "/v1/core/restore"): self.serve_restore,
             ("GET", "/v1/standing"): self.serve_standing,
         })
+        self._begin_first()
+
+    def _begin_first(self):
+        """A core that was told that nothing was ever started: its contacts have the first seats at once."""
+        contact = self.seat.occupants.contact
+        if self.seat.seat or not self.seat.is_empty or not self.terms.bootstrap or contact not in self.contacts:
+            return
+        place = self.contacts.index(contact)
+        if place < len(self.seat.seats):
+            self.seat.begin_first(self.seat.seats[place], self.contacts)
+
+    def _rank_duties(self):
+        seats = self.seat.seats
+        own = seats.index(self.seat.seat) if self.seat.seat else 0
+        for place, duty in enumerate(self.duties.values()):
+            duty.set_rank((place - own) % len(seats))
 
     def _claim_terms(self):
         return self.image.plan["claims"] if self.image.plan is not None else default_terms()
@@ -76,6 +93,10 @@
 
     def _hear_votes(self):
         self.voted_us = self.now_us()
+        self._rank_duties()
+        if not self.seat.votes_from_us:
+            for duty in self.duties.values():
+                duty.stand_free()
 
     def _hear_mark(self, mark, fellow):
         self.image.hear_mark(mark)
@@ -175,6 +196,8 @@
         self.is_draining = True
         self.ports.log(1002, running=0)
         self.ring.say_bye()
+        for duty in self.duties.values():
+            duty.give_up()
         on_drained()
 
     def serve_core(self, call):
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -45,12 +45,12 @@
 
     __slots__ = (
         "node", "me", "seeds", "fellows", "beat_us", "gossip_us", "on_standing", "on_mark", "mark_of",
-        "seat_marks",
+        "seat_marks", "raises_own",
     )
 
     def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
         self.node = node
-        self.seeds = seeds
+        self.seeds = list(seeds)
         self.fellows = Table()
         self.me = Fellow(node.name, incarnation)
         self.me.address, self.me.kind, self.me.zone, self.me.seat = node.address, kind, zone, seat
@@ -58,6 +58,7 @@
         self.on_standing = []
         self.on_mark = []
         self.seat_marks = {}
+        self.raises_own = True
         self.beat_us = self.gossip_us = 0
         node.hearers.update(
             hello=self.hear_hello, members=self.hear_members, beat=self.hear_beat,
@@ -78,7 +79,27 @@
             if fellow.is_up and not fellow.has_left and kind in (None, fellow.kind)
         ]
 
+    def add_seeds(self, addresses):
+        self.seeds += [address for address in addresses if address and address not in self.seeds and address != self.node.address]
+
+    def sit(self, seat, seat_incarnation):
+        """This node took a seat, or left it: a new incarnation in the ring, told to everyone at once."""
+        self.raises_own = False
+        self.me.incarnation += 1
+        self.me.seat, self.me.seat_incarnation = seat, seat_incarnation
+        self.me.mark = self.mark_of()
+        if seat:
+            self.learn_seats({seat: seat_incarnation})
+        for fellow in self.live():
+            self.node.tell(fellow.address, "members", fellows=[self.me.as_record()])
+
     def seats(self):
+        return {
+            seat: (fellow.address, max(fellow.seat_incarnation, self.seat_marks.get(seat, 0)))
+            for seat, fellow in self.seat_holders().items()
+        }
+
+    def seat_holders(self):
         found = {}
         for fellow in [self.me, *self.fellows.values()]:
             if not fellow.seat:
@@ -86,10 +107,7 @@
             held = found.get(fellow.seat)
             if held is None or self._outranks(fellow, held):
                 found[fellow.seat] = fellow
-        return {
-            seat: (fellow.address, max(fellow.seat_incarnation, self.seat_marks.get(seat, 0)))
-            for seat, fellow in found.items()
-        }
+        return found
 
     def _outranks(self, fellow, held):
         if fellow.seat_incarnation != held.seat_incarnation:
@@ -100,7 +118,7 @@
         for seat, incarnation in known.items():
             if incarnation > self.seat_marks.get(seat, 0):
                 self.seat_marks[seat] = incarnation
-        if self.me.seat in known and known[self.me.seat] > self.me.seat_incarnation:
+        if self.raises_own and self.me.seat in known and known[self.me.seat] > self.me.seat_incarnation:
             self.me.seat_incarnation = self.seat_marks[self.me.seat]
 
     def watchers_of(self, name):
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -14,6 +14,7 @@
     1206: ("warning", "operator restored the seat from its own disk"),
     1207: ("info", "genesis plan taken from a router's image"),
     1208: ("info", "keys won before this core began were told; claims are granted"),
+    1209: ("info", "node waits as a spare for a vacant seat"),
     1301: ("info", "plan chosen"),
     1302: ("warning", "plan put conflicted"),
     1303: ("warning", "plan put ended without a majority"),
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/core.py
@@ -0,0 +1,70 @@
+from linkhaven.clockwork import Terms
+from linkhaven.registry import RegistryNode
+
+from .standins import StandInPlatform
+from .world import Host, SimDisk, World
+
+PLATFORM = "10.9.0.1:80"
+
+
+class SimCore:
+    """A core whose seats are learned: machines come and go, and only the first start knows its contacts."""
+
+    __slots__ = ("world", "machines", "terms", "platform", "contacts")
+
+    def __init__(self, seed, seats=3, **terms):
+        self.world = World(seed)
+        self.world.is_tracing = True
+        self.machines = {}
+        self.terms = {"seats": seats, "alone_us": 1_000_000, **terms}
+        self.contacts = []
+        self.platform = Host(self.world, "platform", "z", PLATFORM, lambda host, ports: StandInPlatform(host.name, host.address, ports, 0))
+        self.platform.start()
+
+    def add(self, name, address=None, bootstrap=False):
+        address = address or f"10.0.0.{len(self.machines) + 1}:7000"
+        is_first = [bootstrap]
+
+        def build(host, ports):
+            terms = Terms(**self.terms, bootstrap=is_first[0])
+            is_first[0] = False
+            seeds = [other.address for other in self.machines.values() if other is not host and other.node][:3]
+            return RegistryNode(
+                host.name, host.address, ports, host.zone, seeds or list(self.contacts), host.wall_us() + host.starts,
+                None, PLATFORM, terms, contacts=self.contacts if terms.bootstrap else (),
+            )
+
+        host = self.machines[name] = Host(self.world, name, "z", address, build, SimDisk(self.world))
+        return host
+
+    def bootstrap(self, count=3, more=0):
+        self.contacts = [f"10.0.0.{place + 1}:7000" for place in range(count)]
+        for place in range(count + more):
+            self.add(f"core-{place + 1}", bootstrap=True)
+        for host in self.machines.values():
+            host.start()
+        return self
+
+    def voting(self):
+        return {
+            host.node.seat.seat: name for name, host in self.machines.items()
+            if host.node and not host.is_frozen and host.node.seat.is_voting
+        }
+
+    def wait_voting(self, count, most_us=10_000_000):
+        return self.world.wait_for(lambda: len(self.voting()) >= count, most_us, 50_000)
+
+    def put(self, base, revision, document, plan, name=None, wait=True):
+        host = self.machines[name] if name else self.machines[next(iter(self.voting().values()))]
+        told = []
+        host.node.plan_desk.put_document(base, revision, document, plan, lambda trouble, value: told.append((trouble, value)))
+        if wait:
+            self.world.wait_for(lambda: told, 5_000_000, 10_000)
+        return told
+
+    def read(self, name=None):
+        host = self.machines[name] if name else self.machines[next(iter(self.voting().values()))]
+        told = []
+        host.node.plan_desk.read_document(lambda trouble, value: told.append((trouble, value)))
+        self.world.wait_for(lambda: told, 5_000_000, 10_000)
+        return told[0]
--- /dev/null
+++ b/tests/test_seats.py
@@ -0,0 +1,179 @@
+import pytest
+
+from linkhaven.stage.core import SimCore
+
+SECOND = 1_000_000
+PLAN = {"groups": {"g": {}}, "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}}}
+
+
+def started(seed=1, count=3, more=0, **terms):
+    core = SimCore(seed, **terms).bootstrap(count, more)
+    assert core.wait_voting(count + more, 10 * SECOND), core.voting()
+    core.world.run_for(SECOND)
+    return core
+
+
+def acked(core, base, revision, name=None):
+    trouble, value = core.put(base, revision, f"text {revision}", PLAN, name)[0]
+    assert trouble is None, trouble
+    assert value["revision"] == revision
+
+
+def held(core, name=None):
+    trouble, value = core.read(name)
+    assert trouble is None, trouble
+    return value["revision"]
+
+
+def is_sole(core):
+    """No seat is voted on by two."""
+    votes = [host.node.seat.seat for host in core.machines.values() if host.node and not host.is_frozen and host.node.seat.is_voting]
+    return len(votes) == len(set(votes))
+
+
+def test_the_contacts_of_a_first_start_vote_at_once():
+    core = SimCore(1).bootstrap()
+    core.world.run_for(SECOND // 2)
+    assert core.voting() == {"a": "core-1", "b": "core-2", "c": "core-3"}
+    assert core.world.wait_for(lambda: any(host.node.duties["roster"].is_held() for host in core.machines.values()), 2 * SECOND)
+
+
+def test_five_seats_begin_with_three_contacts_and_learn_the_other_two():
+    core = SimCore(2, seats=5).bootstrap(3, 2)
+    core.world.run_for(SECOND // 2)
+    assert {"a", "b", "c"} <= set(core.voting())
+    assert core.wait_voting(5, 5 * SECOND)
+    assert set(core.voting()) == set("abcde")
+    acked(core, 0, 4)
+    for name in ("core-1", "core-2"):
+        core.machines[name].kill()
+    acked(core, 4, 9, "core-4")
+    assert held(core, "core-5") == 9
+
+
+def test_a_planned_exchange_gives_the_new_machine_the_seat_at_once():
+    core = started(3)
+    acked(core, 0, 3)
+    core.add("core-9").start()
+    core.world.run_for(3 * SECOND)
+    new = core.machines["core-9"]
+    assert new.node.seat.standing == "spare"
+    assert held(core, "core-9") == 3
+    old = core.machines["core-2"]
+    old.node.drain(lambda: core.world.after(1_000, old.kill))
+    assert core.world.wait_for(lambda: new.node.seat.is_voting, 2 * SECOND, 50_000)
+    assert core.voting() == {"a": "core-1", "b": "core-9", "c": "core-3"}
+    core.machines["core-1"].kill()
+    acked(core, 3, 5, "core-9")
+
+
+def test_an_unplanned_loss_is_made_good_by_a_spare_after_a_while():
+    core = started(4)
+    acked(core, 0, 3)
+    core.machines["core-3"].kill()
+    core.add("core-9").start()
+    core.world.run_for(2 * SECOND)
+    assert "c" not in core.voting()
+    assert core.wait_voting(3, 5 * SECOND)
+    assert core.voting()["c"] == "core-9"
+    assert held(core, "core-9") == 3
+
+
+def test_a_returning_process_keeps_its_seat_from_a_spare():
+    core = started(5)
+    core.add("core-9").start()
+    core.world.run_for(SECOND)
+    core.machines["core-3"].kill()
+    core.world.run_for(SECOND)
+    core.machines["core-3"].start()
+    assert core.wait_voting(3, 3 * SECOND)
+    core.world.run_for(5 * SECOND)
+    assert core.voting()["c"] == "core-3"
+
+
+def test_a_wiped_disk_at_the_old_address_takes_its_old_seat():
+    core = started(6)
+    acked(core, 0, 3)
+    lost = core.machines["core-2"]
+    lost.kill()
+    lost.disk.wipe()
+    core.world.run_for(SECOND // 2)
+    lost.start()
+    assert core.wait_voting(3, 3 * SECOND)
+    assert core.voting()["b"] == "core-2"
+    core.machines["core-1"].kill()
+    assert held(core, "core-2") == 3
+
+
+@pytest.mark.parametrize("seats, wiped", [(3, 0), (3, 1), (5, 0), (5, 1), (5, 2)])
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_all_are_killed_and_the_core_votes_again_within_two_seconds(seats, wiped, seed):
+    core = started(seed, 3, seats - 3, seats=seats)
+    acked(core, 0, 7)
+    for host in core.machines.values():
+        host.kill()
+    for name in list(core.machines)[seed % 3:][:wiped]:
+        core.machines[name].disk.wipe()
+    for host in core.machines.values():
+        core.world.after(core.world.dice.randrange(500_000), host.start)
+    core.world.run_for(SECOND // 2)
+    assert core.wait_voting(seats // 2 + 1, 2 * SECOND), {name: host.node.seat.standing for name, host in core.machines.items()}
+    assert held(core) == 7
+    assert core.wait_voting(seats, 5 * SECOND), {name: host.node.seat.standing for name, host in core.machines.items()}
+    acked(core, 7, 8)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_two_newcomers_never_vote_on_one_seat(seed):
+    core = started(seed)
+    acked(core, 0, 3)
+    core.machines["core-3"].kill()
+    core.add("core-8").start()
+    core.add("core-9").start()
+    core.world.cut(["core-8"], ["core-9"])
+    for _ in range(160):
+        core.world.run_for(SECOND // 20)
+        assert is_sole(core)
+    assert len(core.voting()) == 3, {name: host.node.seat.standing for name, host in core.machines.items() if host.node}
+    assert held(core, core.voting()["c"]) == 3
+
+
+def test_a_second_occupant_is_not_noted_at_the_same_incarnation():
+    core = started(7)
+    seat = core.machines["core-1"].node.seat
+    first = {"seat": "c", "incarnation": 9, "start": "x/1", "name": "x", "back": "10.0.0.8:7000", "genesis": None}
+    assert seat.occupants.note(first)
+    assert not seat.occupants.note({**first, "start": "y/1", "name": "y"})
+    assert seat.occupants.note(first)
+    assert seat.occupants.note({**first, "incarnation": 10, "start": "y/1", "name": "y"})
+    assert not seat.occupants.note(first)
+
+
+def test_a_frozen_occupant_that_wakes_after_its_seat_was_taken_is_a_spare():
+    core = started(8)
+    acked(core, 0, 3)
+    old = core.machines["core-2"]
+    old.freeze()
+    core.add("core-9").start()
+    assert core.world.wait_for(lambda: core.machines["core-9"].node.seat.is_voting, 8 * SECOND)
+    acked(core, 3, 4, "core-1")
+    old.wake()
+    core.world.run_for(3 * SECOND)
+    assert old.node.seat.standing == "spare"
+    assert not [key for key in old.disk.synced if key.startswith("cell/") or key in ("seat", "incarnation")]
+    assert core.voting() == {"a": "core-1", "b": "core-9", "c": "core-3"}
+    acked(core, 4, 6, "core-9")
+    core.machines["core-1"].kill()
+    assert core.world.wait_for(lambda: core.voting().get("a") == "core-2", 8 * SECOND)
+    assert held(core, "core-2") == 6
+
+
+def test_a_dead_occupant_that_returns_with_its_disk_after_its_seat_was_taken_is_a_spare():
+    core = started(9)
+    core.machines["core-2"].kill()
+    core.add("core-9").start()
+    assert core.world.wait_for(lambda: core.machines["core-9"].node.seat.is_voting, 8 * SECOND)
+    core.machines["core-2"].start()
+    core.world.run_for(3 * SECOND)
+    assert core.machines["core-2"].node.seat.standing == "spare"
+    assert core.voting()["b"] == "core-9"
