--- a/packages/clockwork/src/linkhaven/clockwork/terms.py
+++ b/packages/clockwork/src/linkhaven/clockwork/terms.py
@@ -11,6 +11,7 @@
     __slots__ = (
         "plan_stale_us", "roster_stale_us", "alone_us", "lease_us", "drain_us", "linger_us", "poll_us", "report_us",
         "dark_us", "news_hold_us", "beat_us", "missed_us", "vacant_us", "seats", "bootstrap", "thaw_us", "orders_after_us",
+        "hold_share", "retry_least_us",
     )
 
     DEFAULTS = {
@@ -18,6 +19,7 @@
         "drain_us": 10_000_000, "linger_us": 0, "poll_us": 250_000, "report_us": 250_000, "dark_us": 1_200_000,
         "news_hold_us": 250_000, "beat_us": 250_000, "missed_us": 1_000_000, "vacant_us": 1_500_000, "seats": 3,
         "bootstrap": False, "thaw_us": 0, "orders_after_us": 0,
+        "hold_share": None, "retry_least_us": 1_000_000,
     }
 
     def __init__(self, **given):
--- a/packages/credit/src/linkhaven/credit/extra.py
+++ b/packages/credit/src/linkhaven/credit/extra.py
@@ -52,16 +52,19 @@
         self.tick(self.asked_us)
         self.bucket.level = min(self.bucket.size, self.bucket.level + self.share)
 
-    def spend(self, why, keep=0.0):
+    def has(self, cost):
+        return self.bucket.level >= cost
+
+    def spend(self, why, keep=0.0, cost=1):
         now_us = self.node.now_us()
         self.tick(now_us)
         if not keep:
             self.pressure.append(now_us)
-        if self.bucket.level < 1 + keep:
+        if self.bucket.level < cost + keep:
             self.refused += 1
             return False
-        self.bucket.level -= 1
-        self.spent[why] = self.spent.get(why, 0) + 1
+        self.bucket.level -= cost
+        self.spent[why] = self.spent.get(why, 0) + cost
         return True
 
     def keep_back(self):
--- /dev/null
+++ b/packages/pairing/src/linkhaven/pairing/kept.py
@@ -0,0 +1,56 @@
+from collections import OrderedDict
+
+KEEP_SHARE = 0.8
+PARTS_AT_MOST = 4_096
+
+
+class Work:
+    """What a request asks of a reader: its prompt tokens, the shared parts they are made of in order as (id, tokens),
+    and the pool whose runners may have it (None for any)."""
+
+    __slots__ = ("tokens", "parts", "pool")
+
+    def __init__(self, tokens, parts=(), pool=None):
+        self.tokens = tokens
+        self.parts = parts
+        self.pool = pool
+
+
+class Kept:
+    """Which parts of prompts each runner was given lately, as far as this router knows. A runner need not read a part
+    again while it keeps it and every part before it; those longest unused give way."""
+
+    __slots__ = ("runners",)
+
+    def __init__(self):
+        self.runners = {}
+
+    def note(self, runner, parts):
+        held = self.runners.get(runner.name)
+        if held is None:
+            held = self.runners[runner.name] = OrderedDict()
+        for id, tokens in parts:
+            held[id] = tokens
+            held.move_to_end(id)
+        room = runner.kv_total * KEEP_SHARE if runner.kv_total > 1 else None
+        total = sum(held.values()) if room else 0
+        while len(held) > PARTS_AT_MOST or room and total > room:
+            total -= held.popitem(last=False)[1]
+
+    def unread(self, runner, work):
+        held = self.runners.get(runner.name)
+        if not held or not work.parts:
+            return work.tokens
+        left = work.tokens
+        for id, tokens in work.parts:
+            if id not in held:
+                break
+            left -= tokens
+        return max(1, left)
+
+    def forget(self, names):
+        for name in [name for name in self.runners if name not in names]:
+            del self.runners[name]
+
+    def drop(self, name):
+        self.runners.pop(name, None)
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -3,6 +3,7 @@
 from linkhaven.runner.roster import DECODE, PREFILL
 
 from .estimator import Estimator
+from .kept import Kept
 
 HISTORY_US = 5_000_000
 TOLD_US = 2_500_000
@@ -36,6 +37,10 @@
     def own(self):
         return len(self.reads), sum(self.reads.values()), sum(self.decodes.values())
 
+    def own_and_told(self):
+        """Reads and decodes here, as far as known."""
+        return len(self.reads) + sum(told[0] for told in self.told.values()), len(self.decodes)
+
     def known(self):
         count, tokens, held = self.own()
         for told_count, told_tokens, told_held, _ in self.told.values():
@@ -78,10 +83,11 @@
 
 
 class Candidate:
-    __slots__ = ("runner", "queued_tokens", "q_us", "e_us", "t_us", "is_eligible")
+    __slots__ = ("runner", "queued_tokens", "unread", "q_us", "e_us", "t_us", "is_eligible")
 
-    def __init__(self, runner, queued_tokens, q_us, e_us, t_us, ttft_us, room_us, is_overdue=False):
+    def __init__(self, runner, queued_tokens, unread, q_us, e_us, t_us, ttft_us, room_us, is_overdue=False):
         self.runner = runner
+        self.unread = unread
         self.queued_tokens = queued_tokens
         self.q_us = q_us
         self.e_us = e_us
@@ -95,7 +101,7 @@
 
     def as_record(self):
         return {
-            "runner": self.runner.name, "phase": self.runner.phase, "queued_tokens": int(self.queued_tokens),
+            "runner": self.runner.name, "phase": self.runner.phase, "queued_tokens": int(self.queued_tokens), "unread": self.unread,
             "q_us": self.q_us, "e_us": self.e_us, "t_us": self.t_us, "is_eligible": self.is_eligible,
         }
 
@@ -122,7 +128,7 @@
     Each router tells its fellows what it has at a runner as soon as that changes, so that their
     views of the queues agree long before the runner's own late report."""
 
-    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us", "shunned")
+    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us", "shunned", "kept")
 
     def __init__(self, node, roster, fellows=list):
         self.node = node
@@ -130,6 +136,7 @@
         self.fellows = fellows
         self.estimator = Estimator(node.now_us)
         self.books = {}
+        self.kept = Kept()
         self.exceptions = {}
         self.told_us = 0
         self.shunned = {}
@@ -154,13 +161,17 @@
             book = self.books[key] = Book()
         return book
 
-    def _tell(self, key, book):
+    def _tell(self, key, book, parts=()):
+        record = [*key, *book.own(), *([parts] if parts else [])]
         for fellow in self.fellows():
-            self.node.tell(fellow.address, "books", books=[[*key, *book.own()]])
+            self.node.tell(fellow.address, "books", books=[record])
 
     def hear_books(self, message):
         now_us = self.node.now_us()
-        for name, incarnation, count, tokens, held in message["books"]:
+        for name, incarnation, count, tokens, held, *parts in message["books"]:
+            runner = self.roster.runners.get(name)
+            if parts and runner is not None:
+                self.kept.note(runner, parts[0])
             book = self.books.get((name, incarnation))
             if book is None:
                 book = self.books[(name, incarnation)] = Book()
@@ -185,11 +196,12 @@
             del self.books[key]
         for key in [key for key, (until_us, _) in self.shunned.items() if key[0] not in names or now_us > until_us + SHUN_MOST_US]:
             del self.shunned[key]
+        self.kept.forget(names)
         self.estimator.forget(names)
 
-    def _change(self, runner, book):
+    def _change(self, runner, book, parts=()):
         book.note(self.node.now_us())
-        self._tell((runner.name, runner.incarnation), book)
+        self._tell((runner.name, runner.incarnation), book, parts)
 
     def queued_tokens(self, runner):
         book = self.book(runner)
@@ -237,16 +249,17 @@
         head_us = min(now_us - book.moved_us, self.estimator.read_us(book.longest_known(), runner))
         return max(0, self.estimator.read_us(queued, runner) - head_us)
 
-    def weigh(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
+    def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
         candidates, now_us = [], self.node.now_us()
-        fit = [runner for runner in self.roster.open_runners() if runner.name not in without]
+        fit = [runner for runner in self.open_runners(work.pool) if runner.name not in without]
         for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
             queued = self.queued_tokens(runner)
             q_us = self._queue_us(runner, queued, now_us)
-            e_us = self.estimator.read_us(tokens, runner)
-            t_us = self._hand_over_us(runner, tokens, without) if runner.phase == PREFILL else 0
-            candidate = Candidate(runner, queued, q_us, e_us, t_us, ttft_us, room_us, is_overdue)
-            if self.book(runner).would_overtake(tokens, now_us):
+            unread = self.kept.unread(runner, work)
+            e_us = self.estimator.read_us(unread, runner)
+            t_us = self._hand_over_us(runner, work, without) if runner.phase == PREFILL else 0
+            candidate = Candidate(runner, queued, unread, q_us, e_us, t_us, ttft_us, room_us, is_overdue)
+            if self.book(runner).would_overtake(unread, now_us):
                 candidate.is_eligible = False
             candidates.append(candidate)
         return candidates
@@ -261,27 +274,27 @@
         share = self.kv_share(runner)
         return share <= 0 or share + 2 * tokens / runner.kv_total <= 1
 
-    def _keep_to_memory(self, candidates, tokens, without):
+    def _keep_to_memory(self, candidates, work, without):
         fit = {
-            runner.name for runner in self.roster.open_runners()
-            if runner.phase == DECODE and runner.name not in without and self.fits(runner, tokens)
+            runner.name for runner in self.open_runners(work.pool)
+            if runner.phase == DECODE and runner.name not in without and self.fits(runner, work.tokens)
         }
         for candidate in candidates:
             has_memory = bool(fit) if candidate.runner.phase == PREFILL else candidate.runner.name in fit
             candidate.is_eligible = candidate.is_eligible and has_memory
 
-    def choose(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
-        candidates = self.weigh(tokens, ttft_us, without, room_us, is_overdue)
-        self._keep_to_memory(candidates, tokens, without)
-        if not self.has_decode(without):
+    def choose(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
+        candidates = self.weigh(work, ttft_us, without, room_us, is_overdue)
+        self._keep_to_memory(candidates, work, without)
+        if not self.has_decode(without, work.pool):
             candidates = [candidate for candidate in candidates if candidate.runner.phase == DECODE]
         eligible = [candidate for candidate in candidates if candidate.is_eligible]
         if not eligible:
             return Decision(candidates, None)
-        return Decision(candidates, self._least(eligible, lambda candidate: candidate.queued_tokens))
+        return Decision(candidates, self._least(eligible, lambda candidate: candidate.queued_tokens + candidate.unread))
 
-    def choose_anyway(self, tokens, ttft_us, why, without=()):
-        decision = self.choose(tokens, ttft_us, without)
+    def choose_anyway(self, work, ttft_us, why, without=()):
+        decision = self.choose(work, ttft_us, without)
         if decision.winner is not None or not decision.candidates:
             return decision
         decision.winner = self._least(decision.candidates, lambda candidate: candidate.total_us)
@@ -289,12 +302,24 @@
         self.exceptions[why] = self.exceptions.get(why, 0) + 1
         return decision
 
-    def has_decode(self, without=()):
-        return any(runner.phase == DECODE and runner.name not in without for runner in self.roster.open_runners())
+    def open_runners(self, pool=None):
+        runners = self.roster.open_runners()
+        return runners if pool is None else [runner for runner in runners if runner.pool == pool]
+
+    def is_busy(self, pool=None):
+        """Whether half of the places of the pool's runners are taken, or something waits there."""
+        runners = self.open_runners(pool)
+        known = [self.book(runner).own_and_told() for runner in runners]
+        places = sum(runner.slots for runner in runners)
+        waiting = any(reads > 1 for reads, _ in known)
+        return waiting or 2 * sum(reads + decodes for reads, decodes in known) >= places
 
-    def choose_decode(self, without=(), source=None, tokens=0):
+    def has_decode(self, without=(), pool=None):
+        return any(runner.phase == DECODE and runner.name not in without for runner in self.open_runners(pool))
+
+    def choose_decode(self, without=(), source=None, tokens=0, pool=None):
         """The decode runner using least memory, of those that the source's memory reaches without a clearly slower link."""
-        runners = [runner for runner in self.roster.open_runners() if runner.phase == DECODE and runner.name not in without]
+        runners = [runner for runner in self.open_runners(pool) if runner.phase == DECODE and runner.name not in without]
         if not runners:
             return None
         if source is not None:
@@ -303,9 +328,9 @@
             runners = [runner for runner in runners if times[runner.name] <= most_us]
         return self._least(runners, self.kv_share)
 
-    def _hand_over_us(self, source, tokens, without):
-        target = self.choose_decode(without, source, tokens)
-        return self.estimator.transfer_us(tokens, source, target)
+    def _hand_over_us(self, source, work, without):
+        target = self.choose_decode(without, source, work.tokens, work.pool)
+        return self.estimator.transfer_us(work.tokens, source, target)
 
     def note_begin(self, source, target, tokens, seen_us):
         """A decode began after its hand-over; a runner short of memory tells nothing of the link."""
@@ -318,14 +343,16 @@
     def hear_link(self, message):
         self.estimator.links.learn(tuple(message["pair"]), tuple(message["zones"]), float(message["factor"]))
 
-    def begin_read(self, runner, shot, tokens):
+    def begin_read(self, runner, shot, work):
         now_us = self.node.now_us()
+        tokens = self.kept.unread(runner, work)
         is_queued = self.queued_tokens(runner) > tokens // 4
         book = self.book(runner)
         book.reads[shot] = tokens
         book.sent_us, book.sent_tokens = now_us, tokens
         book.predictions[shot] = (0 if is_queued else self.estimator.read_us(tokens, runner), now_us)
-        self._change(runner, book)
+        self._change(runner, book, work.parts[:-1])
+        self.kept.note(runner, work.parts)
         self.estimator.note_prompt(tokens)
 
     def end_read(self, runner, shot, is_seen=False):
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -136,6 +136,9 @@
                 self._ask_report(runner, sent_us)
             if incarnation in (ANY_INCARNATION, runner.incarnation):
                 runner.address = record["address"]
+                runner.pool, runner.slots = record.get("pool"), record.get("slots", 0)
+                if runner.reported_us is None and record.get("phase"):
+                    runner.phase = record["phase"]
                 if record["state"] == "leaving" or (name, runner.incarnation) in self.leaving:
                     self._mark_leaving(runner)
         for runner in self.runners.values():
--- a/packages/router/src/linkhaven/router/shots.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -1,16 +1,15 @@
-from linkhaven.pairing import NO_BOUND_US
+from linkhaven.pairing import NO_BOUND_US, Work
 from linkhaven.runner.roster import DECODE, PREFILL
 from linkhaven.schema import Trouble
 
 from . import request as states
 
-REFUSED_BY_RUNNER = {"runner_leaving", "runner_full", "phase_wrong", "mark_old"}
 FAILED_HAND_OVERS = {"handle_lapsed", "handle_foreign", "hand_over_failed"}
 QUIET_US = 4_000_000
 
 
-class Shots:
-    """Shots of requests at runners: the read, the hand-over, the decode, and what follows when one fails."""
+class Attempts:
+    """Attempts of requests at runners: the read, the hand-over, the decode, and what follows when one fails."""
 
     __slots__ = ("node", "pairing", "desk", "roster", "extra")
 
@@ -23,40 +22,59 @@
         node.systems.append(self.tick)
 
     def begin(self, request):
-        """First shot from the queue; answers whether it could be placed."""
+        """First attempt from the queue; answers whether it could be placed."""
         if not self.node.may_start():
             return False
         if request.resume:
             return self._begin_resume(request)
         now_us = self.node.now_us()
-        ttft_us = request.kind["ttft_us"]
+        ttft_us = request.kind["ttft_us"] - self._spent_us(request, now_us)
+        work = self.work_of(request)
         decision = self.pairing.choose(
-            request.prompt_tokens, ttft_us, room_us=self.node.rooms.get(request.group, NO_BOUND_US),
-            is_overdue=now_us - request.queued_us > ttft_us,
+            work, ttft_us, room_us=self.node.rooms.get(request.group, NO_BOUND_US),
+            is_overdue=now_us - request.queued_us > request.kind["ttft_us"],
         )
+        if decision.winner is not None:
+            self._place(request, decision)
+            return True
+        why = self._exception_for(request, decision, now_us)
+        if why is None:
+            return False
+        decision = self.pairing.choose_anyway(work, ttft_us, why)
         if decision.winner is None:
-            why = self._exception_for(request, decision, ttft_us, now_us)
-            if why is None:
-                return False
-            decision = self.pairing.choose_anyway(request.prompt_tokens, ttft_us, why)
-            if decision.winner is None:
-                return False
-            if self._is_hopeless(request, decision.winner, now_us):
-                request.decisions.append(decision.as_record())
-                self.node.end_in_trouble(request, Trouble("no_runner", retry_us=decision.winner.q_us + 1_000_000))
-                return False
+            return False
+        if self._is_hopeless(request, decision, now_us):
+            request.decisions.append(decision.as_record())
+            self.node.end_in_trouble(request, Trouble("no_runner", retry_us=self._room_us(decision, ttft_us)))
+            return False
         self._place(request, decision)
         return True
 
-    def _is_hopeless(self, request, winner, now_us):
+    def work_of(self, request):
+        return Work(request.prompt_tokens, request.parts, request.pool)
+
+    def _spent_us(self, request, now_us):
+        """Where a caller isn't held for long, the target counts from its arrival."""
+        return now_us - request.arrived_us if self.node.terms.hold_share is not None else 0
+
+    def _room_us(self, decision, ttft_us):
+        """When the soonest of the candidates should be able to meet the target again."""
+        return max(self.node.terms.retry_least_us, min(candidate.total_us for candidate in decision.candidates) - ttft_us)
+
+    def _is_hopeless(self, request, decision, now_us):
+        if self.node.terms.hold_share is not None and decision.exception == "held_its_share":
+            return self.pairing.is_busy(request.pool)
         answer_us = self.pairing.estimator.answer_us(request.answer_tokens)
-        return now_us + winner.total_us + answer_us > request.deadline_us
+        return now_us + decision.winner.total_us + answer_us > request.deadline_us
 
-    def _exception_for(self, request, decision, ttft_us, now_us):
+    def _exception_for(self, request, decision, now_us):
         if not decision.candidates:
             return None
+        ttft_us, hold_share = request.kind["ttft_us"], self.node.terms.hold_share
         if min(candidate.e_us + candidate.t_us for candidate in decision.candidates) >= ttft_us:
             return "prompt_beyond_target"
+        if hold_share is not None:
+            return "held_its_share" if now_us - request.arrived_us >= ttft_us * hold_share else None
         if now_us - request.arrived_us >= request.kind["deadline_us"] // 2:
             return "waited_half_the_deadline"
         return None
@@ -66,7 +84,7 @@
         self._start(request, decision.winner.runner)
 
     def _begin_resume(self, request):
-        runner = self.pairing.choose_decode(without=request.failed)
+        runner = self.pairing.choose_decode(without=request.failed, pool=request.pool)
         if runner is None:
             return False
         self._start(request, runner)
@@ -74,46 +92,39 @@
 
     def _start(self, request, runner):
         now_us = self.node.now_us()
-        request.shots += 1
-        request.shot = f"{request.id}/{request.shots}"
+        request.attempts += 1
+        request.arrivals += 1
+        request.attempt = f"{request.id}/{request.attempts}"
         request.runner = runner
         request.progress_us = now_us
-        request.has_begun = True
+        request.had_begun = request.has_begun
+        request.has_begun = request.has_begun or self.desk.reads_are_runs
         request.handle = None
-        self.pairing.begin_read(runner, request.shot, request.prompt_tokens)
-        request.note(now_us, "shot", runner=runner.name, phase=runner.phase, number=request.shots)
+        self.pairing.begin_read(runner, request.attempt, self.work_of(request))
+        request.note(now_us, "attempt", runner=runner.name, phase=runner.phase, number=request.attempts)
         if runner.phase == PREFILL and not request.run:
             return self._read(request, runner)
         self._decode(request, runner, None)
 
-    def _ask(self, request):
-        return {
-            "request": request.id, "shot": request.shots, "mark": self.node.image.mark,
-            "one_time": request.is_one_time, "prompt": request.prompt,
-        }
-
     def _read(self, request, runner):
         request.state = states.READING
-        shot = request.shot
+        request.reads += 1
+        attempt = request.attempt
 
-        def done(trouble, document, has_begun):
-            if request.shot != shot or request.state != states.READING:
+        def done(trouble, handle, has_begun):
+            if request.attempt != attempt or request.state != states.READING:
+                if handle is not None:
+                    self.desk.free(runner, handle)
                 return
-            self.pairing.end_read(runner, shot, is_seen=trouble is None)
+            self.pairing.end_read(runner, attempt, is_seen=trouble is None)
             request.part = None
             if trouble is not None:
-                return self._fail(request, runner, trouble, has_begun)
-            if not self._is_answer_to(request, runner, document):
-                return self._fail(request, runner, Trouble("runner_lost", why="an answer for another request"), True)
-            request.handle = (document["handle"], runner)
+                return self.fail(request, runner, trouble, has_begun)
+            request.handle = (handle, runner)
             self.roster.note_alive(runner)
             self._hand_over(request)
 
-        request.part = self.desk.prefill(runner.address, self._ask(request), done)
-
-    def _is_answer_to(self, request, runner, document):
-        told = (document.get("request"), document.get("shot"), document.get("incarnation"))
-        return told == (request.id, request.shots, runner.incarnation)
+        request.part = self.desk.prefill(runner, request, done)
 
     def _hand_over(self, request):
         self.node.wake_queue()
@@ -123,9 +134,12 @@
             return self._park(request, self._hand_over)
         request.parked = None
         source, tokens = request.handle[1], request.prompt_tokens
-        runner = self.pairing.choose_decode(request.failed, source, tokens) or self.pairing.choose_decode((), source, tokens)
+        runner = (
+            self.pairing.choose_decode(request.failed, source, tokens, request.pool)
+            or self.pairing.choose_decode((), source, tokens, request.pool)
+        )
         if runner is None:
-            return self._fail(request, request.runner, Trouble("no_runner", done="unknown"), True)
+            return self.fail(request, request.runner, Trouble("no_runner", done="unknown"), True)
         request.note(self.node.now_us(), "hand-over", runner=runner.name)
         request.runner = runner
         self._decode(request, runner, request.handle)
@@ -138,43 +152,40 @@
         request.state = states.DECODING
         now_us = self.node.now_us()
         request.progress_us = now_us
-        ask = self._ask(request)
-        ask["answer_tokens"] = request.answer_tokens
-        if handle:
-            ask["handle"] = handle[0]
-            ask["source"] = handle[1].address
-        if request.run:
-            ask["resume"] = {"run": request.run, "after": request.written}
-        self.pairing.begin_decode(runner, request.shot, request.prompt_tokens)
-        request.part = self.desk.decode(runner.address, ask, Relay(self, request, runner))
+        request.has_begun = True
+        self.pairing.begin_decode(runner, request.attempt, request.prompt_tokens)
+        request.part = self.desk.decode(runner, request, handle, Relay(self, request, runner))
 
     def leave_runner(self, request):
-        if request.runner is not None and request.shot is not None:
+        if request.runner is not None and request.attempt is not None:
             for runner in [request.runner, *([request.handle[1]] if request.handle else [])]:
-                self.pairing.end_read(runner, request.shot)
-                self.pairing.end_decode(runner, request.shot)
+                self.pairing.end_read(runner, request.attempt)
+                self.pairing.end_decode(runner, request.attempt)
         if request.part is not None:
             request.part.abandon()
             request.part = None
+        if request.handle is not None:
+            self.desk.free(request.handle[1], request.handle[0])
         request.handle = None
 
-    def _fail(self, request, runner, trouble, has_begun):
+    def fail(self, request, runner, trouble, has_begun):
         if trouble.code in FAILED_HAND_OVERS and request.handle:
             self.pairing.shun(request.handle[1])
         self.leave_runner(request)
         now_us = self.node.now_us()
-        request.note(now_us, "failed", runner=runner.name, code=trouble.code, number=request.shots)
+        request.note(now_us, "failed", runner=runner.name, code=trouble.code, number=request.attempts)
         request.failed.append(runner.name)
+        self.node.ports.log(2106, request=request.id, runner=runner.name, code=trouble.code, has_begun=has_begun)
         if not has_begun:
             self.roster.note_dark(runner)
         if trouble.code == "runner_leaving":
             self.roster.note_leaving(runner)
         if trouble.code == "mark_old":
             self.node.image.hear_mark(trouble.detail.get("mark", 0))
-        is_untouched = not has_begun or trouble.code in REFUSED_BY_RUNNER
+        is_untouched = not has_begun or trouble.done == "no"
         had_read = any(step["step"] == "hand-over" for step in request.steps)
-        if request.shots == 1 and is_untouched and not had_read:
-            request.has_begun = False
+        if is_untouched and not request.written and not (had_read and self.desk.reads_are_runs):
+            request.has_begun = request.had_begun
         if request.is_one_time and request.has_begun:
             return self.node.end_in_trouble(request, self._unknown(trouble))
         if request.written and not request.is_resumable:
@@ -197,24 +208,50 @@
         if not self.node.may_start():
             return self._park(request, lambda request: self._retry(request, trouble))
         request.parked = None
-        if not self.extra.spend("retry"):
-            return self.node.end_in_trouble(request, self._spent(request, trouble))
-        self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.shots + 1)
         if request.run:
-            runner = self.pairing.choose_decode(without=request.failed) or self.pairing.choose_decode()
+            if not self._may_try_again(request, 1):
+                return self.node.end_in_trouble(request, self._spent(request, trouble))
+            runner = (
+                self.pairing.choose_decode(without=request.failed, pool=request.pool)
+                or self.pairing.choose_decode(pool=request.pool)
+            )
             if runner is None:
                 return self.node.end_in_trouble(request, self._spent(request, trouble))
+            self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
             return self._start(request, runner)
-        decision = self.pairing.choose_anyway(request.prompt_tokens, request.kind["ttft_us"], "retry", request.failed)
+        work, ttft_us = self.work_of(request), request.kind["ttft_us"]
+        decision = self.pairing.choose_anyway(work, ttft_us, "retry", request.failed)
         if decision.winner is None:
-            decision = self.pairing.choose_anyway(request.prompt_tokens, request.kind["ttft_us"], "retry")
+            decision = self.pairing.choose_anyway(work, ttft_us, "retry")
         if decision.winner is None:
             return self.node.end_in_trouble(request, self._spent(request, trouble))
+        is_read_again = decision.winner.runner.phase == PREFILL and request.reads > 0 and not self.desk.reads_are_runs
+        if not self._may_try_again(request, 2 if is_read_again else 1):
+            return self.node.end_in_trouble(request, self._spent(request, trouble))
+        self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
         self._place(request, decision)
 
+    def try_elsewhere(self, request, runner, status):
+        """The runner answered that it failed; answers whether another attempt was begun."""
+        others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
+        if not others or not self.extra.has(1) or not self._has_attempts(request, 1):
+            return False
+        self.fail(request, runner, Trouble("runner_lost", why=f"status {status}"), True)
+        return True
+
+    def _has_attempts(self, request, cost):
+        most = request.kind.get("attempts")
+        return not most or request.arrivals + cost <= most
+
+    def _may_try_again(self, request, cost):
+        if not self._has_attempts(request, cost) or not self.extra.spend("retry", cost=cost):
+            return False
+        request.arrivals += cost - 1
+        return True
+
     def _spent(self, request, trouble):
         if not request.has_begun:
-            return Trouble("no_runner", retry_us=1_000_000)
+            return Trouble("no_runner", retry_us=self.node.terms.retry_least_us)
         return Trouble("extra_spent", retry_us=1_000_000, after=trouble.code)
 
     def move(self, request, target, why):
@@ -238,17 +275,17 @@
             elif request.state == states.DECODING and self._is_quiet(request, now_us):
                 runner = request.runner
                 self.roster.note_dark(runner)
-                self._fail(request, runner, Trouble("runner_lost", why="no progress"), True)
+                self.fail(request, runner, Trouble("runner_lost", why="no progress"), True)
             elif request.state == states.READING and not request.parked and self._is_read_quiet(request, now_us):
                 runner = request.runner
                 self.roster.note_dark(runner)
-                self._fail(request, runner, Trouble("runner_lost", why="no answer to the read"), True)
+                self.fail(request, runner, Trouble("runner_lost", why="no answer to the read"), True)
 
     def _is_quiet(self, request, now_us):
         if request.is_held:
             return False
         patience_us = QUIET_US
-        if request.first_us is None or request.shots > 1:
+        if request.first_us is None or request.attempts > 1:
             patience_us += 2 * self.pairing.estimator.read_us(request.prompt_tokens, request.runner)
         return now_us - request.progress_us > patience_us and self._is_suspect(request.runner, now_us)
 
@@ -264,64 +301,76 @@
 class Relay:
     """Checks run and number of each piece and hands it to the caller; nothing is patched over."""
 
-    __slots__ = ("shots", "request", "runner", "shot")
+    __slots__ = ("attempts", "request", "runner", "attempt", "is_handed")
 
-    def __init__(self, shots, request, runner):
-        self.shots = shots
+    def __init__(self, attempts, request, runner):
+        self.attempts = attempts
         self.request = request
         self.runner = runner
-        self.shot = request.shot
+        self.attempt = request.attempt
+        self.is_handed = request.handle is not None
 
     def is_over(self):
-        return self.request.shot != self.shot or self.request.state != states.DECODING
+        return self.request.attempt != self.attempt or self.request.state != states.DECODING
 
-    def on_begin(self, run, after):
+    def on_begin(self, run, after, head=None):
         if self.is_over():
             return
-        request, now_us = self.request, self.shots.node.now_us()
+        request, now_us, pairing = self.request, self.attempts.node.now_us(), self.attempts.pairing
         if request.handle:
-            self.shots.pairing.note_begin(request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us)
+            pairing.note_begin(request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us)
+            pairing.note_hand_over(request.handle[1])
+            request.handle = None
         request.progress_us = now_us
         if request.run is None:
             request.run = run
-        if not run or request.run != run or after != request.written:
+            request.head = head
+        is_same_run = request.run == run or self.attempts.desk.joins_runs
+        if not run or not is_same_run or after != request.written:
             self._break("another run or place than asked for")
 
     def _break(self, why):
         self.request.part.abandon()
-        self.shots.node.end_in_trouble(self.request, Trouble("stream_broken", why=why))
+        self.attempts.node.end_in_trouble(self.request, Trouble("stream_broken", why=why))
 
     def on_piece(self, piece):
         if self.is_over():
             return
-        request, node = self.request, self.shots.node
-        if piece.run != request.run or piece.number != request.written + 1:
+        request, node = self.request, self.attempts.node
+        if not self.attempts.desk.follows(request, piece):
             return self._break("a gap, a repeat or a foreign run")
         now_us = node.now_us()
         request.progress_us = now_us
-        self.shots.roster.note_alive(self.runner)
-        self.shots.pairing.end_read(self.runner, self.shot, is_seen=self.runner.phase == DECODE and not request.handle)
-        if request.handle:
-            self.shots.pairing.end_read(request.handle[1], self.shot)
-            self.shots.pairing.note_hand_over(request.handle[1])
+        self.attempts.roster.note_alive(self.runner)
+        self.attempts.pairing.end_read(self.runner, self.attempt, is_seen=self.runner.phase == DECODE and not self.is_handed)
         tokens = piece.document.get("tokens", 1)
         if not isinstance(tokens, int) or tokens < 0:
             return self._break("a piece without its tokens")
-        self.shots.pairing.grow_decode(self.runner, self.shot, tokens)
+        self.attempts.pairing.grow_decode(self.runner, self.attempt, tokens)
         node.relay_piece(request, piece, tokens, now_us)
 
     def on_done(self, piece):
         if self.is_over():
             return
-        if piece.document.get("count") != self.request.written:
+        if piece is not None and piece.document.get("count") != self.request.written:
             return self._break("an end that does not count the pieces")
-        self.shots.leave_runner(self.request)
-        self.shots.node.end_done(self.request, piece)
+        self.attempts.leave_runner(self.request)
+        self.attempts.node.end_done(self.request)
+
+    def on_answer(self, status, headers, body):
+        """A whole answer that isn't a stream: another attempt may do better, else it is the caller's."""
+        if self.is_over():
+            return
+        request = self.request
+        if status >= 500 and not request.is_one_time and not request.written and self.attempts.try_elsewhere(request, self.runner, status):
+            return
+        self.attempts.leave_runner(request)
+        self.attempts.node.end_answered(request, status, headers, body)
 
     def on_trouble(self, trouble, has_begun):
         if self.is_over():
             return
         if trouble.code == "stream_broken":
-            self.shots.leave_runner(self.request)
-            return self.shots.node.end_in_trouble(self.request, trouble)
-        self.shots._fail(self.request, self.runner, trouble, has_begun)
+            self.attempts.leave_runner(self.request)
+            return self.attempts.node.end_in_trouble(self.request, trouble)
+        self.attempts.fail(self.request, self.runner, trouble, has_begun)
--- a/packages/router/src/linkhaven/router/chain.py
+++ b/packages/router/src/linkhaven/router/chain.py
@@ -1,11 +1,7 @@
-from linkhaven.clockwork import read_json
-from linkhaven.runner.pieces import read_place
-from linkhaven.schema import Trouble, check_document
+from linkhaven.schema import Trouble
 
 PASS, HOLD = "pass", "hold"
 
-KEY_AT_MOST = 200
-
 
 class Chain:
     """The filters a request goes through. Each may pass it on, hold it and pass it on later, or
@@ -28,10 +24,6 @@
                 return self.answer(request, trouble)
 
 
-def count_tokens(prompt):
-    return len(prompt) // 4 + 1
-
-
 class Filters:
     __slots__ = ("node",)
 
@@ -42,21 +34,14 @@
         return Chain([self.bound, self.read, self.fresh, self.kind, self.resume, self.claim, self.queue], answer)
 
     def bound(self, request):
-        if self.node.is_draining:
-            raise Trouble("draining")
+        if self.node.is_draining and not self.node.is_lingering():
+            raise Trouble("draining", retry_us=self.node.away_us())
         if len(self.node.requests) > self.node.requests_at_most:
             raise Trouble("too_busy", retry_us=1_000_000)
         return PASS
 
     def read(self, request):
-        document = check_document("Ask", read_json(request.call.body))
-        request.kind_name = document["kind"]
-        request.prompt = document["prompt"]
-        request.prompt_tokens = count_tokens(request.prompt)
-        request.answer_tokens = document.get("answer_tokens", 0)
-        request.key = request.call.headers.get("idempotency-key") or None
-        if request.key and len(request.key) > KEY_AT_MOST:
-            raise Trouble("bad_request", places=[{"place": "Idempotency-Key", "fault": "is too long"}])
+        self.node.callers.read(request)
         return PASS
 
     def fresh(self, request):
@@ -65,14 +50,17 @@
 
     def kind(self, request):
         plan = self.node.image.plan
+        if request.kind_name is None:
+            request.kind_name = self.node.doors.find(request.host, request.path)
         kind = plan["kinds"].get(request.kind_name)
         if kind is None:
             raise Trouble("unknown_kind", kind=request.kind_name)
         request.kind = kind
         request.group = kind["group"]
+        request.pool = self.node.choose_pool(kind)
         request.admitted_mark = self.node.image.mark
         request.answer_tokens = request.answer_tokens or kind["answer_tokens"]
-        request.deadline_us = request.arrived_us + kind["deadline_us"]
+        request.deadline_us = request.arrived_us + min(kind["deadline_us"], request.patience_us or kind["deadline_us"])
         self.node.extra.earn()
         if request.prompt_tokens > kind["prompt_tokens"] or request.answer_tokens > kind["answer_tokens"]:
             raise Trouble(
@@ -82,12 +70,9 @@
         return PASS
 
     def resume(self, request):
-        told = request.call.headers.get("last-event-id")
-        if not told:
-            return PASS
-        place = read_place(told)
+        place = self.node.callers.resume_place(request)
         if place is None:
-            raise Trouble("bad_resume", told=told[:100])
+            return PASS
         if not request.is_resumable:
             raise Trouble("not_resumable", kind=request.kind_name)
         request.run, request.written = place
--- /dev/null
+++ b/packages/router/src/linkhaven/router/doors.py
@@ -0,0 +1,23 @@
+class Doors:
+    """Kinds by host and path: of the doors of a host, the longest prefix that begins the path wins."""
+
+    __slots__ = ("hosts",)
+
+    def __init__(self):
+        self.hosts = {}
+
+    def take_plan(self, plan):
+        self.hosts = {}
+        for name, kind in plan["kinds"].items():
+            door = kind.get("door")
+            if door is not None:
+                self.hosts.setdefault(door["host"].lower(), []).append((door["prefix"], name))
+        for doors in self.hosts.values():
+            doors.sort(key=lambda door: -len(door[0]))
+
+    def find(self, host, path):
+        plain = path.partition("?")[0]
+        for prefix, name in self.hosts.get((host or "").lower(), ()):
+            if plain.startswith(prefix):
+                return name
+        return None
--- /dev/null
+++ b/packages/router/src/linkhaven/router/native.py
@@ -0,0 +1,55 @@
+from linkhaven.clockwork import read_json
+from linkhaven.runner.pieces import read_place, write_event
+from linkhaven.schema import Trouble, check_document
+
+KEY_AT_MOST = 200
+STREAM_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
+
+
+def count_tokens(prompt):
+    return len(prompt) // 4 + 1
+
+
+class NativeCallers:
+    """Our own interface to callers: a JSON request that names its kind, answered by a stream of pieces.
+
+    A callers' port reads a request from its call, and writes what the node decided: begin and piece while it
+    streams, then finish, refuse (nothing was written yet) or break_off (something was)."""
+
+    __slots__ = ()
+
+    def read(self, request):
+        document = check_document("Ask", read_json(request.call.body))
+        request.kind_name = document["kind"]
+        request.prompt = document["prompt"]
+        request.prompt_tokens = count_tokens(request.prompt)
+        request.answer_tokens = document.get("answer_tokens", 0)
+        request.key = request.call.headers.get("idempotency-key") or None
+        if request.key and len(request.key) > KEY_AT_MOST:
+            raise Trouble("bad_request", places=[{"place": "Idempotency-Key", "fault": "is too long"}])
+
+    def resume_place(self, request):
+        told = request.call.headers.get("last-event-id")
+        if not told:
+            return None
+        place = read_place(told)
+        if place is None:
+            raise Trouble("bad_resume", told=told[:100])
+        return place
+
+    def begin(self, request, head):
+        request.call.begin(200, {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)})
+
+    def piece(self, request, piece):
+        return request.call.write(write_event("piece", piece.document, f"{piece.run}:{piece.number}"))
+
+    def finish(self, request):
+        request.call.write(write_event("done", {"count": request.written, "tokens": request.tokens}))
+        request.call.finish()
+
+    def refuse(self, request, trouble):
+        request.call.answer_trouble(trouble, {"request-id": request.id})
+
+    def break_off(self, request, trouble):
+        request.call.write(write_event("trouble", trouble.as_document()))
+        request.call.finish()
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -1,24 +1,24 @@
 from linkhaven.clockwork import Node, Table
-from linkhaven.credit import GRANTS_A_FENCE, SHARE_US, CreditDesk, ExtraBudget
+from linkhaven.credit import GRANTS_A_FENCE, CreditDesk, ExtraBudget
 from linkhaven.pairing import NO_BOUND_US, Flow, Pairing
 from linkhaven.plan import NewsReader, PlanImage
 from linkhaven.register import Proposer
 from linkhaven.ring import Ring
-from linkhaven.runner import Roster, RunnerDesk, write_event
+from linkhaven.runner import Roster, RunnerDesk
 from linkhaven.schema import Trouble
 
 from . import request as states
+from .attempts import Attempts
 from .chain import Filters
+from .doors import Doors
 from .explain import Explainer
 from .keys import Keys
+from .native import NativeCallers
 from .request import Request
-from .shots import Shots
 
-DRAIN_US = 10_000_000
 RATE_US = 1_000_000
 CLOSED_US = 1_000_000
 CLOSED_MOST_US = 30_000_000
-STREAM_HEADERS = {"content-type": "text/event-stream", "cache-control": "no-store"}
 
 
 def room_for_others(plan, group):
@@ -29,14 +29,17 @@
 
 class RouterNode(Node):
     __slots__ = (
-        "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "shots", "flow",
+        "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "attempts", "flow",
         "requests", "chain", "explainer", "is_draining", "drain_us", "on_drained", "serial", "counts",
         "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open", "rooms", "on_end",
-        "closed_us", "unserved", "keys",
+        "closed_us", "unserved", "keys", "callers", "doors",
     )
 
-    def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, majority=2):
-        super().__init__(name, address, ports)
+    def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, terms=None, callers=None, desk_of=RunnerDesk):
+        super().__init__(name, address, ports, terms)
+        majority = self.terms.seats // 2 + 1
+        self.callers = callers or NativeCallers()
+        self.doors = Doors()
         self.incarnation = incarnation
         self.image = PlanImage()
         self.ring = Ring(self, "router", zone, seeds, incarnation, mark_of=lambda: self.image.mark)
@@ -44,14 +47,14 @@
         self.proposer = Proposer(self, self.ring, majority)
         self.news = NewsReader(self, self.ring, self.image, majority)
         self.roster = Roster(self)
-        self.desk = RunnerDesk(self)
+        self.desk = desk_of(self)
         self.keys = Keys(self, self.proposer)
         self.pairing = Pairing(self, self.roster, lambda: self.ring.live("router"))
         self.extra = ExtraBudget(self)
         self.credit = CreditDesk(self, self._pace_at_first, self.end_in_trouble)
         self.requests = Table()
-        self.shots = Shots(self, self.pairing, self.desk, self.roster, self.extra)
-        self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.shots.move)
+        self.attempts = Attempts(self, self.pairing, self.desk, self.roster, self.extra)
+        self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.attempts.move)
         self.chain = Filters(self).chain(self.end_in_trouble)
         self.explainer = Explainer(self, self.ring, self.requests)
         self.requests_at_most = requests_at_most
@@ -87,6 +90,7 @@
         self.extra.take_plan(plan)
         self.credit.take_plan(plan)
         self.keys.take_plan(plan)
+        self.doors.take_plan(plan)
         self.rooms = {group: room_for_others(plan, group) for group in plan["groups"]}
         self.ports.log(2001, mark=self.image.mark)
         for request in self.requests.rows():
@@ -118,6 +122,7 @@
         facts["extra"] = self.extra.tell_want()
         facts["evidence"] = self.roster.tell_evidence()
         facts["rates"] = self.rates
+        facts["roster"] = self.roster.place
         grants = [self.extra.grant, *(book.grant for book in self.credit.groups.values())]
         facts["fences"] = {
             "roster": self.roster.place[0], "steward": self.steward_place[0], "bursar": max(grants, default=0) // GRANTS_A_FENCE,
@@ -138,9 +143,9 @@
             for group, (rate, grant) in shares["rates"].items():
                 book = self.credit.groups.get(group)
                 if book is not None and grant > book.grant:
-                    self.credit.take_share(group, rate, grant, sent_us + SHARE_US)
+                    self.credit.take_share(group, rate, grant, sent_us + self.terms.lease_us)
             if "extra" in shares:
-                self.extra.take_part(*shares["extra"], sent_us + SHARE_US)
+                self.extra.take_part(*shares["extra"], sent_us + self.terms.lease_us)
         self.wake_queue()
 
     def _hear_want_image(self, message):
@@ -163,6 +168,34 @@
             return Trouble("plan_stale", done=done, retry_us=retry_us, mark=self.image.mark)
         return Trouble("roster_stale", done=done, retry_us=retry_us)
 
+    def choose_pool(self, kind):
+        """Where a kind is split over pools, each has its weight's part of the requests."""
+        pools = kind.get("pools") or ()
+        if len(pools) < 2:
+            return pools[0]["pool"] if pools else None
+        drawn = self.ports.dice.randrange(sum(part["weight"] for part in pools))
+        for part in pools:
+            drawn -= part["weight"]
+            if drawn < 0:
+                return part["pool"]
+
+    def connections_at_most(self, runner):
+        """This router's even part of the connections that all routers together may have to a runner."""
+        pool = (self.image.plan or {}).get("pools", {}).get(runner.pool)
+        if pool is None:
+            return None
+        return max(2, pool["conns"] * 4 // (5 * (1 + len(self.ring.live("router")))))
+
+    def is_ready(self):
+        return self.may_start() and not self.is_draining
+
+    def is_lingering(self):
+        """Stopping, but those who send callers here may not know yet."""
+        return self.now_us() - self.drain_us < self.terms.linger_us
+
+    def away_us(self):
+        return self.terms.retry_least_us
+
     def serve_request(self, call):
         self.serial += 1
         now_us = self.now_us()
@@ -181,21 +214,21 @@
         self.wake_queue()
 
     def wake_queue(self):
-        self.credit.serve(self.shots.begin)
+        self.credit.serve(self.attempts.begin)
 
     def relay_piece(self, request, piece, tokens, now_us):
         call = request.call
         if not call.is_begun:
             request.first_us = now_us
             request.pace_from_us = now_us
-            call.begin(200, {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)})
+            self.callers.begin(request, request.head)
         else:
             request.pace_tokens += tokens
         request.written = piece.number
         request.tokens += tokens
         self.produced += tokens
         self.credit.charge(request.group, tokens)
-        has_room = call.write(write_event("piece", piece.document, f"{piece.run}:{piece.number}"))
+        has_room = self.callers.piece(request, piece)
         if not has_room and request.part is not None and not call.is_ended:
             request.is_held = True
             request.part.outing.hold()
@@ -208,22 +241,30 @@
         if request.part is not None:
             request.part.outing.release()
 
-    def end_done(self, request, piece):
-        call = request.call
-        if not call.is_begun:
-            call.begin(200, {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)})
-        call.write(write_event("done", {"count": request.written, "tokens": request.tokens}))
-        call.finish()
+    def end_done(self, request):
+        if not request.call.is_begun:
+            self.callers.begin(request, request.head)
+        self.callers.finish(request)
         self.counts["served"] += 1
         if request.first_us is not None:
             self.pairing.estimator.note_answer(request.answer_tokens, self.now_us() - request.first_us)
-        self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.shots)
+        self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.attempts)
         self._close(request, "done")
 
+    def end_answered(self, request, status, headers, body):
+        """The runner's own answer, whole and unchanged."""
+        self.counts["served" if status < 300 else "troubled"] += 1
+        self.ports.log(2101 if status < 300 else 2102, request=request.id, kind=request.kind_name, code=f"status {status}")
+        if request.call.is_begun:
+            request.call.cut()
+        else:
+            self.callers.answer(request, status, headers, body)
+        self._close(request, f"status {status}")
+
     def end_in_trouble(self, request, trouble):
         if request.state == states.ENDED:
             return
-        self.shots.leave_runner(request)
+        self.attempts.leave_runner(request)
         is_refused = trouble.done == "no"
         self.counts["refused" if is_refused else "troubled"] += 1
         self.ports.log(2103 if is_refused else 2102, request=request.id, kind=request.kind_name, code=trouble.code)
@@ -236,9 +277,8 @@
         if call.is_ended:
             return
         if not call.is_begun:
-            return call.answer_trouble(trouble, {"request-id": request.id})
-        call.write(write_event("trouble", trouble.as_document()))
-        call.finish()
+            return self.callers.refuse(request, trouble)
+        self.callers.break_off(request, trouble)
 
     def _close(self, request, outcome):
         if request.state == states.QUEUED:
@@ -246,7 +286,7 @@
         request.state = states.ENDED
         request.parked = None
         request.outcome = outcome
-        request.prompt = None
+        request.prompt = request.body = request.fields = None
         self.explainer.keep(request)
         self.requests.drop(request.id)
         request.note(self.now_us(), outcome)
@@ -321,18 +361,25 @@
         self.on_drained = on_drained
         self.drain_us = self.now_us()
         self.ports.log(1002, running=len(self.requests))
-        self.ring.say_bye()
+        if not self.terms.linger_us:
+            self._refuse_waiting()
+            self.ring.say_bye()
+
+    def _refuse_waiting(self):
         for request in self.requests.rows():
-            if not request.has_begun:
-                self.end_in_trouble(request, Trouble("draining"))
+            if not request.has_begun and request.part is None:
+                self.end_in_trouble(request, Trouble("draining", retry_us=self.away_us()))
 
     def _drain(self, now_us):
         if not self.is_draining or self.on_drained is None:
             return
-        if now_us - self.drain_us >= DRAIN_US:
+        if self.is_lingering():
+            return
+        if now_us - self.drain_us >= self.terms.drain_us:
             for request in self.requests.rows():
                 self.end_in_trouble(request, Trouble("cut_by_drain"))
         if not self.requests:
+            self.ring.say_bye()
             drained, self.on_drained = self.on_drained, None
             drained()
 
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -7,9 +7,10 @@
     __slots__ = (
         "id", "call", "kind_name", "kind", "group", "prompt", "prompt_tokens", "answer_tokens", "key",
         "state", "place", "arrived_us", "deadline_us", "admitted_mark", "run", "written", "resume",
-        "shots", "part", "runner", "shot", "has_begun", "failed", "parked", "tokens",
+        "attempts", "part", "runner", "attempt", "has_begun", "failed", "parked", "tokens",
         "first_us", "pace_tokens", "pace_from_us", "moved_from", "is_moving", "progress_us",
         "decisions", "steps", "outcome", "handle", "is_held", "claim_key", "queued_us",
+        "host", "method", "path", "fields", "body", "outside_id", "parts", "pool", "patience_us", "reads", "head", "had_begun", "arrivals",
     )
 
     def __init__(self, id, call, now_us):
@@ -25,8 +26,8 @@
         self.run = None
         self.written = 0
         self.resume = None
-        self.shots = 0
-        self.shot = None
+        self.attempts = 0
+        self.attempt = None
         self.part = None
         self.runner = None
         self.has_begun = False
@@ -46,6 +47,13 @@
         self.is_held = False
         self.claim_key = None
         self.queued_us = 0
+        self.host = self.method = self.path = self.fields = self.body = self.outside_id = self.head = None
+        self.parts = ()
+        self.pool = None
+        self.patience_us = 0
+        self.reads = 0
+        self.had_begun = False
+        self.arrivals = 0
 
     @property
     def is_one_time(self):
@@ -62,6 +70,10 @@
     def is_movable(self):
         return self.state == DECODING and self.is_resumable and self.written > 0 and not self.is_moving
 
+    @property
+    def priority(self):
+        return self.kind.get("priority", 0)
+
     def pace_us(self, now_us):
         return (now_us - self.pace_from_us) / max(1, self.pace_tokens)
 
@@ -71,7 +83,7 @@
 
     def as_record(self):
         return {
-            "request": self.id, "kind": self.kind_name, "group": self.group, "mark": self.admitted_mark,
-            "prompt_tokens": self.prompt_tokens, "state": self.state, "shots": self.shots,
+            "request": self.id, "outside": self.outside_id, "kind": self.kind_name, "group": self.group, "mark": self.admitted_mark,
+            "prompt_tokens": self.prompt_tokens, "state": self.state, "attempts": self.attempts,
             "decisions": self.decisions, "steps": self.steps, "outcome": self.outcome,
         }
--- a/packages/runner/src/linkhaven/runner/adapter.py
+++ b/packages/runner/src/linkhaven/runner/adapter.py
@@ -126,10 +126,17 @@
 
 
 class RunnerDesk:
-    """The one adapter to runners: their whole protocol stands here and in the schema file."""
+    """The one adapter to runners that speak our own protocol: it stands here and in the schema file.
+
+    A runners' port has prefill, decode, free (a handle that nobody will fetch), order_phase, report and
+    list_runners; `follows` says whether a piece is the next of its request. `reads_are_runs`: a prompt that was read
+    counts as begun work. `joins_runs`: a new run may go on after the last piece of another."""
 
     __slots__ = ("node",)
 
+    reads_are_runs = True
+    joins_runs = False
+
     def __init__(self, node):
         self.node = node
 
@@ -139,11 +146,42 @@
         part.outing = self.node.ports.wire.open(address, method, path, HEADERS, body, hearer)
         return part
 
-    def prefill(self, address, ask, done):
-        return self._call(address, "POST", "/v1/prefill", ask, Reply(done))
-
-    def decode(self, address, ask, hearer):
-        return self._call(address, "POST", "/v1/decode", ask, Stream(ask["request"], hearer))
+    def _ask(self, request):
+        return {
+            "request": request.id, "shot": request.attempts, "mark": self.node.image.mark,
+            "one_time": request.is_one_time, "prompt": request.prompt,
+        }
+
+    def prefill(self, runner, request, done):
+        """done(trouble, handle, has_begun) with the handle of the memory that the runner holds."""
+        def check(trouble, document, has_begun):
+            if trouble is not None:
+                return done(trouble, None, has_begun)
+            if not self.is_answer_to(request, runner, document):
+                return done(Trouble("runner_lost", why="an answer for another request"), None, True)
+            done(None, document["handle"], has_begun)
+
+        return self._call(runner.address, "POST", "/v1/prefill", self._ask(request), Reply(check))
+
+    def is_answer_to(self, request, runner, document):
+        told = (document.get("request"), document.get("shot"), document.get("incarnation"))
+        return told == (request.id, request.attempts, runner.incarnation)
+
+    def decode(self, runner, request, handle, hearer):
+        ask = self._ask(request)
+        ask["answer_tokens"] = request.answer_tokens
+        if handle:
+            ask["handle"] = handle[0]
+            ask["source"] = handle[1].address
+        if request.run:
+            ask["resume"] = {"run": request.run, "after": request.written}
+        return self._call(runner.address, "POST", "/v1/decode", ask, Stream(ask["request"], hearer))
+
+    def follows(self, request, piece):
+        return piece.run == request.run and piece.number == request.written + 1
+
+    def free(self, runner, handle):
+        """Our runners let go of a handle by themselves."""
 
     def order_phase(self, address, order, done):
         return self._call(address, "POST", "/v1/phase", order, Reply(done))
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -1,7 +1,6 @@
 from linkhaven.clockwork import Table
 
 PREFILL, DECODE = "prefill", "decode"
-STALE_US = 3_000_000
 DARK_US = 1_500_000
 ALIVE_US = 500_000
 FORMER = 8
@@ -10,7 +9,7 @@
 class Runner:
     __slots__ = (
         "name", "address", "zone", "incarnation", "phase", "queued", "running", "kv_used", "kv_total",
-        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us",
+        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us", "pool", "slots",
     )
 
     def __init__(self, name, address, zone, incarnation):
@@ -30,6 +29,8 @@
         self.is_dark = False
         self.is_changing = False
         self.alive_us = None
+        self.pool = None
+        self.slots = 0
 
     def take_report(self, report, now_us):
         if report["incarnation"] != self.incarnation:
@@ -51,6 +52,7 @@
     def as_record(self, now_us):
         return {
             "name": self.name, "address": self.address, "zone": self.zone, "incarnation": self.incarnation,
+            "pool": self.pool, "slots": self.slots,
             "phase": self.phase, "queued": self.queued, "running": self.running, "kv_used": self.kv_used,
             "kv_total": self.kv_total, "is_leaving": self.is_leaving, "is_listed": self.is_listed,
             "is_dark": self.is_dark, "is_changing": self.is_changing, "mark": self.mark, "fence": self.fence,
@@ -96,10 +98,15 @@
         self.starts = Starts()
 
     def is_fresh(self):
-        return self.taken_us is not None and self.node.now_us() - self.taken_us <= STALE_US
+        stale_us = self.node.terms.roster_stale_us
+        return self.taken_us is not None and (stale_us is None or self.node.now_us() - self.taken_us <= stale_us)
 
     def take(self, document, sent_us):
         place = (document["fence"], document["serial"])
+        if "runners" not in document:
+            if place == self.place:
+                self.taken_us = sent_us - document["age_us"]
+            return
         if place <= self.place:
             return
         now_us = self.node.now_us()
@@ -125,6 +132,9 @@
             return
         runner.address = record["address"]
         runner.is_listed = record["is_listed"]
+        runner.pool, runner.slots = record.get("pool"), record.get("slots", 0)
+        if record["age_us"] is None and record.get("phase"):
+            runner.phase = record["phase"]
         if record["age_us"] is not None:
             runner.take_report({**record, "is_leaving": record["is_leaving"]}, now_us)
         runner.is_leaving = runner.is_leaving or record["is_leaving"]
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -33,4 +33,5 @@
     2103: ("info", "request refused"),
     2104: ("warning", "extra shot"),
     2105: ("info", "stream moved"),
+    2106: ("info", "attempt failed"),
 }
--- a/packages/stage/src/linkhaven/stage/measure.py
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -13,13 +13,13 @@
 
     __slots__ = ()
 
-    def choose(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
-        candidates = self.weigh(tokens, ttft_us, without, room_us, is_overdue)
-        if not candidates or not self.has_decode(without):
+    def choose(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
+        candidates = self.weigh(work, ttft_us, without, room_us, is_overdue)
+        if not candidates or not self.has_decode(without, work.pool):
             return Decision(candidates, None)
         return Decision(candidates, candidates[self.node.ports.dice.randrange(len(candidates))])
 
-    def choose_decode(self, without=(), source=None, tokens=0):
+    def choose_decode(self, without=(), source=None, tokens=0, pool=None):
         runners = [runner for runner in self.roster.open_runners() if runner.phase != PREFILL and runner.name not in without]
         return runners[self.node.ports.dice.randrange(len(runners))] if runners else None
 
@@ -29,8 +29,8 @@
 
     __slots__ = ()
 
-    def weigh(self, tokens, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
-        candidates = super().weigh(tokens, ttft_us, without, room_us, is_overdue)
+    def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
+        candidates = super().weigh(work, ttft_us, without, room_us, is_overdue)
         return [candidate for candidate in candidates if candidate.runner.phase == PREFILL] or candidates
 
 
--- a/packages/traces/src/linkhaven/traces/writer.py
+++ b/packages/traces/src/linkhaven/traces/writer.py
@@ -49,7 +49,7 @@
         begun_ns = ended_ns - (ended_us - request.arrived_us) * 1_000
         span = self.tracer.start_span("request", start_time=begun_ns, attributes={
             "linkhaven.request": request.id, "linkhaven.kind": request.kind_name or "", "linkhaven.group": request.group or "",
-            "linkhaven.outcome": request.outcome, "linkhaven.shots": request.shots, "linkhaven.tokens": request.tokens,
+            "linkhaven.outcome": request.outcome, "linkhaven.attempts": request.attempts, "linkhaven.tokens": request.tokens,
         })
         context = set_span_in_context(span)
         for step, following in zip(request.steps, request.steps[1:]):
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,129 @@
+import re
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+sys.path.insert(0, str(ROOT / "platform"))
+
+import linkhaven  # noqa: E402
+
+linkhaven.__path__.append(str(ROOT / "platform" / "linkhaven")) if hasattr(linkhaven.__path__, "append") else None
+
+from linkhaven.plan import fill_plan  # noqa: E402
+from linkhaven.platform import names  # noqa: E402
+from linkhaven.platform.callers import PlatformCallers, status_of  # noqa: E402
+from linkhaven.platform.operator import read_plan  # noqa: E402
+from linkhaven.platform.runners import EventReader, trouble_of  # noqa: E402
+from linkhaven.schema import CATALOGUE, Trouble  # noqa: E402
+
+OURS = {"last-event-id", "retry-after", "request-id"}
+
+
+def route(**given):
+    return {
+        "name": "r-a1", "hostname": "one.example", "path_prefix": "/a/", "route_type": "streaming", "timeout_ms": 8000,
+        "target_latency_ms": 800, "priority": 0, "target_service": "pool-1", "max_attempts": 2, "resumable": True, "target_gap_ms": 300,
+        **given,
+    }
+
+
+def document(*routes, **given):
+    service = {"name": "pool-1", "health_path": "/health", "max_connections": 360, "engine": {"capacity": 64, "token_kv_bytes": 18432}}
+    return {"revision": 7, "route_rules": list(routes or [route()]), "services": [service], **given}
+
+
+def test_nothing_in_packages_says_a_name_of_the_platform():
+    said = {
+        value for name, value in vars(names).items()
+        if name.isupper() and isinstance(value, str) and value.lower() not in OURS and not value.startswith("/etc")
+    }
+    said |= {"route_rules", "target_service", "traffic_split", "kv_handle", "token_count", "holder_id", "fence_token", "cloud_api"}
+    found = []
+    for path in (ROOT / "packages").rglob("*.py"):
+        text = path.read_text().lower()
+        found += [f"{path.name}: {word}" for word in said if len(word) > 6 and re.search(rf"[\"'/]{re.escape(word.lower())}[\"'/?]", text)]
+    assert found == []
+
+
+def test_a_configuration_of_the_platform_is_a_plan_of_ours():
+    plan = fill_plan(read_plan(document(), 0.2, 43))
+    kind = plan["kinds"]["r-a1"]
+    assert kind["door"] == {"host": "one.example", "prefix": "/a/"}
+    assert kind["repeatable"] and kind["resumable"] and kind["attempts"] == 2
+    assert (kind["ttft_us"], kind["deadline_us"], kind["gap_us"]) == (800_000, 8_000_000, 300_000)
+    assert plan["extra"] == {"share": 0.2, "margin": 43}
+
+
+def test_a_stream_that_cannot_be_resumed_is_run_once():
+    plan = fill_plan(read_plan(document(route(resumable=False, max_attempts=3)), 0.2, 43))
+    assert plan["kinds"]["r-a1"]["repeatable"] is False
+
+
+@pytest.mark.parametrize("wrong", [
+    document(route(target_service="gone")),
+    document(route(), route(name="r-b2")),
+    document(route(traffic_split=[{"target_service": "pool-1", "weight": 0}])),
+    document(route(timeout_ms=0)),
+    document(route(timeout_ms="soon")),
+    {"revision": 7, "services": []},
+    document(services=[{}]),
+])
+def test_an_invalid_configuration_is_refused(wrong):
+    with pytest.raises(Trouble):
+        fill_plan(read_plan(wrong, 0.2, 43))
+
+
+def test_only_what_did_not_run_is_refused_with_a_promise():
+    for code in CATALOGUE:
+        assert (status_of(Trouble(code, done="unknown")) == 502) and status_of(Trouble(code, done="no")) != 502
+
+
+def test_only_a_runner_that_says_so_did_not_run_a_request():
+    assert trouble_of(503, {}) is None and trouble_of(500, {}) is None and trouble_of(504, {}) is None
+    assert trouble_of(503, {names.NOT_RUN: "1"}).done == "no"
+    assert trouble_of(421, {names.RUNNER: "i-1"}).done == "no"
+
+
+def test_events_are_passed_on_whole_with_their_numbers():
+    reader = EventReader(0)
+    pieces = reader.feed(b"id: 1\ndata: a\n\nid: 2\nda")
+    assert [(piece.number, piece.data) for piece in pieces] == [(1, b"id: 1\ndata: a\n\n")]
+    assert [(piece.number, piece.data) for piece in reader.feed(b"ta: b\n\n")] == [(2, b"id: 2\ndata: b\n\n")]
+    assert reader.rest == b""
+
+
+class Call:
+    def __init__(self, **headers):
+        self.method, self.path, self.fields, self.body = "POST", "/a/x", [], b""
+        self.headers = {name.replace("_", "-"): value for name, value in headers.items()}
+
+
+class Asked:
+    pass
+
+
+@pytest.mark.parametrize("headers", [
+    {"token_usage": "many"}, {"token_usage": "1,2,3"}, {"prompt_prefix": "ab:c"}, {"deadline_remaining": "soon"}, {"deadline_remaining": "inf"},
+])
+def test_sizes_that_are_no_numbers_get_a_clear_error(headers):
+    request = Asked()
+    request.call = Call(**headers)
+    with pytest.raises(Trouble) as told:
+        PlatformCallers().read(request)
+    assert told.value.code == "bad_request" and told.value.status == 400
+
+
+def test_sizes_and_parts_are_as_the_caller_told_them():
+    request = Asked()
+    request.call = Call(host="one.example:80", token_usage="1460,80", prompt_prefix="5c1e:800,91bd:410,e440:250", deadline_remaining="8000")
+    PlatformCallers().read(request)
+    assert (request.host, request.prompt_tokens, request.answer_tokens, request.patience_us) == ("one.example", 1460, 80, 8_000_000)
+    assert request.parts == (("5c1e", 800), ("91bd", 410), ("e440", 250))
+
+
+def test_the_deploy_file_names_programs_that_are_there():
+    text = (ROOT / "deploy" / "system.toml").read_text()
+    for program in re.findall(r"platform/\S+\.(?:py|sh)", text):
+        assert (ROOT / program).exists()
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -14,8 +14,8 @@
 from linkhaven.router.chain import Chain
 from linkhaven.router.keys import Keys
 from linkhaven.router.request import Request
-from linkhaven.router.shots import Relay, Shots
-from linkhaven.runner import Roster
+from linkhaven.router.attempts import Attempts, Relay
+from linkhaven.runner import Roster, RunnerDesk
 from linkhaven.stage.fleet import LICENSING, SimFleet
 from linkhaven.stage.scenario import Scenario
 from linkhaven.stage.standins import StandInRunner
@@ -24,13 +24,13 @@
 
 
 def forget_one_time(monkeypatch):
-    fail = Shots._fail
+    fail = Attempts.fail
 
     def forgetful(self, request, runner, trouble, has_begun):
         request.has_begun = False
         fail(self, request, runner, trouble, has_begun)
 
-    monkeypatch.setattr(Shots, "_fail", forgetful)
+    monkeypatch.setattr(Attempts, "fail", forgetful)
 
 
 def crash_under_checks(fleet_of):
@@ -94,7 +94,7 @@
 
 
 def spend_freely(monkeypatch):
-    monkeypatch.setattr(ExtraBudget, "spend", lambda self, why, keep=0.0: True)
+    monkeypatch.setattr(ExtraBudget, "spend", lambda self, why, keep=0.0, cost=1: True)
 
 
 def break_every_stream(fleet_of):
@@ -135,7 +135,7 @@
 def relay_anything(monkeypatch):
     def on_piece(self, piece):
         self.request.written = piece.number
-        self.shots.node.relay_piece(self.request, piece, 4, self.shots.node.now_us())
+        self.attempts.node.relay_piece(self.request, piece, 4, self.attempts.node.now_us())
 
     monkeypatch.setattr(Relay, "on_piece", on_piece)
 
@@ -146,7 +146,7 @@
 
 
 def refuse_what_was_begun(monkeypatch):
-    monkeypatch.setattr(Shots, "_unknown", lambda self, trouble: type(trouble)("no_runner"))
+    monkeypatch.setattr(Attempts, "_unknown", lambda self, trouble: type(trouble)("no_runner"))
 
 
 def share_without_counting(monkeypatch):
@@ -221,7 +221,7 @@
 
 
 def use_any_memory(monkeypatch):
-    monkeypatch.setattr(Shots, "_is_answer_to", lambda self, request, runner, document: True)
+    monkeypatch.setattr(RunnerDesk, "is_answer_to", lambda self, request, runner, document: True)
 
 
 def mix_up_handles_of(how):
@@ -307,7 +307,7 @@
 
 
 def believe_any_end(monkeypatch):
-    monkeypatch.setattr(Relay, "on_done", lambda self, piece: self.shots.node.end_done(self.request, piece))
+    monkeypatch.setattr(Relay, "on_done", lambda self, piece: self.attempts.node.end_done(self.request))
 
 
 def end_early(fleet_of):
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -19,7 +19,7 @@
         for resource in json.loads(line)["resourceSpans"] for scope in resource["scopeSpans"] for span in scope["spans"]
     ]
     whole = next(span for span in spans if span["name"] == "request")
-    assert {"queued", "shot"} <= {span["name"] for span in spans}
+    assert {"queued", "attempt"} <= {span["name"] for span in spans}
     assert {span["traceId"] for span in spans} == {whole["traceId"]}
     assert all(span.get("parentSpanId") == whole["spanId"] for span in spans if span is not whole)
     span_us = (int(whole["endTimeUnixNano"]) - int(whole["startTimeUnixNano"])) // 1_000
