Core: votes and the list of runners soon after a start; a stopping holder releases its duties

Cause: rejoin asked every 200 ms and waited alone_us for a seat whose disk was lost; deputies for the roster waited 1.6 s of quiet and 0.7 s of settling; a stopping holder's grant had to run out; a page being written was asked for again with the cursor None (TypeError in hear_browse). Ruled out: shorter grants (renewals cost writes, and rule ONE needs them); lists by seats without votes (they can't know a holder lives). Conclusion: whoever met no vote stands in as a deputy; a holder that is down, gone or started anew counts as quiet at once; a majority with disks doesn't wait for one that said it is empty; duties are released on SIGTERM, orders still keep one grant between two holders.

--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -8,11 +8,13 @@
 
 class Duty:
     """A duty in the register: {holder, fence, renewal}. Held for a grant that is counted
-    from before it was asked for; contested only after a whole grant without renewal."""
+    from before it was asked for; contested only after a whole grant without renewal, or once its holder has
+    released it. `life_of` tells which start of a node runs: 0 where it is down, None where that isn't known."""
 
     __slots__ = (
         "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
         "seen", "seen_us", "grant_us", "renew_us", "quiet_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us", "vacant_us", "ticked_us",
+        "is_vacant", "life", "life_of", "is_succession", "is_closed",
     )
 
     def __init__(self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None):
@@ -37,6 +39,11 @@
         self.seen_us = self.ticked_us = node.now_us()
         self.vacant_us = self.grant_us + MARGIN_US
         self.contest_us = 0
+        self.is_vacant = False
+        self.life = None
+        self.life_of = lambda name: None
+        self.is_succession = False
+        self.is_closed = False
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
 
@@ -52,8 +59,26 @@
         return self.fence is not None and self.node.now_us() < self.granted_us
 
     def is_quiet(self):
-        """Nobody renewed for a while: who may soon hold the duty can make ready."""
-        return self.seat.is_voting and self.node.now_us() - self.seen_us > self.quiet_us
+        """Nobody renewed for a while, or the holder is gone: who may soon hold the duty can make ready."""
+        if not self.seat.is_voting or self.is_closed:
+            return False
+        return self.is_vacant or self._is_holder_gone() or self.node.now_us() - self.seen_us > self.quiet_us
+
+    def stand_vacant(self):
+        """No living holder is known, though its grant may not have run out."""
+        self.observe(self.holder(), self.node.now_us())
+        self.is_vacant = True
+
+    def _is_holder_gone(self):
+        holder = self.holder()
+        if holder is None or holder["holder"] is None:
+            return False
+        if holder["holder"] == self.node.name:
+            return self.fence is None and not self.is_asking
+        life = self.life_of(holder["holder"])
+        if self.life is None:
+            self.life = life
+        return life is not None and life != self.life or life == 0
 
     def holder(self):
         return self.seat.cell(self.key).value
@@ -78,12 +103,34 @@
         self._lapse()
         self._wait_anew(self.node.now_us() + self.grant_us)
 
+    def release(self, done):
+        """The holder stops: after its last deed it tells that a successor needn't wait for the grant to run out."""
+        self.is_closed = True
+        if self.fence is None:
+            return done()
+        fence = self.fence
+        self._lapse()
+
+        def step(value):
+            if not value or value["fence"] != fence or value["holder"] != self.node.name:
+                return "stop", value
+            return "set", {"holder": None, "fence": fence, "renewal": value["renewal"] + 1}
+
+        self.proposer.change(self.key, step, lambda outcome, value: done())
+
     def observe(self, value, now_us):
         seen = value and (value["fence"], value["renewal"])
-        if (seen or (0, 0)) > (self.seen or (0, 0)):
-            self.seen = seen
-            self.seen_us = now_us
-            self._wait_anew(now_us)
+        if (seen or (0, 0)) <= (self.seen or (0, 0)):
+            return
+        self.seen = seen
+        self.seen_us = now_us
+        self._wait_anew(now_us)
+        self.is_vacant = value["holder"] is None
+        if self.is_vacant:
+            self.vacant_us = self.grant_us + MARGIN_US
+            self.contest_us = now_us + self.rank_us
+            return
+        self.life = self.life_of(value["holder"])
 
     def _wait_anew(self, now_us):
         self.vacant_us = 0
@@ -100,12 +147,13 @@
             if self.fence is not None:
                 self._lapse()
             self.seen_us = now_us
+            self.is_vacant = False
             self._wait_anew(now_us)
             return
         self.observe(self.seat.cell(self.key).value, now_us)
         if self.fence is not None and now_us >= self.granted_us:
             self._lapse()
-        if self.is_asking:
+        if self.is_asking or self.is_closed:
             return
         if self.fence is not None:
             if self.floor > self.fence:
@@ -125,6 +173,7 @@
         self.asked_us = now_us
         expected = (self.fence, self.renewal) if self.fence is not None else self.seen
         wanted = {"holder": self.node.name, "fence": fence, "renewal": renewal}
+        is_succession = self.is_vacant and bool(self.seen)
 
         def step(value):
             if value == wanted:
@@ -138,6 +187,8 @@
             self.is_asking = False
             if outcome == "stopped":
                 self.observe(value, self.node.now_us())
+            if self.is_closed:
+                return
             if outcome != "chosen" or value != wanted:
                 return self._rest()
             if self.node.now_us() >= now_us + self.grant_us:
@@ -147,6 +198,7 @@
             self.renewal = renewal
             self.granted_us = now_us + self.grant_us
             if is_new:
+                self.is_succession = is_succession
                 self.node.ports.log(1401, duty=self.name, fence=fence)
                 self.on_won()
 
--- a/packages/register/src/linkhaven/register/occupants.py
+++ b/packages/register/src/linkhaven/register/occupants.py
@@ -28,6 +28,14 @@
     def addresses(self):
         return [address for _, _, _, address in self.records.values()]
 
+    def emptied(self):
+        """Seats whose last occupant runs and has none: its disk is lost, and nothing more will come from it."""
+        fellows = self.seat.directory.fellows
+        return {
+            seat for seat, (_, _, name, address) in self.records.items()
+            if name in fellows and fellows[name].is_up and fellows[name].address == address and not fellows[name].seat
+        }
+
     def name_of(self, seat):
         return self.records[seat][2] if seat in self.records else ""
 
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -3,6 +3,8 @@
 REJOINING, VOTING, WAITING, FENCED, SPARE, BEGINNING = "rejoining", "voting", "waiting", "fenced", "spare", "beginning"
 
 ASK_US = 200_000
+FIRST_ASK_US = 50_000
+FIRST_ASKS_US = 1_500_000
 STUCK_US = 1_000_000
 PAGE = 500
 BROWSERS_AT_MOST = 4
@@ -11,9 +13,13 @@
 class Rejoin:
     """What each start of a seat goes through before it votes: it hears how the others stand, raises its incarnation,
     has them record that, and only then reads what they hold, page by page; so nothing that an older occupant of
-    this seat took part in can be chosen behind its back."""
+    this seat took part in can be chosen behind its back.
 
-    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "moved_us", "wait_reason", "browsers")
+    A disk that was read is whole unless it lost what it had synced. So a seat with a disk needs the others only to
+    make good such a loss: a majority with disks goes on once the rest has answered that it has none, and where the
+    rest is silent, after `terms.alone_us`."""
+
+    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "moved_us", "wait_reason", "browsers", "asked_back", "has_met_no_vote")
 
     def __init__(self, node, seat):
         self.node = node
@@ -29,6 +35,8 @@
         self.is_doubted = False
         self.wait_reason = None
         self.browsers = {}
+        self.asked_back = None
+        self.has_met_no_vote = False
         node.hearers.update(
             rejoin=self.hear_rejoin, rejoin_state=self.hear_state, rejoin_note=self.hear_note, rejoin_noted=self.hear_noted,
             rejoin_browse=self.hear_browse, rejoin_page=self.hear_page,
@@ -65,6 +73,20 @@
             asked=message["asked"], occupant=seat.occupants.name_of(message["seat"]),
             is_taken=seat.is_voting and seat.occupants.is_taken(message),
         )
+        self._ask_back(message)
+
+    def _ask_back(self, message):
+        """Who asks runs: its own standing needn't wait for the next round of asks."""
+        if self.seat.standing not in (REJOINING, WAITING) or self.notes is not None or message["seat"] == self.seat.seat:
+            return
+        told = self.told.get(message["seat"])
+        if told is not None and told["start"] == message["asked"] or self.asked_back == message["asked"]:
+            return
+        self.asked_back = message["asked"]
+        self._ask(message["back"])
+
+    def _ask(self, address):
+        self.node.tell(address, "rejoin", seat=self.seat.seat, asked=self.start)
 
     def hear_state(self, message):
         seat = self.seat
@@ -92,6 +114,7 @@
         in_standing = [state for state in self.told.values() if state["is_voting"]]
         if len(in_standing) >= needed:
             return self._adopt(self.told.values())
+        have_all_answered = len({*self.told, *seat.occupants.emptied()} - {seat.seat}) == others
         if len(self.told) == others:
             is_any_empty = seat.is_empty or any(state["is_empty"] for state in self.told.values())
             is_all_empty = seat.is_empty and all(state["is_empty"] for state in self.told.values())
@@ -100,13 +123,12 @@
                 return self._adopt(self.told.values())
             if not is_any_empty:
                 return self._adopt(self.told.values())
-        if now_us - self.started_us < self.node.terms.alone_us:
-            return
-        if not seat.is_empty:
+        is_alone = now_us - self.started_us >= self.node.terms.alone_us
+        if not seat.is_empty and (have_all_answered or is_alone):
             fit = [state for state in self.told.values() if not state["is_empty"]]
             if len(fit) + 1 >= seat.majority:
                 return self._adopt(fit)
-        if seat.standing != WAITING:
+        if is_alone and seat.standing != WAITING:
             seat.standing = WAITING
             self.wait_reason = "too few others in standing to rebuild from"
             self.node.ports.log(1203, seat=seat.seat, heard=len(self.told))
@@ -120,6 +142,7 @@
 
     def _adopt(self, states):
         seat = self.seat
+        self.has_met_no_vote = bool(states) and not any(state["is_voting"] for state in states)
         highest = max(seat.incarnation, seat.directory.seats().get(seat.seat, ("", 0))[1])
         for state in states:
             highest = max(highest, state["known"].get(seat.seat, 0))
@@ -148,7 +171,8 @@
     def _tell_notes(self):
         for name, (address, _) in self.seat.directory.seats().items():
             if name in self.cursors:
-                self._browse(name, address)
+                if self.cursors[name] is not None:
+                    self._browse(name, address)
             elif name in (self.notes or ()):
                 self.node.tell(
                     address, "rejoin_note", seat=self.seat.seat, incarnation=self.seat.incarnation, start=self.start,
@@ -209,9 +233,10 @@
         self.cursors[name] = None
         self.moved_us = self.node.now_us()
         changed = self.seat.merge(message["cells"])
+        notes = self.notes
 
         def go_on(is_kept):
-            if self.notes is None:
+            if self.notes is not notes:
                 return
             if not is_kept:
                 return self._hear_full_disk()
@@ -242,7 +267,8 @@
         self.node.ports.disk.write({"is_partial": None, "are_claims_open": seat.are_claims_open}, vote)
 
     def tick(self, now_us):
-        if now_us - self.asked_us < ASK_US:
+        is_first = now_us - self.started_us < FIRST_ASKS_US
+        if now_us - self.asked_us < (FIRST_ASK_US if is_first else ASK_US):
             return
         self.asked_us = now_us
         if now_us - self.moved_us > STUCK_US and (self.notes is not None or self.seat.occupants.is_trying):
@@ -251,5 +277,5 @@
             return self._tell_notes()
         for name, (address, _) in self.seat.directory.seats().items():
             if name != self.seat.seat:
-                self.node.tell(address, "rejoin", seat=self.seat.seat, asked=self.start)
+                self._ask(address)
         self._weigh(now_us)
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -3,10 +3,11 @@
 
 ABANDON_US = 1_000_000
 PRESS_US = 250_000
-SETTLE_US = 700_000
+SETTLE_US = 200_000
 BLIND_US = 1_200_000
 LEFT_US = 60_000_000
 ANY_INCARNATION = 0
+SERIALS_A_START = 1 << 32
 
 
 class RosterKeeper:
@@ -16,6 +17,7 @@
     __slots__ = (
         "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
         "reported_us", "pressed_us", "owed_us", "heard_us", "blind_us", "changed", "serial", "since_us", "leaving", "on_blind", "starts",
+        "first_us", "is_settled", "on_ready",
     )
 
     def __init__(self, node, desk, platform, needs):
@@ -38,14 +40,25 @@
         self.since_us = None
         self.leaving = {}
         self.on_blind = lambda: None
+        self.on_ready = lambda: None
+        self.first_us = None
+        self.is_settled = False
         self.starts = Starts()
         node.systems.append(self.tick)
 
     def is_ready(self):
+        """The list came, and the runners' reports came or had their time."""
         if self.listed_us is None or self.since_us is None:
             return False
         now_us = self.node.now_us()
-        return now_us - self.since_us >= SETTLE_US and now_us - self.listed_us < self.blind_us
+        if not self.is_settled:
+            is_owed = any(runner.reported_us is None for runner in self.runners.values())
+            self.is_settled = not is_owed or now_us - self.first_us >= SETTLE_US
+        return self.is_settled and now_us - self.listed_us < self.blind_us
+
+    def begin_serials(self, incarnation):
+        """Each start of a seat tells higher serials than those before."""
+        self.serial = max(self.serial, incarnation * SERIALS_A_START)
 
     def hear_evidence(self, message):
         now_us = self.node.now_us()
@@ -78,7 +91,8 @@
             return
         if self.since_us is None:
             self.since_us = now_us
-            self.listed_us = None
+            self.listed_us = self.first_us = None
+            self.is_settled = False
             self._change()
             self.runners.clear()
             self.heard_us.clear()
@@ -95,6 +109,8 @@
                 self._ask_report(runner, now_us)
         elif now_us - self.pressed_us >= PRESS_US:
             self._press(now_us)
+        if not self.is_settled and self.is_ready():
+            self.on_ready()
 
     def _change(self):
         self.serial += 1
@@ -152,6 +168,8 @@
             del self.leaving[key]
         self.starts.forget(listed)
         self.listed_us = sent_us
+        if self.first_us is None:
+            self.first_us = self.node.now_us()
         self.serial += 1
         if before != {name: self._facts(runner) for name, runner in self.runners.items()}:
             self.changed = self.serial
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -12,6 +12,7 @@
 from .steward import Steward
 
 IMAGE_WAIT_US = 1_000_000
+RELEASE_US = 400_000
 USAGE_US = 5_000_000
 UNASKED_US = 700_000
 SEATS = ("a", "b", "c", "d", "e")
@@ -23,6 +24,7 @@
     __slots__ = (
         "ring", "seat", "proposer", "image", "plan_desk", "news", "duties", "desk", "keeper", "steward",
         "gate", "usage", "bursar", "is_draining", "told_image", "voted_us", "contacts", "is_adopting", "incarnation", "adopt_us",
+        "on_drained", "leave_by_us", "unreleased",
     )
 
     def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, terms=None, contacts=(), contact=None, desk_of=RunnerDesk):
@@ -37,6 +39,9 @@
         self.voted_us = None
         self.is_adopting = False
         self.adopt_us = 0
+        self.on_drained = None
+        self.leave_by_us = 0
+        self.unreleased = set()
         self.ring = Ring(self, "registry", zone, seeds, incarnation, seat or "", mark_of=lambda: self.image.mark)
         self.proposer = Proposer(self, self.ring)
         self.seat = Seat(self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms)
@@ -47,17 +52,20 @@
         self.news = NewsDesk(self, self.seat, self.proposer, self.image)
         self.desk = desk_of(self)
         self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in DUTIES}
+        for duty in self.duties.values():
+            duty.life_of = self._life_of
         self._rank_duties()
         self.duties["roster"].on_won = self.news.answer_all
         self.keeper = RosterKeeper(self, self.desk, platform, (self.duties["roster"], self.duties["steward"]))
         self.keeper.on_blind = self.duties["roster"].give_up
+        self.keeper.on_ready = self.news.answer_all
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
         self.ring.on_mark.append(self._hear_mark)
         self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences, self._hear_usage]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.hearers["image"] = self._hear_image
-        self.systems += [self._adopt_image, self._watch_edge]
+        self.systems += [self._adopt_image, self._watch_edge, self._leave_in_time]
         self.paths.update({
             ("GET", "/v1/core"): self.serve_core,
             ("GET", "/v1/groups"): self.serve_groups,
@@ -94,9 +102,18 @@
     def _hear_votes(self):
         self.voted_us = self.now_us()
         self._rank_duties()
+        self.keeper.begin_serials(self.seat.incarnation)
         if not self.seat.votes_from_us:
             for duty in self.duties.values():
                 duty.stand_free()
+        elif self.seat.rejoin.has_met_no_vote:
+            self.duties["roster"].stand_vacant()
+
+    def _life_of(self, name):
+        fellow = self.ring.fellows.get(name)
+        if fellow is None:
+            return None
+        return fellow.incarnation if fellow.is_up and not fellow.has_left else 0
 
     def _hear_mark(self, mark, fellow):
         self.image.hear_mark(mark)
@@ -195,11 +212,28 @@
     def drain(self, on_drained):
         self.is_draining = True
         self.ports.log(1002, running=0)
+        self.on_drained = on_drained
+        self.leave_by_us = self.now_us() + RELEASE_US
+        self.unreleased = set(self.duties)
+        for name, duty in self.duties.items():
+            duty.release(lambda name=name: self._hear_released(name))
+
+    def _hear_released(self, name):
+        self.unreleased.discard(name)
+        if not self.unreleased:
+            self._leave()
+
+    def _leave(self):
+        on_drained, self.on_drained = self.on_drained, None
+        if on_drained is None:
+            return
         self.ring.say_bye()
-        for duty in self.duties.values():
-            duty.give_up()
         on_drained()
 
+    def _leave_in_time(self, now_us):
+        if self.on_drained is not None and now_us >= self.leave_by_us:
+            self._leave()
+
     def serve_core(self, call):
         seats = self.ring.seats()
         call.answer_json(200, {
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -49,8 +49,10 @@
         self.woken_us = now_us
 
     def may_order(self, now_us):
+        """Between the orders of two holders a grant has passed, also where the former one released the duty."""
         terms = self.node.terms
-        return now_us - self.won_us >= terms.orders_after_us and now_us - self.woken_us >= terms.thaw_us
+        after_us = max(terms.orders_after_us, self.duty.grant_us if self.duty.is_succession else 0)
+        return now_us - self.won_us >= after_us and now_us - self.woken_us >= terms.thaw_us
 
     def forget(self):
         self.search = RatioSearch()
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -5,6 +5,8 @@
 
 WATCHERS = 3
 GOSSIP_US = 1_000_000
+SEEK_US = 100_000
+SEEK_FOR_US = 5_000_000
 FORGET_US = 60_000_000
 
 
@@ -45,7 +47,7 @@
 
     __slots__ = (
         "node", "me", "seeds", "fellows", "beat_us", "gossip_us", "on_standing", "on_mark", "mark_of",
-        "seat_marks", "raises_own",
+        "seat_marks", "raises_own", "sought_us", "seek_until_us",
     )
 
     def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
@@ -59,7 +61,8 @@
         self.on_mark = []
         self.seat_marks = {}
         self.raises_own = True
-        self.beat_us = self.gossip_us = 0
+        self.beat_us = self.gossip_us = self.sought_us = 0
+        self.seek_until_us = node.now_us() + SEEK_FOR_US
         node.hearers.update(
             hello=self.hear_hello, members=self.hear_members, beat=self.hear_beat,
             verdict=self.hear_verdict, bye=self.hear_bye,
@@ -250,6 +253,19 @@
         if now_us - self.gossip_us >= GOSSIP_US:
             self.gossip_us = now_us
             self._gossip(now_us)
+        elif now_us < self.seek_until_us and now_us - max(self.gossip_us, self.sought_us) >= SEEK_US:
+            self._seek(now_us)
+
+    def _seek(self, now_us):
+        """Seeds start at about the same time as this node: those that weren't there are asked again soon."""
+        self.sought_us = now_us
+        self.me.mark = self.mark_of()
+        for seed in self._missing_seeds():
+            self.node.tell(seed, "hello", fellow=self.me.as_record())
+
+    def _missing_seeds(self):
+        known = {fellow.address for fellow in self.live()}
+        return [seed for seed in self.seeds if seed not in known and seed != self.node.address]
 
     def _beat(self):
         self.me.mark = self.mark_of()
@@ -274,10 +290,8 @@
         return self.node.name in self.watchers_of(fellow.name)
 
     def _gossip(self, now_us):
-        known = {fellow.address for fellow in self.live()}
-        missing = [seed for seed in self.seeds if seed not in known and seed != self.node.address]
         self.me.mark = self.mark_of()
-        for seed in missing:
+        for seed in self._missing_seeds():
             self.node.tell(seed, "hello", fellow=self.me.as_record())
         fellows = self.live() or self.fellows.rows()
         if fellows:
--- /dev/null
+++ b/tests/test_recovery_speed.py
@@ -0,0 +1,137 @@
+import pytest
+
+from linkhaven.stage.core import SimCore
+from linkhaven.stage.fleet import LICENSING, SimFleet
+
+SECOND = 1_000_000
+MS = 1_000
+PLAN = {"groups": {"g": {}}, "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}}}
+
+
+def started(seed=1, count=3, **terms):
+    core = SimCore(seed, **terms).bootstrap(count)
+    assert core.wait_voting(count), core.voting()
+    core.world.run_for(SECOND)
+    return core
+
+
+def events(core, number, since_us=0):
+    return [entry for entry in core.world.events if entry[2] == number and entry[0] >= since_us]
+
+
+def kill_all(core, gap_us=0):
+    for host in core.machines.values():
+        host.kill()
+    core.world.run_for(SECOND)
+    for place, host in enumerate(core.machines.values()):
+        core.world.after(place * gap_us, host.start)
+    core.world.run_for((len(core.machines) - 1) * gap_us + 1)
+
+
+def holder_of(nodes, duty):
+    return next((host for host in nodes if host.node and host.node.duties[duty].is_held()), None)
+
+
+def test_a_page_that_is_being_written_is_not_asked_for_again():
+    core = started(1)
+    assert core.put(0, 3, "text", PLAN)[0][0] is None
+    host = core.machines["core-2"]
+    host.kill()
+    host.disk.sync_us = 300 * MS
+    host.start()
+    assert core.wait_voting(3)
+    assert events(core, 1005) == []
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+@pytest.mark.parametrize("gap_us", [0, 70 * MS, 190 * MS])
+def test_after_all_were_killed_the_seats_vote_soon_after_the_last_start(seed, gap_us):
+    core = started(seed)
+    kill_all(core, gap_us)
+    assert core.world.wait_for(lambda: len(core.voting()) == 3, 200 * MS, 5 * MS), core.voting()
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_majority_with_disks_waits_no_longer_once_the_wiped_one_is_heard(seed):
+    core = started(seed)
+    assert core.put(0, 3, "text", PLAN)[0][0] is None
+    core.machines["core-3"].disk.wipe()
+    kill_all(core)
+    assert core.world.wait_for(lambda: {"a", "b"} <= set(core.voting()), 300 * MS, 5 * MS), core.voting()
+    assert core.wait_voting(3, 4 * SECOND)
+    assert core.read()[1]["revision"] == 3
+
+
+def test_a_silent_seat_is_waited_for_as_long_as_the_terms_say():
+    core = started(2)
+    for host in core.machines.values():
+        host.kill()
+    core.world.run_for(SECOND)
+    for name in ("core-1", "core-2"):
+        core.machines[name].start()
+    core.world.run_for(900 * MS)
+    assert core.voting() == {}
+    assert core.world.wait_for(lambda: len(core.voting()) == 2, 300 * MS, 5 * MS)
+
+
+def test_a_core_that_began_to_vote_tells_the_runners_without_a_holder():
+    fleet = SimFleet(LICENSING, 5).start()
+    world = fleet.world
+    world.run_for(3 * SECOND)
+    fleet.list_runners()
+    for host in [*fleet.registries.values(), *fleet.routers.values()]:
+        host.kill()
+    world.run_for(SECOND)
+    for host in [*fleet.registries.values(), *fleet.routers.values()]:
+        host.start()
+
+    def told():
+        return all(host.node.roster.taken_us is not None and host.node.image.plan for host in fleet.routers.values())
+
+    assert world.wait_for(told, 600 * MS, 5 * MS)
+    assert not any(host.node.duties["roster"].is_held() for host in fleet.registries.values())
+
+
+@pytest.mark.parametrize("how", ["kill", "freeze"])
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_the_list_of_runners_is_never_older_than_two_seconds(how, seed):
+    fleet = SimFleet(LICENSING, seed).start()
+    world = fleet.world
+    world.run_for(3 * SECOND + seed * 160 * MS)
+    holder = holder_of(fleet.registries.values(), "roster")
+    holder.kill() if how == "kill" else holder.freeze()
+    oldest_us = 0
+    for _ in range(500):
+        world.run_for(10 * MS)
+        oldest_us = max(oldest_us, *(world.now_us - host.node.roster.taken_us for host in fleet.routers.values()))
+    assert oldest_us <= 2 * SECOND
+
+
+def test_a_holder_that_stops_releases_its_duties():
+    core = started(4)
+    assert core.world.wait_for(lambda: holder_of(core.machines.values(), "roster"), 8 * SECOND)
+    core.world.run_for(2 * SECOND)
+    old = holder_of(core.machines.values(), "roster")
+    fences = {name: duty.holder()["fence"] for name, duty in old.node.duties.items()}
+    held = {name for name, duty in old.node.duties.items() if duty.is_held()}
+    left = []
+    old.node.drain(lambda: left.append(core.world.now_us))
+    assert core.world.wait_for(lambda: left, 200 * MS, 5 * MS)
+    old.kill()
+    others = [host for host in core.machines.values() if host is not old]
+    assert core.world.wait_for(lambda: all(holder_of(others, name) for name in held), 600 * MS, 5 * MS)
+    for name in held:
+        assert holder_of(others, name).node.duties[name].fence > fences[name]
+
+
+def test_a_successor_gives_no_orders_until_a_grant_has_passed():
+    core = started(4)
+    assert core.world.wait_for(lambda: holder_of(core.machines.values(), "steward"), 8 * SECOND)
+    core.world.run_for(2 * SECOND)
+    old = holder_of(core.machines.values(), "steward")
+    old.node.drain(old.kill)
+    others = [host for host in core.machines.values() if host is not old]
+    assert core.world.wait_for(lambda: holder_of(others, "steward"), SECOND, 5 * MS)
+    steward = holder_of(others, "steward").node.steward
+    assert not steward.may_order(core.world.now_us + steward.duty.grant_us - 20 * MS)
+    assert steward.may_order(core.world.now_us + steward.duty.grant_us)
