Router: a stream that its caller resumes has the head of the run that goes on

Cause: Relay.on_begin kept a run's head only where the request had no run yet; a request with the caller's resume place has one from the start, so its first event met a head of None (TypeError in PlatformCallers.begin), and each of its attempts failed as runner_lost after having run. Ruled out: a head kept where there is none yet; a second run before the first event would then have the head of the first. Conclusion: until the caller's answer has begun, the head is that of the run that is relayed.

--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -324,6 +324,7 @@
         request.progress_us = now_us
         if request.run is None:
             request.run = run
+        if not request.call.is_begun:
             request.head = head
         is_same_run = request.run == run or self.attempts.desk.joins_runs
         if not run or not is_same_run or after != request.written:
