Disk: a folder that shut itself is opened again; its size under a storm of plans is bounded

Cause: lmdb refuses every transaction after a head page that could not be written (PanicError), so a full disk could silence a seat for good. Before: not opened again. After: the next write opens the folder; the size is a test.

--- a/packages/registry/src/linkhaven/registry/disk.py
+++ b/packages/registry/src/linkhaven/registry/disk.py
@@ -11,11 +11,13 @@
 class LmdbDisk:
     """The data folder: writes of one turn of the loop go into one synced transaction."""
 
-    __slots__ = ("env", "clock", "waiting")
+    __slots__ = ("env", "clock", "waiting", "folder", "most_bytes")
 
     def __init__(self, folder, most_bytes=MAP_BYTES):
+        self.folder = folder
+        self.most_bytes = most_bytes
         try:
-            self.env = lmdb.open(folder, map_size=most_bytes, sync=True, metasync=True, max_dbs=0)
+            self.env = self._open()
         except (lmdb.CorruptedError, lmdb.InvalidError, lmdb.VersionMismatchError, lmdb.PageNotFoundError) as fault:
             raise Trouble("disk_corrupt", data=folder, why=str(fault)) from None
         except (lmdb.Error, OSError) as fault:
@@ -24,6 +26,9 @@
         self.waiting = []
         self._check(folder)
 
+    def _open(self):
+        return lmdb.open(self.folder, map_size=self.most_bytes, sync=True, metasync=True, max_dbs=0)
+
     def _check(self, folder):
         """A file that ends before its last page would end this process without a word when it is read."""
         needed = (self.env.info()["last_pgno"] + 1) * self.env.stat()["psize"]
@@ -51,7 +56,14 @@
 
     def _sync(self):
         waiting, self.waiting = self.waiting, []
+        is_kept = self._keep(waiting)
+        for _, done in waiting:
+            done(is_kept)
+
+    def _keep(self, waiting):
         try:
+            if self.env is None:
+                self.env = self._open()
             with self.env.begin(write=True) as txn:
                 for items, _ in waiting:
                     for key, value in items.items():
@@ -59,11 +71,15 @@
                             txn.delete(key.encode())
                         else:
                             txn.put(key.encode(), value.encode())
-            is_kept = True
+        except lmdb.PanicError:
+            self.close()
+            return False
         except (lmdb.Error, OSError):
-            is_kept = False
-        for _, done in waiting:
-            done(is_kept)
+            return False
+        return True
 
     def close(self):
-        self.env.close()
+        """Also after a head that could not be written: that shuts the folder until it is opened anew."""
+        if self.env is not None:
+            self.env.close()
+        self.env = None
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -1,3 +1,7 @@
+import os
+import random
+
+import lmdb
 import pytest
 
 from linkhaven.registry import disk as module
@@ -50,6 +54,47 @@
     disk.close()
 
 
+def test_a_folder_that_shut_itself_is_opened_again(tmp_path):
+    disk, clock = open_disk(tmp_path / "data")
+    disk.write({"a": 1}, lambda is_kept: None)
+    clock.run()
+
+    class Shut:
+        def begin(self, write=False):
+            raise lmdb.PanicError("head was not written")
+
+        def close(self):
+            shut.close()
+
+    shut, disk.env = disk.env, Shut()
+    told = []
+    for value in (2, 3):
+        disk.write({"a": value}, told.append)
+        clock.run()
+    assert told == [False, True]
+    assert disk.load() == {"a": 3}
+    disk.close()
+
+
+def test_many_plans_and_renewals_keep_the_folder_small(tmp_path):
+    """Two and a half minutes of a plan each 100 ms, and three duties renewed beside them, by the figures of a small disk."""
+    folder, sizes = tmp_path / "data", random.Random(5)
+    disk, clock = open_disk(folder, most_bytes=96 << 20)
+    disk.env.close()
+    disk.env = lmdb.open(str(folder), map_size=96 << 20, sync=False)
+    told = []
+    for turn in range(1_500):
+        plan = "p" * sizes.randrange(20_000, 400_000)
+        disk.write({"cell/plan": [[turn, "n"], [turn, "n"], {"mark": turn, "document": plan, "plan": plan}, 0]}, told.append)
+        clock.run()
+        disk.write({f"cell/duty/{turn % 3}": [[turn, "n"], [turn, "n"], {"fence": 1, "renewal": turn}, 0]}, told.append)
+        clock.run()
+    assert all(told)
+    held = os.path.getsize(folder / "data.mdb")
+    disk.close()
+    assert held < 12 << 20, held
+
+
 def test_a_folder_that_cannot_be_opened_is_a_coded_trouble(tmp_path):
     (tmp_path / "file").write_text("not a folder")
     with pytest.raises(Trouble) as caught:
