--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -132,7 +132,19 @@
             del self.usage[name]
 
     def serve_groups(self, call):
-        """What each group may spend, and has spent, is waiting for and was refused at the routers heard lately."""
+        """What each group may spend, and has spent, is waiting for and was refused at the routers heard lately.
+        Routers talk to seats only: who has none reads the plan, and has heard no router."""
+        if self.seat.is_voting:
+            return self._tell_groups(call)
+
+        def done(trouble, value):
+            if trouble is not None or self.image.plan is None:
+                return call.answer_trouble(trouble or Trouble("plan_absent", retry_us=2_000_000))
+            self._tell_groups(call)
+
+        self.plan_desk.read_document(done)
+
+    def _tell_groups(self, call):
         plan = self.image.plan
         if plan is None:
             raise Trouble("plan_absent", retry_us=2_000_000)
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -149,21 +149,22 @@
 
 class GroupPutCommand(PartCommand):
     name = "group put"
-    description = "Create or change a group with its credit allowance."
+    description = "Create or change a group, with its credit allowance or without one."
     arguments = [NAME_ARGUMENT]
     options = [
         *PART_OPTIONS,
-        option("tokens", None, "tokens of credit in a period", flag=False),
+        option("tokens", None, "tokens of credit in a period; without it the group isn't capped", flag=False),
         option("period-ms", None, "the period", flag=False, default="10000"),
         option("weight", None, "its weight where groups with credit meet", flag=False, default="1"),
     ]
 
     def act(self):
-        fields = {name: self.option(name) or "" for name in ("tokens", "period-ms", "weight")}
+        is_capped = self.option("tokens") is not None
+        fields = {name: self.option(name) or "" for name in (*(["tokens"] if is_capped else []), "period-ms", "weight")}
         wrong = [name for name, text in fields.items() if not text.replace(".", "", name == "weight").isdigit()]
         if wrong:
             raise Trouble("bad_request", places=[{"place": f"--{name}", "fault": "is not a number"} for name in wrong])
-        credit = {"tokens": int(fields["tokens"]), "period_us": int(fields["period-ms"]) * 1_000}
+        credit = {"tokens": int(fields["tokens"]), "period_us": int(fields["period-ms"]) * 1_000} if is_capped else None
         self.change("PUT", "groups", {"group": {"credit": credit, "weight": float(fields["weight"])}})
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -1,9 +1,11 @@
 import json
 
 import pytest
+from cleo.testers.command_tester import CommandTester
 
 from linkhaven.clockwork import Call
 from linkhaven.plan import check_plan, effective_plan, fill_plan
+from linkhaven.registry import program
 from linkhaven.stage.core import SimCore
 from linkhaven.stage.fleet import LICENSING, SimFleet
 
@@ -179,3 +181,29 @@
     routers = [host.node for host in fleet.routers.values()]
     assert all("seats" not in node.credit.tell_demand() and "audit" in node.credit.tell_demand() for node in routers)
     assert sum(node.credit.groups["seats"].spent for node in routers) > 0
+
+
+def test_a_spare_tells_the_groups_of_the_plan_in_force():
+    core = make_core()
+    core.add("core-9").start()
+    core.world.run_for(2 * SECOND)
+    assert code(core.put(0, 4, "text", PLAN)) is None
+    for revision in (4, 6):
+        call = Answered("GET", "/v1/groups", {}, b"")
+        core.machines["core-9"].node.serve(call)
+        assert core.world.wait_for(lambda call=call: call.is_ended, SECOND, 10_000)
+        assert (call.status, set(call.document["groups"]), call.document["routers"]) == (200, {"g", "h"}, 0)
+        assert code(core.put(revision, revision + 2, "later", PLAN)) is None
+        assert call.document["mark"] == revision // 2 - 1
+
+
+@pytest.mark.parametrize("flags, credit", [
+    ("", None), ("--tokens 50 --period-ms 2000", {"tokens": 50, "period_us": 2_000_000}),
+])
+def test_a_group_is_put_with_an_allowance_or_without_one(monkeypatch, flags, credit):
+    sent = []
+    monkeypatch.setattr(program, "call_json", lambda *call: sent.append(call) or {})
+    assert CommandTester(program.GroupPutCommand()).execute(f"desks --expect 7 --weight 2 {flags}") == 0
+    (_, method, path, document), = sent
+    assert (method, path, document["group"]) == ("PUT", "/v1/groups/desks", {"credit": credit, "weight": 2.0})
+    assert check_plan({**PLAN, "groups": {**PLAN["groups"], "desks": document["group"]}}) == []
