--- a/packages/stage/src/linkhaven/stage/slopes/fit.py
+++ b/packages/stage/src/linkhaven/stage/slopes/fit.py
@@ -4,6 +4,7 @@
 ORDERS = (CONSTANT, LINEAR, SQUARE)
 TELLING = 4.0
 WORTH = 0.1
+SQUARE_WORTH = 0.25
 
 
 class Fit:
@@ -37,20 +38,21 @@
 
 
 def fit(points):
-    """Constant, unless a line explains a tenth of the highest value; a line, unless a square beside it does."""
+    """Constant, unless a line explains a tenth of the highest value; a line, unless a square beside it explains a quarter."""
     x = numpy.array([point[0] for point in points], dtype=float)
     y = numpy.array([point[1] for point in points], dtype=float)
     scale = float(x.max()) or 1.0
     unit, ones = x / scale, numpy.ones_like(x)
-    worth = WORTH * float(abs(y).max())
-    if worth == 0.0:
+    most = float(abs(y).max())
+    if most == 0.0:
         return Fit(CONSTANT, 0.0, 0.0, 0.0, 0.0)
-    found, errors, spread = _solve([ones, unit, unit ** 2], y)
-    if found[2] > worth and found[2] > TELLING * errors[2]:
+    found, errors, _ = _solve([ones, unit, unit ** 2], y)
+    if found[2] > SQUARE_WORTH * most and found[2] > TELLING * errors[2]:
         found, errors, spread = _solve([ones, unit ** 2], y)
-        return Fit(SQUARE, float(found[0]), float(found[1]) / scale ** 2, float(errors[1]) / scale ** 2, spread)
+        if found[1] > TELLING * errors[1]:
+            return Fit(SQUARE, float(found[0]), float(found[1]) / scale ** 2, float(errors[1]) / scale ** 2, spread)
     found, errors, spread = _solve([ones, unit], y)
-    if abs(found[1]) > worth and abs(found[1]) > TELLING * errors[1]:
+    if abs(found[1]) > WORTH * most and abs(found[1]) > TELLING * errors[1]:
         return Fit(LINEAR, float(found[0]), float(found[1]) / scale, float(errors[1]) / scale, spread)
     return Fit(CONSTANT, float(y.mean()), 0.0, 0.0, float(y.std()))
 
--- a/packages/stage/src/linkhaven/stage/slopes/program.py
+++ b/packages/stage/src/linkhaven/stage/slopes/program.py
@@ -82,11 +82,11 @@
         return None if text is None else [check_number("--values", axis, part) for part in text.split(",")]
 
     def _work_out_target(self):
-        from .target import read_rows, tell_target
+        from .target import TARGET, read_rows, tell_target
 
         if self.option("rows") is None:
             raise misfit("--rows", "is missing: a file of what slopes all told")
-        tell_target(read_rows(self.option("rows")), self._tell)
+        tell_target(read_rows(self.option("rows")), self._tell, target={**TARGET, **self._given()})
 
     def _measure_requests(self, seconds):
         from .fit import fit_plane
--- a/packages/stage/src/linkhaven/stage/slopes/vary.py
+++ b/packages/stage/src/linkhaven/stage/slopes/vary.py
@@ -5,7 +5,7 @@
 from .hollow import SECOND, HollowFleet, Shape
 
 VALUES = {
-    "routers": (4, 8, 16, 32, 64, 96),
+    "routers": (4, 8, 16, 32, 48, 64),
     "runners": (8, 16, 32, 64, 128),
     "groups": (8, 32, 64, 128, 256),
     "kinds": (8, 16, 32, 64, 128),
