Seats: a core that lost every disk begins anew from the routers' image

Cause: with learned seats no start after the first was a genesis, so a core whose disks were all lost stayed spares for good. Ruled out: beginning with a majority of machines, since the missing one may have its disk; a coordinator among the spares, since the rejoin's genesis already agrees on the starts. Conclusion: 2f + 1 spares and a router that know of no seat; any other knowledge forbids it.

--- a/packages/register/src/linkhaven/register/occupants.py
+++ b/packages/register/src/linkhaven/register/occupants.py
@@ -1,13 +1,14 @@
 SEARCH_US = 200_000
 FRESH_US = 700_000
 LOOK_US = 500_000
+LOST_VACANCIES, CALLED_VACANCIES = 4, 2
 
 
 class Occupants:
     """Who has which seat. A voting seat keeps the last occupant of each on its disk and says which stand vacant; a
     spare asks all of them, and takes a seat that all who answer hold for vacant, or that was its own."""
 
-    __slots__ = ("node", "seat", "records", "gone_us", "looked_us", "told", "asked_us", "contact")
+    __slots__ = ("node", "seat", "records", "gone_us", "looked_us", "told", "asked_us", "contact", "lost_us")
 
     def __init__(self, node, seat, records):
         self.node = node
@@ -18,6 +19,7 @@
         self.told = {}
         self.asked_us = 0
         self.contact = node.address
+        self.lost_us = None
         node.hearers.update(occupants=self.hear_ask, occupants_told=self.hear_told)
 
     @property
@@ -128,6 +130,33 @@
         self.asked_us = now_us
         for address, _ in self.seat.directory.seats().values():
             self.node.tell(address, "occupants")
+        self._begin_anew(now_us)
+
+    def _begin_anew(self, now_us):
+        """Every disk of the core is lost: as many spares as there are seats, and a router, know of no seat that was
+        ever taken. They take the seats in the order of their names and begin as a first start does."""
+        directory = self.seat.directory
+        vacant_us = self.node.terms.vacant_us
+        if not self._is_core_lost(directory):
+            self.lost_us = None
+            return
+        if self.lost_us is None:
+            self.lost_us = now_us
+        is_called = any(fellow.seat for fellow in directory.fellows.values())
+        if now_us - self.lost_us < vacant_us * (CALLED_VACANCIES if is_called else LOST_VACANCIES):
+            return
+        self.lost_us = None
+        names = sorted([self.node.name, *(fellow.name for fellow in directory.live("registry"))])
+        place = names.index(self.node.name)
+        if place < len(self.seat.seats):
+            self.seat.take_anew(self.seat.seats[place])
+
+    def _is_core_lost(self, directory):
+        if self.told or not self.seat.is_empty or not directory.live("router"):
+            return False
+        if any(fellow.seat and fellow.seat_incarnation for fellow in directory.fellows.values()):
+            return False
+        return len(directory.live("registry")) + 1 >= len(self.seat.seats)
 
     def _choose(self):
         now_us = self.node.now_us()
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -19,7 +19,7 @@
     make good such a loss: a majority with disks goes on once the rest has answered that it has none, and where the
     rest is silent, after `terms.alone_us`."""
 
-    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "moved_us", "wait_reason", "browsers", "asked_back", "has_met_no_vote")
+    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "moved_us", "wait_reason", "browsers", "asked_back", "has_met_no_vote", "is_anew")
 
     def __init__(self, node, seat):
         self.node = node
@@ -36,7 +36,7 @@
         self.wait_reason = None
         self.browsers = {}
         self.asked_back = None
-        self.has_met_no_vote = False
+        self.has_met_no_vote = self.is_anew = False
         node.hearers.update(
             rejoin=self.hear_rejoin, rejoin_state=self.hear_state, rejoin_note=self.hear_note, rejoin_noted=self.hear_noted,
             rejoin_browse=self.hear_browse, rejoin_page=self.hear_page,
@@ -55,7 +55,7 @@
         self.cursors = {}
         self.told = {}
         self.browsers = {}
-        self.is_genesis = self.is_doubted = False
+        self.is_genesis = self.is_doubted = self.is_anew = False
 
     def _try_anew(self):
         """Not noted, or not read, for too long: another occupant may have been first."""
@@ -63,13 +63,21 @@
             return self.seat.retire()
         self.begin_anew()
 
+    def _known_with(self, asking):
+        """An occupant that began at a first start was never noted: only the records say its incarnation."""
+        known = self.seat.known_of_all()
+        held = self.seat.occupants.records.get(asking)
+        if held is not None and asking != self.seat.seat:
+            known[asking] = max(known.get(asking, 0), held[0])
+        return known
+
     def hear_rejoin(self, message):
         seat = self.seat
         if not seat.seat:
             return
         self.node.tell(
             message["back"], "rejoin_state", seat=seat.seat, for_seat=message["seat"], is_voting=seat.is_voting,
-            is_empty=seat.is_empty, incarnation=seat.incarnation, known=seat.known_of_all(), start=self.start,
+            is_empty=seat.is_empty, incarnation=seat.incarnation, known=self._known_with(message["seat"]), start=self.start,
             asked=message["asked"], occupant=seat.occupants.name_of(message["seat"]),
             is_taken=seat.is_voting and seat.occupants.is_taken(message),
         )
@@ -118,7 +126,7 @@
         if len(self.told) == others:
             is_any_empty = seat.is_empty or any(state["is_empty"] for state in self.told.values())
             is_all_empty = seat.is_empty and all(state["is_empty"] for state in self.told.values())
-            if is_all_empty and not seat.is_learned:
+            if is_all_empty and (self.is_anew or not seat.is_learned):
                 self.is_genesis = True
                 return self._adopt(self.told.values())
             if not is_any_empty:
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -131,6 +131,12 @@
         self.rejoin.begin_anew()
         self.node.ports.log(1201, seat=seat, empty=self.is_empty)
 
+    def take_anew(self, seat):
+        """The whole core lost its disks: this seat is taken without a vote, and announced as never voted on."""
+        self.take(seat)
+        self.rejoin.is_anew = True
+        self.directory.sit(seat, 0)
+
     def retire(self):
         """Back to a spare that keeps nothing which votes."""
         dropped = [*self.node.ports.disk.load(), *self.OWN_KEYS, *(f"cell/{key}" for key in self.cells)]
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -1,6 +1,9 @@
 import pytest
 
+from linkhaven.clockwork import Terms
+from linkhaven.router import RouterNode
 from linkhaven.stage.core import SimCore
+from linkhaven.stage.world import Host
 
 SECOND = 1_000_000
 PLAN = {"groups": {"g": {}}, "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}}}
@@ -177,3 +180,77 @@
     core.world.run_for(3 * SECOND)
     assert core.machines["core-2"].node.seat.standing == "spare"
     assert core.voting()["b"] == "core-9"
+
+
+def add_router(core):
+    seeds = [host.address for host in core.machines.values()]
+
+    def build(host, ports):
+        return RouterNode(host.name, host.address, ports, host.zone, seeds, host.wall_us() + host.starts, terms=Terms(**core.terms))
+
+    router = Host(core.world, "router-1", "z", "10.5.0.1:7000", build)
+    router.start()
+    return router
+
+
+def lose_all_disks(core, names=None):
+    for name in names or core.machines:
+        core.machines[name].kill()
+        core.machines[name].disk.wipe()
+    core.world.run_for(SECOND)
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_core_that_lost_all_disks_begins_anew_from_a_routers_image(seed):
+    core = started(seed)
+    router = add_router(core)
+    acked(core, 0, 7)
+    core.world.run_for(2 * SECOND)
+    assert router.node.image.mark == 1
+    lose_all_disks(core)
+    for host in core.machines.values():
+        core.world.after(core.world.dice.randrange(SECOND), host.start)
+    core.world.run_for(5 * SECOND)
+    assert core.voting() == {}
+    assert core.wait_voting(3, 10 * SECOND), {name: host.node.seat.standing for name, host in core.machines.items()}
+    assert is_sole(core)
+    assert core.world.wait_for(lambda: held_or_none(core) == 7, 5 * SECOND, 100_000)
+    acked(core, 7, 9)
+    core.world.run_for(10 * SECOND)
+    assert set(core.voting()) == {"a", "b", "c"}
+
+
+def held_or_none(core):
+    trouble, value = core.read()
+    return value["revision"] if trouble is None and value else None
+
+
+def test_a_core_begins_anew_only_with_as_many_machines_as_seats():
+    core = started(1)
+    add_router(core)
+    acked(core, 0, 7)
+    core.world.run_for(SECOND)
+    lose_all_disks(core)
+    for name in ("core-1", "core-2"):
+        core.machines[name].start()
+    core.world.run_for(90 * SECOND)
+    assert core.voting() == {}
+    core.machines["core-3"].start()
+    assert core.wait_voting(3, 12 * SECOND)
+
+
+def test_spares_that_know_of_a_seat_never_begin_anew():
+    core = started(1)
+    add_router(core)
+    acked(core, 0, 7)
+    spares = [core.add(f"core-{number}") for number in (7, 8, 9)]
+    for host in spares:
+        host.start()
+    core.world.run_for(2 * SECOND)
+    core.world.cut([host.name for host in spares], ["core-1", "core-2", "core-3"])
+    core.world.run_for(90 * SECOND)
+    assert {host.node.seat.standing for host in spares} == {"spare"}
+    core.world.heal()
+    core.world.run_for(3 * SECOND)
+    assert core.voting() == {"a": "core-1", "b": "core-2", "c": "core-3"}
+    assert held(core) == 7
