--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -14,6 +14,7 @@
 SLOW = 4
 SLOW_US = 20_000
 FULL_SHARE = 0.9
+NEAR_TOKENS = 1_024
 SHUN_US = 2_000_000
 SHUN_MOST_US = 16_000_000
 
@@ -95,6 +96,11 @@
         leaves_room = q_us == 0 or q_us + e_us < room_us or is_overdue and q_us < room_us // OVERDUE_PART
         self.is_eligible = self.total_us < ttft_us and leaves_room
 
+    @property
+    def ahead_tokens(self):
+        """What this runner has to read until this prompt is read."""
+        return self.queued_tokens + self.unread
+
     @property
     def total_us(self):
         return self.q_us + self.e_us + self.t_us
@@ -291,7 +297,7 @@
         eligible = [candidate for candidate in candidates if candidate.is_eligible]
         if not eligible:
             return Decision(candidates, None)
-        return Decision(candidates, self._least(eligible, lambda candidate: candidate.queued_tokens + candidate.unread))
+        return Decision(candidates, self._least(eligible, lambda candidate: candidate.total_us))
 
     def choose_anyway(self, work, ttft_us, why, without=()):
         decision = self.choose(work, ttft_us, without)
@@ -350,7 +356,7 @@
         book = self.book(runner)
         book.reads[shot] = tokens
         book.sent_us, book.sent_tokens = now_us, tokens
-        book.predictions[shot] = (0 if is_queued else self.estimator.read_us(tokens, runner), now_us)
+        book.predictions[shot] = (0 if is_queued else tokens, now_us)
         self._change(runner, book, work.parts[:-1])
         self.kept.note(runner, work.parts)
         self.estimator.note_prompt(tokens)
@@ -359,10 +365,10 @@
         book = self.book(runner)
         if book.reads.pop(shot, None) is None:
             return
-        predicted_us, begun_us = book.predictions.pop(shot)
+        alone_tokens, begun_us = book.predictions.pop(shot)
         self._change(runner, book)
         if is_seen:
-            self.estimator.note_read(runner.name, runner.phase, predicted_us, self.node.now_us() - begun_us)
+            self.estimator.note_read(runner.name, runner.phase, alone_tokens, self.node.now_us() - begun_us)
 
     def begin_decode(self, runner, shot, tokens):
         book = self.book(runner)
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -44,7 +44,7 @@
         if decision.winner is None:
             return False
         if self._is_hopeless(request, decision, now_us):
-            request.decisions.append(decision.as_record())
+            request.decisions.append(decision)
             self.node.end_in_trouble(request, Trouble("no_runner", retry_us=self._room_us(decision, ttft_us)))
             return False
         self._place(request, decision)
@@ -62,8 +62,10 @@
         return max(self.node.terms.retry_least_us, min(candidate.total_us for candidate in decision.candidates) - ttft_us)
 
     def _is_hopeless(self, request, decision, now_us):
-        if self.node.terms.hold_share is not None and decision.exception == "held_its_share":
-            return self.pairing.is_busy(request.pool)
+        if self.node.terms.hold_share is not None:
+            if decision.exception == "held_its_share" and self.pairing.is_busy(request.pool):
+                return True
+            return now_us + decision.winner.total_us > request.deadline_us
         answer_us = self.pairing.estimator.answer_us(request.answer_tokens)
         return now_us + decision.winner.total_us + answer_us > request.deadline_us
 
@@ -80,7 +82,7 @@
         return None
 
     def _place(self, request, decision):
-        request.decisions.append(decision.as_record())
+        request.decisions.append(decision)
         self._start(request, decision.winner.runner)
 
     def _begin_resume(self, request):
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -248,13 +248,16 @@
         self.counts["served"] += 1
         if request.first_us is not None:
             self.pairing.estimator.note_answer(request.answer_tokens, self.now_us() - request.first_us)
-        self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.attempts)
+        self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.attempts, **request.times(self.now_us()))
         self._close(request, "done")
 
     def end_answered(self, request, status, headers, body):
         """The runner's own answer, whole and unchanged."""
         self.counts["served" if status < 300 else "troubled"] += 1
-        self.ports.log(2101 if status < 300 else 2102, request=request.id, kind=request.kind_name, code=f"status {status}")
+        if status < 300:
+            self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=0, shots=request.attempts)
+        else:
+            self.ports.log(2102, request=request.id, kind=request.kind_name, code=f"status {status}")
         if request.call.is_begun:
             request.call.cut()
         else:
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -81,9 +81,23 @@
         if len(self.steps) < 64:
             self.steps.append({"at_us": now_us - self.arrived_us, "step": step, **facts})
 
+    def times(self, now_us):
+        """When it was placed, handed over and first answered, since it came; and what was predicted for its read."""
+        seen = {"prompt": self.prompt_tokens, "ended": now_us - self.arrived_us, "runner": self.runner and self.runner.name}
+        for step in self.steps:
+            if step["step"] in ("attempt", "hand-over"):
+                seen[step["step"]] = step["at_us"]
+        if self.first_us is not None:
+            seen["first"] = self.first_us - self.arrived_us
+        if self.decisions:
+            winner = self.decisions[-1].winner
+            if winner is not None:
+                seen.update(phase=winner.runner.phase, unread=winner.unread, q=winner.q_us, e=winner.e_us, t=winner.t_us)
+        return seen
+
     def as_record(self):
         return {
             "request": self.id, "outside": self.outside_id, "kind": self.kind_name, "group": self.group, "mark": self.admitted_mark,
             "prompt_tokens": self.prompt_tokens, "state": self.state, "attempts": self.attempts,
-            "decisions": self.decisions, "steps": self.steps, "outcome": self.outcome,
+            "decisions": [decision.as_record() for decision in self.decisions], "steps": self.steps, "outcome": self.outcome,
         }
