Router: a request without a prompt has nothing to read and goes to a decode runner at once

Cause: a request that tells no size of a prompt counted as one token, so it was sent to prefill runners as a read; they answer it whole, with seal and without memory held, which passed for a lost runner: the answer was thrown away, the request run a second time on the shared budget, and the reading line learned from it. A route that may run once would have run twice. Ruled out: taking the read's answer for the caller's; a read isn't taken for a run, so a lost one would still be sent twice. Conclusion: what has no prompt starts at a decode runner, as what is resumed does, and is tried again there.

--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -25,8 +25,8 @@
         """First attempt from the queue; answers whether it could be placed."""
         if not self.node.may_start():
             return False
-        if request.resume:
-            return self._begin_resume(request)
+        if request.resume or not request.prompt_tokens:
+            return self._begin_decode(request)
         now_us = self.node.now_us()
         ttft_us = request.kind["ttft_us"] - self._spent_us(request, now_us)
         work = self.work_of(request)
@@ -85,7 +85,8 @@
         request.decisions.append(decision)
         self._start(request, decision.winner.runner)
 
-    def _begin_resume(self, request):
+    def _begin_decode(self, request):
+        """What goes on elsewhere, or has no prompt to read, starts at a decode runner."""
         runner = self.pairing.choose_decode(without=request.failed, pool=request.pool)
         if runner is None:
             return False
@@ -102,7 +103,8 @@
         request.had_begun = request.has_begun
         request.has_begun = request.has_begun or self.desk.reads_are_runs
         request.handle = None
-        self.pairing.begin_read(runner, request.attempt, self.work_of(request))
+        if request.prompt_tokens:
+            self.pairing.begin_read(runner, request.attempt, self.work_of(request))
         request.note(now_us, "attempt", runner=runner.name, phase=runner.phase, number=request.attempts)
         if runner.phase == PREFILL and not request.run:
             return self._read(request, runner)
@@ -210,7 +212,7 @@
         if not self.node.may_start():
             return self._park(request, lambda request: self._retry(request, trouble))
         request.parked = None
-        if request.run:
+        if request.run or not request.prompt_tokens:
             if not self._may_try_again(request, 1):
                 return self.node.end_in_trouble(request, self._spent(request, trouble))
             runner = (
--- /dev/null
+++ b/tests/test_plain_requests.py
@@ -0,0 +1,81 @@
+import sys
+from pathlib import Path
+from types import SimpleNamespace
+
+import pytest
+
+ROOT = Path(__file__).parents[1]
+sys.path.insert(0, str(ROOT / "platform"))
+
+import linkhaven  # noqa: E402
+
+if hasattr(linkhaven.__path__, "append"):
+    linkhaven.__path__.append(str(ROOT / "platform" / "linkhaven"))
+
+from linkhaven.platform.callers import PlatformCallers  # noqa: E402
+from linkhaven.router.attempts import Attempts  # noqa: E402
+from linkhaven.router.request import PARKED, Request  # noqa: E402
+from linkhaven.schema import Trouble  # noqa: E402
+
+
+class Pairing:
+    """A prefill runner that every read would go to, and a decode runner."""
+
+    def __init__(self):
+        self.reads = []
+
+    def choose_decode(self, without=(), source=None, tokens=0, pool=None):
+        return SimpleNamespace(name="decode-1", phase="decode")
+
+    def begin_read(self, runner, attempt, work):
+        self.reads.append(runner.name)
+
+    def begin_decode(self, runner, attempt, tokens):
+        pass
+
+
+class Desk:
+    reads_are_runs = False
+
+    def __init__(self):
+        self.sent = []
+
+    def decode(self, runner, request, handle, hearer):
+        self.sent.append((runner.name, handle))
+
+
+def attempts():
+    node = SimpleNamespace(
+        now_us=lambda: 5, may_start=lambda: True, systems=[], terms=SimpleNamespace(hold_share=0.2), ports=SimpleNamespace(log=lambda *told, **facts: None),
+    )
+    extra = SimpleNamespace(spend=lambda why, *part, **cost: True)
+    return Attempts(node, Pairing(), Desk(), SimpleNamespace(), extra)
+
+
+def asked(**headers):
+    told = {name.replace("_", "-"): value for name, value in headers.items()}
+    call = SimpleNamespace(method="GET", path="/a/x", fields=[], body=b"", headers=told, is_begun=False)
+    request = Request("r-1", call, 0)
+    PlatformCallers().read(request)
+    request.kind = {"ttft_us": 1_000_000, "deadline_us": 1_000_000, "attempts": 2, "repeatable": True, "resumable": False}
+    return request
+
+
+@pytest.mark.parametrize("headers, tokens", [({}, 0), ({"token_usage": "0,4"}, 1), ({"token_usage": "1460,80"}, 1460)])
+def test_only_a_request_that_tells_of_a_prompt_has_one_to_read(headers, tokens):
+    assert asked(**headers).prompt_tokens == tokens
+
+
+def test_a_request_without_a_prompt_goes_to_a_decode_runner_at_once():
+    tries, request = attempts(), asked()
+    assert tries.begin(request)
+    assert tries.desk.sent == [("decode-1", None)] and tries.pairing.reads == []
+    assert request.has_begun
+
+
+def test_it_is_tried_again_without_a_read_too():
+    tries, request = attempts(), asked()
+    tries.begin(request)
+    request.state = PARKED
+    tries._retry(request, Trouble("runner_lost"))
+    assert tries.desk.sent == [("decode-1", None)] * 2 and tries.pairing.reads == []
