Decode runners read only short prompts; starts, places and switching are counted in placement

Cause: a decode that was handed over waits behind every prompt that its runner reads in place (15 ms alone, 0.8 s behind 10,000 tokens and more); a prompt beyond the target went in place, too; reports counted such starts as prompts to read; a runner being switched was used again after 3 s; routers took another router's refusals for nothing. The search for the ratio counted in-place reading as free.

--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -156,10 +156,12 @@
             return
         self.is_serving = True
         self.is_called = True
-        while self.is_called:
-            self.is_called = False
-            self._serve_round(start)
-        self.is_serving = False
+        try:
+            while self.is_called:
+                self.is_called = False
+                self._serve_round(start)
+        finally:
+            self.is_serving = False
 
     def _serve_round(self, start):
         now_us = self.node.now_us()
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -3,7 +3,7 @@
 from linkhaven.runner.roster import DECODE, PREFILL
 
 from .estimator import Estimator
-from .kept import Kept
+from .kept import Kept, Work
 
 HISTORY_US = 5_000_000
 TOLD_US = 2_500_000
@@ -14,7 +14,10 @@
 SLOW = 4
 SLOW_US = 20_000
 FULL_SHARE = 0.9
-NEAR_TOKENS = 1_024
+IN_PLACE_SHARE = 0.25
+START_US = 50_000
+REST_US = 200_000
+REST_MOST_US = 1_600_000
 SHUN_US = 2_000_000
 SHUN_MOST_US = 16_000_000
 
@@ -22,7 +25,7 @@
 class Book:
     """What this router, and its fellows by their own word, have at one runner and not yet seen finished."""
 
-    __slots__ = ("reads", "decodes", "predictions", "told", "history", "sent_us", "sent_tokens", "moved_us", "count")
+    __slots__ = ("reads", "decodes", "starts", "predictions", "told", "history", "sent_us", "sent_tokens", "moved_us", "count")
 
     def __init__(self):
         self.moved_us = 0
@@ -31,27 +34,26 @@
         self.sent_tokens = 0
         self.reads = {}
         self.decodes = {}
+        self.starts = set()
         self.predictions = {}
         self.told = {}
         self.history = deque()
 
     def own(self):
-        return len(self.reads), sum(self.reads.values()), sum(self.decodes.values())
-
-    def own_and_told(self):
-        """Reads and decodes here, as far as known."""
-        return len(self.reads) + sum(told[0] for told in self.told.values()), len(self.decodes)
+        """How many wait here to be read or begun, the tokens to read, the memory held, and the streams."""
+        return len(self.reads) + len(self.starts), sum(self.reads.values()), sum(self.decodes.values()), len(self.decodes)
 
     def known(self):
-        count, tokens, held = self.own()
-        for told_count, told_tokens, told_held, _ in self.told.values():
+        count, tokens, held, streams = self.own()
+        for told_count, told_tokens, told_held, told_streams, _ in self.told.values():
             count += told_count
             tokens += told_tokens
             held += told_held
-        return count, tokens, held
+            streams += told_streams
+        return count, tokens, held, streams
 
     def note(self, now_us):
-        count, _, held = self.known()
+        count, _, held, _ = self.known()
         if count < self.count or not self.count:
             self.moved_us = now_us
         self.count = count
@@ -60,7 +62,7 @@
             self.history.popleft()
 
     def longest_known(self):
-        told = (tokens // count for count, tokens, _, _ in self.told.values() if count)
+        told = (tokens // count for count, tokens, _, _, _ in self.told.values() if count)
         return max(max(self.reads.values(), default=0), max(told, default=0))
 
     def would_overtake(self, tokens, now_us):
@@ -76,7 +78,7 @@
         return count, held
 
     def sweep(self, now_us):
-        lapsed = [fellow for fellow, told in self.told.items() if now_us >= told[3]]
+        lapsed = [fellow for fellow, told in self.told.items() if now_us >= told[4]]
         for fellow in lapsed:
             del self.told[fellow]
         if lapsed:
@@ -84,14 +86,16 @@
 
 
 class Candidate:
-    __slots__ = ("runner", "queued_tokens", "unread", "q_us", "e_us", "t_us", "is_eligible")
+    __slots__ = ("runner", "queued_tokens", "unread", "q_us", "e_us", "t_us", "start_us", "is_eligible", "has_memory")
 
-    def __init__(self, runner, queued_tokens, unread, q_us, e_us, t_us, ttft_us, room_us, is_overdue=False):
+    def __init__(self, runner, queued_tokens, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue=False):
         self.runner = runner
+        self.start_us = start_us
         self.unread = unread
         self.queued_tokens = queued_tokens
         self.q_us = q_us
         self.e_us = e_us
+        self.has_memory = True
         self.t_us = t_us
         leaves_room = q_us == 0 or q_us + e_us < room_us or is_overdue and q_us < room_us // OVERDUE_PART
         self.is_eligible = self.total_us < ttft_us and leaves_room
@@ -103,12 +107,12 @@
 
     @property
     def total_us(self):
-        return self.q_us + self.e_us + self.t_us
+        return self.q_us + self.e_us + self.t_us + self.start_us
 
     def as_record(self):
         return {
             "runner": self.runner.name, "phase": self.runner.phase, "queued_tokens": int(self.queued_tokens), "unread": self.unread,
-            "q_us": self.q_us, "e_us": self.e_us, "t_us": self.t_us, "is_eligible": self.is_eligible,
+            "q_us": self.q_us, "e_us": self.e_us, "t_us": self.t_us, "start_us": self.start_us, "is_eligible": self.is_eligible,
         }
 
 
@@ -134,7 +138,7 @@
     Each router tells its fellows what it has at a runner as soon as that changes, so that their
     views of the queues agree long before the runner's own late report."""
 
-    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us", "shunned", "kept")
+    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us", "shunned", "kept", "in_place_us", "resting")
 
     def __init__(self, node, roster, fellows=list):
         self.node = node
@@ -143,6 +147,8 @@
         self.estimator = Estimator(node.now_us)
         self.books = {}
         self.kept = Kept()
+        self.resting = {}
+        self.in_place_us = NO_BOUND_US
         self.exceptions = {}
         self.told_us = 0
         self.shunned = {}
@@ -151,6 +157,8 @@
 
     def take_plan(self, plan):
         self.estimator.taichi = plan["taichi"]
+        tightest_us = min((kind["ttft_us"] for kind in plan["kinds"].values()), default=NO_BOUND_US)
+        self.in_place_us = int(tightest_us * IN_PLACE_SHARE)
 
     def reading_pace(self):
         """Tokens a second that all open runners could read."""
@@ -174,14 +182,14 @@
 
     def hear_books(self, message):
         now_us = self.node.now_us()
-        for name, incarnation, count, tokens, held, *parts in message["books"]:
+        for name, incarnation, count, tokens, held, streams, *parts in message["books"]:
             runner = self.roster.runners.get(name)
             if parts and runner is not None:
                 self.kept.note(runner, parts[0])
             book = self.books.get((name, incarnation))
             if book is None:
                 book = self.books[(name, incarnation)] = Book()
-            book.told[message["name"]] = (count, tokens, held, now_us + TOLD_US)
+            book.told[message["name"]] = (count, tokens, held, streams, now_us + TOLD_US)
             book.note(now_us)
 
     def tick(self, now_us):
@@ -200,6 +208,8 @@
         names = set(self.roster.runners)
         for key in [key for key, book in self.books.items() if key[0] not in names and not any(book.known())]:
             del self.books[key]
+        for name in [name for name, (until_us, _) in self.resting.items() if now_us > until_us + REST_MOST_US]:
+            del self.resting[name]
         for key in [key for key, (until_us, _) in self.shunned.items() if key[0] not in names or now_us > until_us + SHUN_MOST_US]:
             del self.shunned[key]
         self.kept.forget(names)
@@ -211,15 +221,17 @@
 
     def queued_tokens(self, runner):
         book = self.book(runner)
-        _, tokens, _ = book.known()
+        _, tokens, _, _ = book.known()
         if runner.reported_us is None:
             return tokens
         known_count, _ = book.at(runner.reported_us)
-        return tokens + max(0, runner.queued - known_count) * self.estimator.prompt_mean
+        unknown = max(0, runner.queued - known_count) * self.estimator.prompt_mean
+        read_since = (self.node.now_us() - runner.reported_us) / self.estimator.token_us(runner)
+        return tokens + max(0, unknown - read_since)
 
     def kv_share(self, runner):
         book = self.book(runner)
-        _, _, held = book.known()
+        _, _, held, _ = book.known()
         if runner.reported_us is None:
             return held / runner.kv_total
         _, held_then = book.at(runner.reported_us)
@@ -260,11 +272,13 @@
         fit = [runner for runner in self.open_runners(work.pool) if runner.name not in without]
         for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
             queued = self.queued_tokens(runner)
-            q_us = self._queue_us(runner, queued, now_us)
+            q_us = self._queue_us(runner, queued, now_us) if runner.phase == PREFILL or work.pool is None else self._start_us(runner, now_us)
             unread = self.kept.unread(runner, work)
             e_us = self.estimator.read_us(unread, runner)
-            t_us = self._hand_over_us(runner, work, without) if runner.phase == PREFILL else 0
-            candidate = Candidate(runner, queued, unread, q_us, e_us, t_us, ttft_us, room_us, is_overdue)
+            t_us, start_us = self._hand_over_us(runner, work, without) if runner.phase == PREFILL else (0, 0)
+            candidate = Candidate(runner, queued, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue)
+            if runner.phase == DECODE and work.pool is not None and q_us + e_us > self.in_place_us:
+                candidate.is_eligible = False
             if self.book(runner).would_overtake(unread, now_us):
                 candidate.is_eligible = False
             candidates.append(candidate)
@@ -287,6 +301,7 @@
         }
         for candidate in candidates:
             has_memory = bool(fit) if candidate.runner.phase == PREFILL else candidate.runner.name in fit
+            candidate.has_memory = has_memory
             candidate.is_eligible = candidate.is_eligible and has_memory
 
     def choose(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
@@ -303,22 +318,45 @@
         decision = self.choose(work, ttft_us, without)
         if decision.winner is not None or not decision.candidates:
             return decision
-        decision.winner = self._least(decision.candidates, lambda candidate: candidate.total_us)
+        readers = [candidate for candidate in decision.candidates if candidate.runner.phase == PREFILL] if work.pool is not None else []
+        decision.winner = self._least(readers or decision.candidates, lambda candidate: candidate.total_us)
         decision.exception = why
         self.exceptions[why] = self.exceptions.get(why, 0) + 1
         return decision
 
     def open_runners(self, pool=None):
         runners = self.roster.open_runners()
-        return runners if pool is None else [runner for runner in runners if runner.pool == pool]
+        if pool is None:
+            return runners
+        runners = [runner for runner in runners if runner.pool == pool]
+        if not self.resting:
+            return runners
+        now_us = self.node.now_us()
+        fit = [runner for runner in runners if now_us >= self.resting.get(runner.name, (0, 0))[0]]
+        return fit if any(runner.phase == DECODE for runner in fit) else runners
+
+    def note_turned_away(self, runner):
+        """It took nothing though its list says it could: others are asked for a moment, longer each time."""
+        now_us = self.node.now_us()
+        until_us, span_us = self.resting.get(runner.name, (0, REST_US // 2))
+        if now_us < until_us:
+            return
+        span_us = min(REST_MOST_US, span_us * 2) if now_us < until_us + 2 * span_us else REST_US
+        self.resting[runner.name] = (now_us + span_us, span_us)
 
     def is_busy(self, pool=None):
         """Whether half of the places of the pool's runners are taken, or something waits there."""
         runners = self.open_runners(pool)
-        known = [self.book(runner).own_and_told() for runner in runners]
+        known = [self.book(runner).known() for runner in runners]
         places = sum(runner.slots for runner in runners)
-        waiting = any(reads > 1 for reads, _ in known)
-        return waiting or 2 * sum(reads + decodes for reads, decodes in known) >= places
+        return any(count > 1 for count, _, _, _ in known) or 2 * sum(streams for _, _, _, streams in known) >= places
+
+    def least_unread(self, work):
+        """What of a prompt no runner of its pool keeps, about."""
+        if not work.parts:
+            return work.prompt_tokens
+        asked = Work(work.prompt_tokens, work.parts, work.pool)
+        return min((self.kept.unread(runner, asked) for runner in self.open_runners(work.pool)), default=work.prompt_tokens)
 
     def has_decode(self, without=(), pool=None):
         return any(runner.phase == DECODE and runner.name not in without for runner in self.open_runners(pool))
@@ -332,11 +370,23 @@
             times = {runner.name: self.estimator.transfer_us(tokens, source, runner) for runner in runners}
             most_us = SLOW * min(times.values()) + SLOW_US
             runners = [runner for runner in runners if times[runner.name] <= most_us]
-        return self._least(runners, self.kv_share)
+        if pool is None:
+            return self._least(runners, self.kv_share)
+        now_us = self.node.now_us()
+        return self._least(runners, lambda runner: (self._start_us(runner, now_us) // START_US, self.kv_share(runner)))
+
+    def _start_us(self, runner, now_us):
+        """How long a decode waits there: for the reads before it, and for a place where all are taken."""
+        wait_us = self._queue_us(runner, self.queued_tokens(runner), now_us)
+        if not runner.slots:
+            return wait_us
+        over = self.book(runner).known()[3] + 1 - runner.slots
+        return wait_us + max(0, over) * int(self.estimator.stream_us) // runner.slots
 
     def _hand_over_us(self, source, work, without):
         target = self.choose_decode(without, source, work.tokens, work.pool)
-        return self.estimator.transfer_us(work.tokens, source, target)
+        start_us = self._start_us(target, self.node.now_us()) if target is not None else 0
+        return self.estimator.transfer_us(work.tokens, source, target), start_us
 
     def note_begin(self, source, target, tokens, seen_us):
         """A decode began after its hand-over; a runner short of memory tells nothing of the link."""
@@ -372,15 +422,21 @@
 
     def begin_decode(self, runner, shot, tokens):
         book = self.book(runner)
+        if shot not in book.reads:
+            book.starts.add(shot)
         book.decodes[shot] = tokens
         self._change(runner, book)
 
     def grow_decode(self, runner, shot, tokens):
         book = self.book(runner)
+        if shot in book.starts:
+            book.starts.discard(shot)
+            self._change(runner, book)
         if shot in book.decodes:
             book.decodes[shot] += tokens
 
     def end_decode(self, runner, shot):
         book = self.book(runner)
+        book.starts.discard(shot)
         if book.decodes.pop(shot, None) is not None:
             self._change(runner, book)
--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -1,24 +1,36 @@
+from .estimator import GUESSED_RATE
+
 GAIN = 0.15
 IDLE = 0.25
+APART_GAIN = 0.3
+APART_IDLE = 0.6
+COMFORT = 0.6
 SETTLE_US = 2_000_000
 
 
 class RatioSearch:
     """How many runners should read: the count whose busier part is least busy, changed only
-    after the same answer has held for a while and is clearly better. Held memory, in runners' worth,
-    counts as decode work."""
+    after the same answer has held for a while and is clearly better. Held memory and streams, in runners' worth,
+    count as decode work. Where long prompts aren't read in place, only reading runners count for reading; `pace` is
+    the tokens a second that one was seen to read, None for what the plan says."""
 
-    __slots__ = ("side", "since_us", "target", "held")
+    __slots__ = ("side", "since_us", "target", "held", "streams", "is_in_place", "pace")
 
     def __init__(self):
         self.side = None
         self.since_us = 0
         self.target = None
         self.held = 0.0
+        self.streams = 0.0
+        self.is_in_place = True
+        self.pace = None
 
     def busy(self, prefills, runners, prompt_rate, answer_rate, taichi):
         decodes = runners - prefills
-        fast = taichi["prefill_tokens_per_s"]
+        fast = self.pace or taichi["prefill_tokens_per_s"] or GUESSED_RATE
+        if not self.is_in_place:
+            read_busy = prompt_rate / (prefills * fast) if prefills else float("inf")
+            return max(read_busy, self.held / decodes, self.streams / decodes / COMFORT)
         spare = max(0.0, 1 - answer_rate / (decodes * taichi["decode_tokens_per_s"]))
         reading = prefills * fast + decodes * fast * taichi["decode_read_share"] * spare
         read_busy = prompt_rate / reading if reading else float("inf") if prompt_rate else 0.0
@@ -32,7 +44,8 @@
     def settle(self, current, runners, prompt_rate, answer_rate, taichi, now_us):
         if runners < 2 or prompt_rate + answer_rate <= 0:
             self.side = self.target = None
-            return current
+            return current if self.is_in_place or runners < 2 else (runners + 1) // 2
+        gain, idle = (GAIN, IDLE) if self.is_in_place else (APART_GAIN, APART_IDLE)
 
         def busy(count):
             return self.busy(min(count, runners - 1), runners, prompt_rate, answer_rate, taichi)
@@ -43,7 +56,7 @@
             self.target = None
         best = self.search(runners, prompt_rate, answer_rate, taichi)
         here = busy(current)
-        if best == current or here < IDLE or busy(best) > here * (1 - GAIN):
+        if best == current or here < idle or busy(best) > here * (1 - gain):
             self.side = None
             return current
         side = 1 if best > current else -1
--- a/packages/plan/src/linkhaven/plan/check.py
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -56,7 +56,7 @@
 })
 
 TAICHI = t.Dict({
-    t.Key("prefill_tokens_per_s", default=8_000): whole(gte=1),
+    t.Key("prefill_tokens_per_s", default=8_000): whole(gte=0),
     t.Key("decode_read_share", default=0.5): number(above=0, most=1),
     t.Key("read_base_us", default=15_000): whole(gte=0),
     t.Key("kv_bytes_per_token", default=100_000): whole(gte=1),
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -5,6 +5,7 @@
 TOLD_US = 700_000
 QUIET_US = 3_000_000
 SETTLED_US = 5_000_000
+SWITCH_MOST_US = 30_000_000
 
 
 class Steward:
@@ -85,6 +86,8 @@
 
     def _demand(self, now_us):
         told = [rates for rates, told_us in self.rates.values() if now_us - told_us < QUIET_US]
+        paces = [rates[2] for rates in told if len(rates) > 2 and rates[2]]
+        self.search.pace = sum(paces) / len(paces) if paces else None
         return sum(rates[0] for rates in told), sum(rates[1] for rates in told)
 
     def _look(self, now_us):
@@ -92,12 +95,16 @@
         fit = [runner for runner in self.keeper.runners.values() if runner.is_open() and runner.reported_us is not None]
         reading = [runner for runner in fit if runner.phase == PREFILL]
         decoding = [runner for runner in fit if runner.phase == DECODE]
+        if any(runner.reported_us is None for runner in self.keeper.runners.values() if runner.is_open()):
+            return
         if fit and not decoding:
             return self._change(min(reading, key=lambda runner: runner.queued), DECODE, now_us)
         if not taichi["search"] or len(fit) < 2:
             return
         prompt_rate, answer_rate = self._demand(now_us)
         self.search.held = sum(runner.kv_used / runner.kv_total for runner in fit)
+        self.search.streams = sum(runner.running / runner.slots for runner in decoding if runner.slots)
+        self.search.is_in_place = not any(runner.pool for runner in fit)
         wanted = self.search.settle(len(reading), len(fit), prompt_rate, answer_rate, taichi, now_us)
         if wanted > len(reading) and len(decoding) > 1:
             self._change(min(decoding, key=lambda runner: runner.running), PREFILL, now_us)
@@ -122,7 +129,8 @@
         if runner.phase == self.wanted_phase:
             self.settled[runner.name] = (runner.phase, now_us)
             return self._finish(now_us)
-        if now_us - self.sent_us > QUIET_US:
+        is_told_since = runner.reported_us is not None and runner.reported_us > self.sent_us
+        if now_us - self.sent_us > QUIET_US and (not runner.is_switching or not is_told_since or now_us - self.sent_us > SWITCH_MOST_US):
             self._finish(now_us)
 
     def _order(self, runner, now_us):
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -45,7 +45,11 @@
             return False
         if self._is_hopeless(request, decision, now_us):
             request.decisions.append(decision)
-            self.node.end_in_trouble(request, Trouble("no_runner", retry_us=self._room_us(decision, ttft_us)))
+            self.node.end_in_trouble(request, Trouble(
+                "no_runner", retry_us=self._room_us(decision, ttft_us), why=decision.exception,
+                soonest_us=min(candidate.total_us for candidate in decision.candidates),
+                has_memory=any(candidate.has_memory for candidate in decision.candidates),
+            ))
             return False
         self._place(request, decision)
         return True
@@ -182,8 +186,12 @@
         self.node.ports.log(2106, request=request.id, runner=runner.name, code=trouble.code, has_begun=has_begun)
         if not has_begun:
             self.roster.note_dark(runner)
-        if trouble.code == "runner_leaving":
+        if trouble.code in ("runner_leaving", "incarnation_other"):
             self.roster.note_leaving(runner)
+        if trouble.code == "phase_wrong" and not self.desk.reads_are_runs:
+            runner.is_switching = True
+        if trouble.code == "runner_full":
+            self.pairing.note_turned_away(runner)
         if trouble.code == "mark_old":
             self.node.image.hear_mark(trouble.detail.get("mark", 0))
         is_untouched = not has_begun or trouble.done == "no"
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -121,7 +121,7 @@
         facts["usage"] = self.credit.tell_usage()
         facts["extra"] = self.extra.tell_want()
         facts["evidence"] = self.roster.tell_evidence()
-        facts["rates"] = self.rates
+        facts["rates"] = [*self.rates, self.pairing.estimator.seen_rate()]
         facts["roster"] = self.roster.place
         grants = [self.extra.grant, *(book.grant for book in self.credit.groups.values())]
         facts["fences"] = {
@@ -209,7 +209,7 @@
     def enqueue(self, request):
         self.credit.enqueue(request.group, request)
         request.state = states.QUEUED
-        self.arrived += request.prompt_tokens
+        self.arrived += self.pairing.least_unread(request)
         request.note(self.now_us(), "queued")
         self.wake_queue()
 
@@ -270,7 +270,11 @@
         self.attempts.leave_runner(request)
         is_refused = trouble.done == "no"
         self.counts["refused" if is_refused else "troubled"] += 1
-        self.ports.log(2103 if is_refused else 2102, request=request.id, kind=request.kind_name, code=trouble.code)
+        told = {**trouble.detail, "request": request.id, "kind": request.kind_name, "code": trouble.code}
+        if is_refused:
+            self.ports.log(2103, **told)
+        else:
+            self.ports.log(2102, **told)
         if is_refused and request.group:
             self.credit.note_refused(request.group)
         if is_refused and request.claim_key:
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -92,7 +92,7 @@
         if self.decisions:
             winner = self.decisions[-1].winner
             if winner is not None:
-                seen.update(phase=winner.runner.phase, unread=winner.unread, q=winner.q_us, e=winner.e_us, t=winner.t_us)
+                seen.update(phase=winner.runner.phase, unread=winner.unread, q=winner.q_us, e=winner.e_us, t=winner.t_us, start=winner.start_us)
         return seen
 
     def as_record(self):
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -9,7 +9,7 @@
 class Runner:
     __slots__ = (
         "name", "address", "zone", "incarnation", "phase", "queued", "running", "kv_used", "kv_total",
-        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us", "pool", "slots",
+        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us", "pool", "slots", "is_switching",
     )
 
     def __init__(self, name, address, zone, incarnation):
@@ -31,6 +31,7 @@
         self.alive_us = None
         self.pool = None
         self.slots = 0
+        self.is_switching = False
 
     def take_report(self, report, now_us):
         if report["incarnation"] != self.incarnation:
@@ -44,15 +45,16 @@
         self.mark = report["mark"]
         self.fence = report["fence"]
         self.reported_us = now_us - report["age_us"]
+        self.is_switching = report.get("is_switching", False)
         self.is_leaving = self.is_leaving or report["is_leaving"]
 
     def is_open(self):
-        return self.is_listed and not self.is_leaving and not self.is_dark and not self.is_changing
+        return self.is_listed and not self.is_leaving and not self.is_dark and not self.is_changing and not self.is_switching
 
     def as_record(self, now_us):
         return {
             "name": self.name, "address": self.address, "zone": self.zone, "incarnation": self.incarnation,
-            "pool": self.pool, "slots": self.slots,
+            "pool": self.pool, "slots": self.slots, "is_switching": self.is_switching,
             "phase": self.phase, "queued": self.queued, "running": self.running, "kv_used": self.kv_used,
             "kv_total": self.kv_total, "is_leaving": self.is_leaving, "is_listed": self.is_listed,
             "is_dark": self.is_dark, "is_changing": self.is_changing, "mark": self.mark, "fence": self.fence,
