A read in place costs each stream of its runner; the ratio search waits for the whole list

Cause: with long outputs a decode runner that reads between its streams paces them at 150 to 220 ms an event (13 to 18 ms a token against 4), and answers miss their deadline; at the start two of five runners had been listed and one was ordered to decode for nothing. Without pools the order by queued tokens and T stay as they were: a test of flooding groups had caught that they hadn't.

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -226,7 +226,7 @@
             return tokens
         known_count, _ = book.at(runner.reported_us)
         unknown = max(0, runner.queued - known_count) * self.estimator.prompt_mean
-        read_since = (self.node.now_us() - runner.reported_us) / self.estimator.token_us(runner)
+        read_since = (self.node.now_us() - runner.reported_us) / self.estimator.token_us(runner) if runner.pool is not None else 0
         return tokens + max(0, unknown - read_since)
 
     def kv_share(self, runner):
@@ -312,7 +312,7 @@
         eligible = [candidate for candidate in candidates if candidate.is_eligible]
         if not eligible:
             return Decision(candidates, None)
-        return Decision(candidates, self._least(eligible, lambda candidate: candidate.total_us))
+        return Decision(candidates, self._least(eligible, lambda candidate: self._ahead(candidate, work)))
 
     def choose_anyway(self, work, ttft_us, why, without=()):
         decision = self.choose(work, ttft_us, without)
@@ -344,6 +344,18 @@
         span_us = min(REST_MOST_US, span_us * 2) if now_us < until_us + 2 * span_us else REST_US
         self.resting[runner.name] = (now_us + span_us, span_us)
 
+    def _ahead(self, candidate, work):
+        """What a runner has to read until this prompt is read: in tokens, or, in a pool whose parts read at paces of
+        their own, as time; a read in place costs each stream of its runner that time, too."""
+        if work.pool is None:
+            return candidate.queued_tokens + candidate.unread
+        return candidate.total_us + self._harm_us(candidate)
+
+    def _harm_us(self, candidate):
+        if candidate.runner.phase != DECODE:
+            return 0
+        return self.book(candidate.runner).known()[3] * candidate.e_us
+
     def is_busy(self, pool=None):
         """Whether half of the places of the pool's runners are taken, or something waits there."""
         runners = self.open_runners(pool)
@@ -385,7 +397,7 @@
 
     def _hand_over_us(self, source, work, without):
         target = self.choose_decode(without, source, work.tokens, work.pool)
-        start_us = self._start_us(target, self.node.now_us()) if target is not None else 0
+        start_us = self._start_us(target, self.node.now_us()) if target is not None and work.pool is not None else 0
         return self.estimator.transfer_us(work.tokens, source, target), start_us
 
     def note_begin(self, source, target, tokens, seen_us):
@@ -422,7 +434,7 @@
 
     def begin_decode(self, runner, shot, tokens):
         book = self.book(runner)
-        if shot not in book.reads:
+        if runner.pool is not None and shot not in book.reads:
             book.starts.add(shot)
         book.decodes[shot] = tokens
         self._change(runner, book)
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -5,6 +5,7 @@
 TOLD_US = 700_000
 QUIET_US = 3_000_000
 SETTLED_US = 5_000_000
+BARE_US = 700_000
 SWITCH_MOST_US = 30_000_000
 
 
@@ -14,7 +15,7 @@
 
     __slots__ = (
         "node", "duty", "keeper", "desk", "image", "search", "rates", "looked_us", "changing",
-        "wanted_phase", "won_us", "woken_us", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us", "settled",
+        "wanted_phase", "seen", "bare_us", "won_us", "woken_us", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us", "settled",
     )
 
     def __init__(self, node, duty, keeper, desk, image):
@@ -28,6 +29,8 @@
         self.looked_us = 0
         self.changing = None
         self.wanted_phase = None
+        self.seen = {}
+        self.bare_us = node.now_us()
         self.won_us = 0
         self.woken_us = -node.terms.thaw_us
         self.told_us = 0
@@ -97,6 +100,11 @@
         decoding = [runner for runner in fit if runner.phase == DECODE]
         if any(runner.reported_us is None for runner in self.keeper.runners.values() if runner.is_open()):
             return
+        self.seen = {"reading": len(reading), "decoding": len(decoding)}
+        if decoding or not fit:
+            self.bare_us = now_us
+        elif now_us - self.bare_us < BARE_US:
+            return
         if fit and not decoding:
             return self._change(min(reading, key=lambda runner: runner.queued), DECODE, now_us)
         if not taichi["search"] or len(fit) < 2:
@@ -106,6 +114,7 @@
         self.search.streams = sum(runner.running / runner.slots for runner in decoding if runner.slots)
         self.search.is_in_place = not any(runner.pool for runner in fit)
         wanted = self.search.settle(len(reading), len(fit), prompt_rate, answer_rate, taichi, now_us)
+        self.seen.update(wanted=wanted, prompts=int(prompt_rate), streams=round(self.search.streams, 2), held=round(self.search.held, 2))
         if wanted > len(reading) and len(decoding) > 1:
             self._change(min(decoding, key=lambda runner: runner.running), PREFILL, now_us)
         elif wanted < len(reading):
@@ -147,7 +156,7 @@
                 self.duty.hear_fence(trouble.detail.get("fence", 0))
 
         self.orders += 1
-        self.node.ports.log(1501, runner=runner.name, phase=self.wanted_phase, fence=fence)
+        self.node.ports.log(1501, runner=runner.name, phase=self.wanted_phase, fence=fence, **self.seen)
         self.desk.order_phase(runner.address, order, done)
 
     def _finish(self, now_us):
