Lines to a node that started anew go over a new connection

Cause: the lasting connection to an address outlived its node's loss of power; it waited for a retransmission to be reset, and every line behind it was lost with it. A connection attempt that hangs from before the node ran waited for its next retransmission, too. After: a known fellow's new incarnation at the same address has that connection closed, the next line connects; and an attempt hanging for 150 ms is made anew, once, with what waits, when its node speaks.

--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -166,6 +166,8 @@
             if fellow is None and not is_first_hand and not is_up:
                 return None
             is_known = fellow is not None
+            if is_known and fellow.address == address:
+                self.node.ports.wire.renew(address)
             fellow = self.fellows[name] = Fellow(name, incarnation)
             self._set_facts(fellow, address, kind, zone, seat)
             fellow.seat_incarnation = seat_incarnation
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -273,6 +273,9 @@
             return host.world.after(10, lambda: host.do(hear) if host.epoch == epoch else None)
         host.world.link(host, target).send(hear, is_bounded=True)
 
+    def renew(self, address):
+        """Lines of this world wait for no earlier ones."""
+
     def open(self, address, method, path, headers, body, hearer):
         conn = Conn(self.host, self.host.world.hosts.get(address), hearer)
         conn.connect(method, path, headers, body)
--- a/packages/wire/src/linkhaven/wire/outlet.py
+++ b/packages/wire/src/linkhaven/wire/outlet.py
@@ -11,31 +11,57 @@
 LOOK_US = 250_000
 FELLOW_BYTES = 4_000_000
 AGAIN_US = 100_000
+HANGING_US = 150_000
 
 
 class Fellowship:
     """The lasting connection for JSON lines to one address; what cannot be sent is dropped, never kept for later."""
 
-    __slots__ = ("outlet", "address", "plug", "failed_us")
+    __slots__ = ("outlet", "address", "plug", "failed_us", "begun_us", "is_renewed")
 
     def __init__(self, outlet, address):
         self.outlet = outlet
         self.address = address
         self.plug = None
         self.failed_us = None
+        self.begun_us = 0
+        self.is_renewed = False
 
     def send(self, line):
         if self.plug is None:
             now_us = self.outlet.clock.now_us()
             if self.failed_us is not None and now_us - self.failed_us < AGAIN_US:
                 return
-            self.plug = Plug(self.outlet.poller, self._on_data, self._on_close)
-            self.plug.connect(self.address, self.outlet.user_timeout_us)
-            self.outlet.soon(self.plug.give_up, self.outlet.connect_us)
+            self.is_renewed = False
+            self._connect(now_us)
         if self.plug.out_bytes > FELLOW_BYTES:
             return
         self.plug.send(line)
 
+    def _connect(self, now_us):
+        self.begun_us = now_us
+        self.plug = Plug(self.outlet.poller, self._on_data, self._on_close)
+        self.plug.connect(self.address, self.outlet.user_timeout_us)
+        self.outlet.soon(self.plug.give_up, self.outlet.connect_us)
+
+    def renew(self):
+        if self.plug is not None:
+            self.plug.close()
+            self.plug = None
+        self.failed_us = None
+
+    def hear(self):
+        """It speaks, so it runs: a connection hanging from before it ran is made anew, once, with what waits."""
+        plug, now_us = self.plug, self.outlet.clock.now_us()
+        if plug is None or plug.is_open or self.is_renewed or now_us - self.begun_us < HANGING_US:
+            return
+        waiting = list(plug.out)
+        plug.close()
+        self.is_renewed = True
+        self._connect(now_us)
+        for line in waiting:
+            self.plug.send(line)
+
     def _on_data(self, data):
         pass
 
@@ -74,6 +100,17 @@
             fellow = self.fellows[address] = Fellowship(self, address)
         fellow.send(write_json(message) + b"\n")
 
+    def renew(self, address):
+        """A node started anew there: what an older connection still holds would wait for its reset, and all after it."""
+        fellow = self.fellows.get(address)
+        if fellow is not None:
+            fellow.renew()
+
+    def hear_from(self, address):
+        fellow = self.fellows.get(address) if isinstance(address, str) else None
+        if fellow is not None:
+            fellow.hear()
+
     def open(self, address, method, path, headers, body, hearer, keep=False, most=None, host=None):
         """Begins a call and gives its exchange, or None where `most` connections to the address are open and busy."""
         exchange = Exchange(self, address, method, path, headers, body, hearer, keep, host)
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -56,6 +56,7 @@
                 raise Trouble("address_taken", http=http, why=fault.strerror) from None
 
     def _hear(self, message):
+        self.outlet.hear_from(message.get("back"))
         self.node.hear(message)
 
     def add_lines(self, address):
--- /dev/null
+++ b/tests/test_renewed_lines.py
@@ -0,0 +1,172 @@
+import socket
+import time
+from types import SimpleNamespace
+
+import pytest
+
+from linkhaven.ring import Ring
+from linkhaven.wire import Shell
+from linkhaven.wire.outlet import HANGING_US
+
+DEADLINE_S = 10
+HOME = "10.0.0.2:7000"
+
+
+class Wire:
+    def __init__(self):
+        self.renewed = []
+
+    def renew(self, address):
+        self.renewed.append(address)
+
+    def tell(self, address, message):
+        pass
+
+
+def ring():
+    wire = Wire()
+    ports = SimpleNamespace(wire=wire, log=lambda *told, **facts: None)
+    node = SimpleNamespace(
+        name="core-1", address="10.0.0.1:7000", ports=ports, hearers={}, systems=[], on_late=[], on_hear=[], now_us=lambda: 5,
+        tell=lambda *told, **facts: None, terms=SimpleNamespace(beat_us=1, missed_us=1),
+    )
+    return Ring(node, "core", "north", [], 1), wire
+
+
+def told(ring, incarnation, address=HOME):
+    record = ["router-1", incarnation, address, "router", "north", None, 0, 0, True]
+    ring.hear_members({"name": "router-1", "fellows": [record]})
+
+
+@pytest.mark.parametrize("incarnation, address, renewed", [(2, HOME, [HOME]), (1, HOME, []), (2, "10.0.0.3:7000", [])])
+def test_a_new_start_at_the_same_address_has_its_connection_renewed_once(incarnation, address, renewed):
+    members, wire = ring()
+    told(members, 1)
+    assert wire.renewed == []
+    told(members, incarnation, address)
+    told(members, incarnation, address)
+    assert wire.renewed == renewed
+
+
+class Node:
+    def __init__(self, ports, incarnation):
+        self.heard = []
+
+    def tick(self):
+        pass
+
+    def hear(self, message):
+        self.heard.append(message)
+
+
+class Bench:
+    def __init__(self, backlog=8):
+        self.shell = Shell("bench", None, None, Node, level="error", tick_us=2_000)
+        self.shell._running = True
+        self.outlet = self.shell.outlet
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=backlog)
+        self.listener.setblocking(False)
+        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.socks = [self.listener]
+
+    def until(self, condition):
+        end = time.monotonic() + DEADLINE_S
+        while not condition():
+            assert time.monotonic() < end, "the deadline passed"
+            self.shell.tick()
+
+    def run_for(self, span_us):
+        end = time.monotonic() + span_us / 1_000_000
+        self.until(lambda: time.monotonic() >= end)
+
+    def accept(self):
+        taken = []
+
+        def look():
+            try:
+                taken.append(self.listener.accept()[0])
+            except BlockingIOError:
+                return False
+            return True
+
+        self.until(look)
+        taken[0].setblocking(False)
+        self.socks.append(taken[0])
+        return taken[0]
+
+    def read(self, sock):
+        data = []
+
+        def look():
+            try:
+                data.append(sock.recv(65_536))
+            except BlockingIOError:
+                return False
+            return b"\n" in data[-1]
+
+        self.until(look)
+        return b"".join(data)
+
+    def fill(self):
+        """Connections nobody accepts, until the next one hangs."""
+        host, port = self.address.split(":")
+        for _ in range(4):
+            sock = socket.socket()
+            sock.setblocking(False)
+            sock.connect_ex((host, int(port)))
+            self.socks.append(sock)
+
+    def close(self):
+        for sock in self.socks:
+            sock.close()
+
+
+@pytest.fixture
+def bench():
+    benches = []
+
+    def begun(**settings):
+        benches.append(Bench(**settings))
+        return benches[-1]
+
+    yield begun
+    for one in benches:
+        one.close()
+
+
+def test_the_next_line_after_a_renewal_goes_over_a_new_connection(bench):
+    here = bench()
+    here.outlet.tell(here.address, {"say": "one"})
+    assert b"one" in here.read(here.accept())
+    here.outlet.renew(here.address)
+    here.outlet.tell(here.address, {"say": "two"})
+    assert b"two" in here.read(here.accept())
+
+
+def test_a_connection_that_hangs_is_made_anew_once_when_its_node_speaks(bench):
+    here = bench(backlog=0)
+    here.fill()
+    here.outlet.tell(here.address, {"say": "waits"})
+    hanging = here.outlet.fellows[here.address].plug
+    here.outlet.hear_from(here.address)
+    assert here.outlet.fellows[here.address].plug is hanging
+    here.run_for(2 * HANGING_US)
+    assert not hanging.is_open
+    here.outlet.hear_from(here.address)
+    again = here.outlet.fellows[here.address].plug
+    assert again is not hanging and hanging.is_over
+    assert list(again.out) == [b'{"say":"waits"}\n']
+    here.run_for(2 * HANGING_US)
+    here.outlet.hear_from(here.address)
+    assert here.outlet.fellows[here.address].plug is again
+
+
+def test_an_open_connection_stays_when_its_node_speaks(bench):
+    here = bench()
+    here.outlet.tell(here.address, {"say": "one"})
+    here.read(here.accept())
+    plug = here.outlet.fellows[here.address].plug
+    here.run_for(2 * HANGING_US)
+    here.shell._hear({"say": "x", "back": here.address})
+    here.shell._hear({"say": "x", "back": ["no", "address"]})
+    assert here.outlet.fellows[here.address].plug is plug
