A fault at the start of a queued request ends that one request

Before: the same head raised at each wake, and nothing queued behind it was served. After: the fault is logged (1005), the request ends unknown where it may have been sent and else refused, and the queue goes on.

--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -22,7 +22,18 @@
         node.systems.append(self.tick)
 
     def begin(self, request):
-        """First attempt from the queue; answers whether it could be placed."""
+        """First attempt from the queue; answers whether it could be placed. A fault ends that one request."""
+        try:
+            return self._begin(request)
+        except Exception as fault:
+            self.node.ports.log(1005, request=request.id, fault=repr(fault))
+            is_queued = request.state == states.QUEUED
+            may_be_sent = request.has_begun or request.attempts > 0
+            trouble = Trouble("runner_lost", why="a fault at its start") if may_be_sent else Trouble("no_runner", retry_us=self.node.terms.retry_least_us)
+            self.node.end_in_trouble(request, trouble)
+            return not is_queued
+
+    def _begin(self, request):
         if not self.node.may_start():
             return False
         if request.resume or not request.prompt_tokens:
