Large fleets: views of queues by way of the core, few runners weighed, ring kept in order

Above 16 fellows each router tells the core its own figures with its asks, hears the sum of the others', and weighs a few runners drawn by dice.

--- a/packages/pairing/src/linkhaven/pairing/kept.py
+++ b/packages/pairing/src/linkhaven/pairing/kept.py
@@ -1,4 +1,7 @@
 from collections import OrderedDict
+from zlib import crc32
+
+from linkhaven.runner.roster import PREFILL
 
 KEEP_SHARE = 0.8
 PARTS_AT_MOST = 4_096
@@ -37,6 +40,15 @@
         while len(held) > PARTS_AT_MOST or room and total > room:
             total -= held.popitem(last=False)[1]
 
+    def home(self, runners, work):
+        """The reading runner to which the longest shared part belongs by its name: routers that don't hear of each
+        other's reads send it there, and so find it kept."""
+        readers = [runner for runner in runners if runner.phase == PREFILL]
+        if not readers or len(work.parts) < 2:
+            return None
+        longest = max(work.parts[:-1], key=lambda part: part[1])[0]
+        return max(readers, key=lambda runner: crc32(f"{longest}/{runner.name}".encode()))
+
     def unread(self, runner, work):
         held = self.runners.get(runner.name)
         if not held or not work.parts:
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -15,6 +15,9 @@
 SLOW_US = 20_000
 FULL_SHARE = 0.9
 IN_PLACE_SHARE = 0.25
+FELLOWS_MOST = 16
+FEW = 4
+FLEET = "fleet"
 START_US = 50_000
 REST_US = 200_000
 REST_MOST_US = 1_600_000
@@ -175,7 +178,42 @@
             book = self.books[key] = Book()
         return book
 
+    def is_large(self):
+        """Too many routers to tell each of them every change: views of the queues come by way of the core, late, and
+        each router weighs only a few runners drawn by dice, so that late views send no herd to the least of them."""
+        return len(self.fellows()) > FELLOWS_MOST
+
+    def own_views(self):
+        return [[*key, *book.own()] for key, book in self.books.items() if any(book.own())]
+
+    def take_views(self, views):
+        """What all other routers together have at each runner, as of their last asks."""
+        now_us, named = self.node.now_us(), set()
+        for name, incarnation, *figures in views:
+            named.add((name, incarnation))
+            book = self.books.get((name, incarnation))
+            if book is None:
+                book = self.books[(name, incarnation)] = Book()
+            book.told[FLEET] = (*figures, now_us + TOLD_US)
+            book.note(now_us)
+        for key, book in self.books.items():
+            if key not in named and book.told.pop(FLEET, None) is not None:
+                book.note(now_us)
+
+    def _few(self, runners, work=None):
+        """Some of the runners, a few of each part, with the one that by its name keeps the longest shared part."""
+        if not self.is_large():
+            return runners
+        few = []
+        for phase in (PREFILL, DECODE):
+            those = [runner for runner in runners if runner.phase == phase]
+            few += those if len(those) <= FEW else self.node.ports.dice.sample(those, FEW)
+        home = self.kept.home(runners, work) if work is not None else None
+        return few if home is None or home in few else [*few, home]
+
     def _tell(self, key, book, parts=()):
+        if self.is_large():
+            return
         record = [*key, *book.own(), *([parts] if parts else [])]
         for fellow in self.fellows():
             self.node.tell(fellow.address, "books", books=[record])
@@ -199,6 +237,8 @@
             return
         self.told_us = now_us
         self._forget_gone(now_us)
+        if self.is_large():
+            return
         books = [[*key, *book.own()] for key, book in self.books.items() if any(book.own())]
         for fellow in self.fellows() if books else ():
             self.node.tell(fellow.address, "books", books=books)
@@ -269,7 +309,7 @@
 
     def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
         candidates, now_us = [], self.node.now_us()
-        fit = [runner for runner in self.open_runners(work.pool) if runner.name not in without]
+        fit = self._few([runner for runner in self.open_runners(work.pool) if runner.name not in without], work)
         for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
             queued = self.queued_tokens(runner)
             q_us = self._queue_us(runner, queued, now_us) if runner.phase == PREFILL or work.pool is None else self._start_us(runner, now_us)
@@ -378,6 +418,7 @@
         runners = [runner for runner in self.open_runners(pool) if runner.phase == DECODE and runner.name not in without]
         if not runners:
             return None
+        runners = self._few(runners)
         if source is not None:
             times = {runner.name: self.estimator.transfer_us(tokens, source, runner) for runner in runners}
             most_us = SLOW * min(times.values()) + SLOW_US
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -5,6 +5,7 @@
 PRESS_US = 250_000
 SETTLE_US = 200_000
 BLIND_US = 1_200_000
+UNANSWERED_US = 500_000
 LEFT_US = 60_000_000
 ANY_INCARNATION = 0
 SERIALS_A_START = 1 << 32
@@ -17,7 +18,7 @@
     __slots__ = (
         "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
         "reported_us", "pressed_us", "owed_us", "heard_us", "blind_us", "changed", "serial", "since_us", "leaving", "on_blind", "starts",
-        "first_us", "is_settled", "on_ready",
+        "first_us", "is_settled", "on_ready", "silent",
     )
 
     def __init__(self, node, desk, platform, needs):
@@ -39,6 +40,7 @@
         self.serial = 0
         self.since_us = None
         self.leaving = {}
+        self.silent = {}
         self.on_blind = lambda: None
         self.on_ready = lambda: None
         self.first_us = None
@@ -72,6 +74,8 @@
                 self._mark_leaving(runner)
             elif what == "alive":
                 self._hear_alive(runner, now_us - age_us)
+            elif what == "silent":
+                self._hear_silent(runner, now_us, now_us - age_us)
             else:
                 self._hear_dark(runner, now_us - age_us)
 
@@ -96,6 +100,7 @@
             self._change()
             self.runners.clear()
             self.heard_us.clear()
+            self.silent.clear()
             self.polled_us = now_us - self.node.terms.poll_us
             self.reported_us = now_us - self.node.terms.report_us
             self.owed_us.clear()
@@ -103,6 +108,7 @@
             self.on_blind()
         if now_us - self.polled_us >= self.node.terms.poll_us:
             self._poll(now_us)
+        self._judge_silent(now_us)
         if now_us - self.reported_us >= self.node.terms.report_us:
             self.reported_us = self.pressed_us = now_us
             for runner in self.runners.rows():
@@ -164,6 +170,7 @@
         for name in [name for name in self.heard_us if name not in listed]:
             del self.heard_us[name]
             self.owed_us.pop(name, None)
+            self.silent.pop(name, None)
         for key in [key for key, left_us in self.leaving.items() if key[0] not in listed and sent_us - left_us > LEFT_US]:
             del self.leaving[key]
         self.starts.forget(listed)
@@ -220,6 +227,7 @@
             return
         self.heard_us[runner.name] = seen_us
         self.owed_us.pop(runner.name, None)
+        self.silent.pop(runner.name, None)
         if not runner.is_dark:
             return
         runner.is_dark = False
@@ -233,6 +241,22 @@
         self.heard_us[runner.name] = seen_us
         self._darken(runner)
 
+    def _hear_silent(self, runner, now_us, seen_us):
+        """A router waits for its bytes: it is asked at once, and is dark where it leaves that unanswered, too."""
+        if self.since_us is None or runner.is_dark or runner.name in self.silent or seen_us <= self.heard_us.get(runner.name, -1):
+            return
+        self.silent[runner.name] = now_us
+        self._ask_report(runner, now_us)
+
+    def _judge_silent(self, now_us):
+        for name, told_us in list(self.silent.items()):
+            runner = self.runners.get(name)
+            if runner is None or runner.is_dark:
+                del self.silent[name]
+            elif now_us - told_us >= UNANSWERED_US and now_us - self.owed_us.get(name, now_us) >= UNANSWERED_US:
+                del self.silent[name]
+                self._darken(runner)
+
     def _judge_dark(self, runner, now_us):
         terms = self.node.terms
         heard_us = self.heard_us.setdefault(runner.name, now_us)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -10,6 +10,7 @@
 from .gate import KeyGate
 from .keeper import RosterKeeper
 from .steward import Steward
+from .views import Views
 
 IMAGE_WAIT_US = 1_000_000
 RELEASE_US = 400_000
@@ -23,7 +24,7 @@
 class RegistryNode(Node):
     __slots__ = (
         "ring", "seat", "proposer", "image", "plan_desk", "news", "duties", "desk", "keeper", "steward",
-        "gate", "usage", "bursar", "is_draining", "told_image", "voted_us", "contacts", "is_adopting", "incarnation", "adopt_us",
+        "gate", "usage", "views", "bursar", "is_draining", "told_image", "voted_us", "contacts", "is_adopting", "incarnation", "adopt_us",
         "on_drained", "leave_by_us", "unreleased",
     )
 
@@ -62,7 +63,8 @@
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
         self.ring.on_mark.append(self._hear_mark)
-        self.news.on_ask += [self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences, self._hear_usage]
+        self.views = Views(self)
+        self.news.on_ask += [self.views.hear_ask, self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences, self._hear_usage]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.hearers["image"] = self._hear_image
         self.systems += [self._adopt_image, self._watch_edge, self._leave_in_time]
@@ -208,6 +210,8 @@
         rank = self._roster_rank()
         if rank is not None and self.keeper.is_ready():
             fence, serial = ask.get("roster") or (None, None)
+            if "views" in ask:
+                facts["views"] = self.views.of_others(ask["name"])
             facts["roster"] = {"fence": rank, **self.keeper.document(serial if fence == rank else None)}
         self.steward.add_news(facts)
 
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/views.py
@@ -0,0 +1,49 @@
+QUIET_US = 2_500_000
+
+
+class Views:
+    """What the routers of a large fleet have at the runners, added up here and told back late: each router tells the
+    core its own figures with its asks, and hears the sum of the others' with the list of runners."""
+
+    __slots__ = ("node", "told", "sums")
+
+    def __init__(self, node):
+        self.node = node
+        self.told = {}
+        self.sums = {}
+        node.systems.append(self.tick)
+
+    def hear_ask(self, message):
+        if "views" in message:
+            self._replace(message["name"], message["views"])
+
+    def _replace(self, router, views):
+        before, _ = self.told.pop(router, ((), 0))
+        self._add(before, -1)
+        if views is not None:
+            self.told[router] = (views, self.node.now_us())
+            self._add(views, 1)
+
+    def _add(self, views, sign):
+        for name, incarnation, *figures in views:
+            key = (name, incarnation)
+            held = self.sums.get(key) or (0, 0, 0, 0)
+            total = tuple(one + sign * other for one, other in zip(held, figures))
+            if any(total):
+                self.sums[key] = total
+            else:
+                self.sums.pop(key, None)
+
+    def of_others(self, router):
+        own = {(name, incarnation): figures for name, incarnation, *figures in self.told.get(router, ((), 0))[0]}
+        rows = []
+        for key, total in self.sums.items():
+            figures = own.get(key)
+            rest = total if figures is None else tuple(one - other for one, other in zip(total, figures))
+            if any(rest):
+                rows.append([*key, *rest])
+        return rows
+
+    def tick(self, now_us):
+        for router in [router for router, (_, told_us) in self.told.items() if now_us - told_us > QUIET_US]:
+            self._replace(router, None)
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -1,4 +1,5 @@
 import hashlib
+from bisect import bisect_left
 from functools import lru_cache
 
 from linkhaven.clockwork import Table
@@ -47,7 +48,7 @@
 
     __slots__ = (
         "node", "me", "seeds", "fellows", "beat_us", "gossip_us", "on_standing", "on_mark", "mark_of",
-        "seat_marks", "raises_own", "sought_us", "seek_until_us",
+        "seat_marks", "order", "raises_own", "sought_us", "seek_until_us",
     )
 
     def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
@@ -60,6 +61,7 @@
         self.on_standing = []
         self.on_mark = []
         self.seat_marks = {}
+        self.order = None
         self.raises_own = True
         self.beat_us = self.gossip_us = self.sought_us = 0
         self.seek_until_us = node.now_us() + SEEK_FOR_US
@@ -125,11 +127,19 @@
             self.me.seat_incarnation = self.seat_marks[self.me.seat]
 
     def watchers_of(self, name):
-        names = [fellow.name for fellow in self.fellows.values() if fellow.is_up and not fellow.has_left]
-        names.append(self.node.name)
-        place = place_of(name)
-        ring = sorted((other for other in names if other != name), key=lambda other: (place_of(other) - place) % (1 << 64))
-        return ring[:WATCHERS]
+        """The next names on the ring after this one's place, of those that are up."""
+        if self.order is None:
+            names = [fellow.name for fellow in self.fellows.values() if fellow.is_up and not fellow.has_left]
+            self.order = sorted((place_of(other), other) for other in (*names, self.node.name))
+        start = bisect_left(self.order, (place_of(name), name))
+        found = []
+        for step in range(len(self.order)):
+            other = self.order[(start + step) % len(self.order)][1]
+            if other != name:
+                found.append(other)
+            if len(found) == WATCHERS:
+                break
+        return found
 
     def hear_hello(self, message):
         self._take(message["fellow"], is_first_hand=True)
@@ -169,6 +179,7 @@
             if is_known and fellow.address == address:
                 self.node.ports.wire.renew(address)
             fellow = self.fellows[name] = Fellow(name, incarnation)
+            self.order = None
             self._set_facts(fellow, address, kind, zone, seat)
             fellow.seat_incarnation = seat_incarnation
             self.node.ports.log(1101, fellow=name, incarnation=incarnation, is_known=is_known)
@@ -176,6 +187,7 @@
         if is_first_hand:
             self._set_facts(fellow, address, kind, zone, seat)
             fellow.has_left = False
+            self.order = None
         fellow.seat_incarnation = max(fellow.seat_incarnation, seat_incarnation)
         if seat:
             self.learn_seats({seat: fellow.seat_incarnation})
@@ -212,6 +224,7 @@
         if is_up == fellow.is_up:
             return
         fellow.is_up = is_up
+        self.order = None
         fellow.down_us = 0 if is_up else self.node.now_us()
         self.node.ports.log(1101 if is_up else 1102, fellow=fellow.name, incarnation=fellow.incarnation)
         self._spread(fellow)
@@ -234,6 +247,7 @@
         if fellow is None:
             return
         fellow.has_left = True
+        self.order = None
         fellow.is_up = False
         fellow.down_us = self.node.now_us()
         self._spread(fellow)
@@ -303,6 +317,7 @@
         for fellow in downs:
             if now_us - fellow.down_us > FORGET_US:
                 self.fellows.drop(fellow.name)
+                self.order = None
         if downs:
             other = downs[self.node.ports.dice.randrange(len(downs))]
             self.node.tell(other.address, "hello", fellow=self.me.as_record())
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -6,12 +6,16 @@
 
 FAILED_HAND_OVERS = {"handle_lapsed", "handle_foreign", "hand_over_failed"}
 QUIET_US = 4_000_000
+DARK_QUIET_US = 1_000_000
+SILENT_US = 600_000
+LOOK_US = 50_000
+TURNED_AWAY = FAILED_HAND_OVERS | {"runner_full", "runner_leaving", "phase_wrong"}
 
 
 class Attempts:
     """Attempts of requests at runners: the read, the hand-over, the decode, and what follows when one fails."""
 
-    __slots__ = ("node", "pairing", "desk", "roster", "extra")
+    __slots__ = ("node", "pairing", "desk", "roster", "extra", "looked_us")
 
     def __init__(self, node, pairing, desk, roster, extra):
         self.node = node
@@ -19,6 +23,7 @@
         self.desk = desk
         self.roster = roster
         self.extra = extra
+        self.looked_us = 0
         node.systems.append(self.tick)
 
     def begin(self, request):
@@ -197,6 +202,8 @@
         self.node.ports.log(2106, request=request.id, runner=runner.name, code=trouble.code, has_begun=has_begun)
         if not has_begun:
             self.roster.note_dark(runner)
+        elif trouble.code in TURNED_AWAY:
+            self.roster.note_alive(runner)
         if trouble.code in ("runner_leaving", "incarnation_other"):
             self.roster.note_leaving(runner)
         if trouble.code == "phase_wrong" and not self.desk.reads_are_runs:
@@ -292,9 +299,14 @@
         return True
 
     def tick(self, now_us):
+        if now_us - self.looked_us >= LOOK_US:
+            self.looked_us = now_us
+            self._note_silent(now_us)
         for request in self.node.requests.rows():
             if request.parked and self.node.may_start():
                 request.parked(request)
+            elif self._is_lost(request, now_us):
+                self.fail(request, request.runner, Trouble("runner_lost", why="its runner is dark"), True)
             elif request.state == states.DECODING and self._is_quiet(request, now_us):
                 runner = request.runner
                 self.roster.note_dark(runner)
@@ -304,6 +316,38 @@
                 self.roster.note_dark(runner)
                 self.fail(request, runner, Trouble("runner_lost", why="no answer to the read"), True)
 
+    def _is_waiting(self, request):
+        """Whether bytes of its runner are due."""
+        return request.state in (states.READING, states.DECODING) and not request.parked and not request.is_held
+
+    def _note_silent(self, now_us):
+        """A runner that owes answers, and from which no byte came for longer than its reads should take."""
+        owing = {}
+        for request in self.node.requests.rows():
+            if self._is_waiting(request):
+                sent_us = owing.get(request.runner, now_us)
+                owing[request.runner] = min(sent_us, request.progress_us)
+        for runner, sent_us in owing.items():
+            quiet_us = now_us - max(sent_us, runner.alive_us or 0)
+            if quiet_us > SILENT_US and quiet_us > SILENT_US + self.pairing.estimator.read_us(self.pairing.queued_tokens(runner), runner):
+                self.roster.note_silent(runner)
+
+    def _is_lost(self, request, now_us):
+        """Its runner is dark and sent nothing for a moment, to this request or another; and it can go on elsewhere."""
+        runner = request.runner
+        if runner is None or not runner.is_dark or not self._is_waiting(request):
+            return False
+        if now_us - max(request.progress_us, runner.alive_us or 0) < DARK_QUIET_US:
+            return False
+        if request.written and not request.is_resumable or request.is_one_time and request.has_begun:
+            return False
+        is_read_again = request.prompt_tokens and not request.written and request.reads > 0 and not self.desk.reads_are_runs
+        cost = 2 if is_read_again else 1
+        if not self.node.may_start() or not self.extra.has(cost) or not self._has_attempts(request, cost):
+            return False
+        others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
+        return any(other.phase == DECODE for other in others)
+
     def _is_quiet(self, request, now_us):
         if request.is_held:
             return False
@@ -339,6 +383,7 @@
     def on_begin(self, run, after, head=None):
         if self.is_over():
             return
+        self.attempts.roster.note_alive(self.runner)
         request, now_us, pairing = self.request, self.attempts.node.now_us(), self.attempts.pairing
         if request.handle:
             pairing.note_begin(request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us)
@@ -385,6 +430,7 @@
         """A whole answer that isn't a stream: another attempt may do better, else it is the caller's."""
         if self.is_over():
             return
+        self.attempts.roster.note_alive(self.runner)
         request = self.request
         if status >= 500 and not request.is_one_time and not request.written and self.attempts.try_elsewhere(request, self.runner, status):
             return
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -123,6 +123,8 @@
         facts["evidence"] = self.roster.tell_evidence()
         facts["rates"] = [*self.rates, self.pairing.estimator.seen_rate()]
         facts["roster"] = self.roster.place
+        if self.pairing.is_large():
+            facts["views"] = self.pairing.own_views()
         grants = [self.extra.grant, *(book.grant for book in self.credit.groups.values())]
         facts["fences"] = {
             "roster": self.roster.place[0], "steward": self.steward_place[0], "bursar": max(grants, default=0) // GRANTS_A_FENCE,
@@ -138,6 +140,8 @@
             for runner in self.roster.runners.values():
                 is_behind = runner.phase != steward["settled"].get(runner.name, runner.phase)
                 runner.is_changing = runner.name in steward["changing"] or is_behind
+        if "views" in message:
+            self.pairing.take_views(message["views"])
         shares = message.get("shares")
         if shares is not None:
             for group, (rate, grant) in shares["rates"].items():
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -9,7 +9,7 @@
 class Runner:
     __slots__ = (
         "name", "address", "zone", "incarnation", "phase", "queued", "running", "kv_used", "kv_total",
-        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us", "pool", "slots", "is_switching",
+        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us", "pool", "slots", "is_switching", "silent_us",
     )
 
     def __init__(self, name, address, zone, incarnation):
@@ -32,6 +32,7 @@
         self.pool = None
         self.slots = 0
         self.is_switching = False
+        self.silent_us = None
 
     def take_report(self, report, now_us):
         if report["incarnation"] != self.incarnation:
@@ -152,6 +153,17 @@
 
     def note_alive(self, runner):
         runner.alive_us = self.node.now_us()
+        if runner.silent_us is not None:
+            runner.silent_us = None
+            self.evidence.pop((runner.name, runner.incarnation, "silent"), None)
+
+    def note_silent(self, runner):
+        """It owes this router answers and sends no byte: others are preferred until it does, or a while after."""
+        runner.silent_us = self.node.now_us()
+        self.evidence.setdefault((runner.name, runner.incarnation, "silent"), runner.silent_us)
+
+    def is_silent(self, runner):
+        return runner.silent_us is not None and self.node.now_us() - runner.silent_us <= DARK_US
 
     def note_dark(self, runner):
         runner.alive_us = None
@@ -177,4 +189,10 @@
         return [[*key, now_us - seen_us] for key, seen_us in self.evidence.items()] + alive
 
     def open_runners(self):
-        return [runner for runner in self.runners.values() if runner.is_open()]
+        """Without the silent ones, where another of the same pool plays the same part."""
+        runners = [runner for runner in self.runners.values() if runner.is_open()]
+        silent = [runner for runner in runners if runner.silent_us is not None and self.is_silent(runner)]
+        if not silent:
+            return runners
+        heard = {(runner.pool, runner.phase) for runner in runners if runner not in silent}
+        return [runner for runner in runners if runner not in silent or (runner.pool, runner.phase) not in heard]
--- a/tests/test_dark_runner.py
+++ b/tests/test_dark_runner.py
@@ -3,8 +3,10 @@
 
 import pytest
 
+from linkhaven.registry.keeper import RosterKeeper
 from linkhaven.router.attempts import Attempts
 from linkhaven.router.request import DECODING, QUEUED, READING, Request
+from linkhaven.runner import Roster
 
 
 def silent(*told, **facts):
@@ -89,3 +91,214 @@
     tries.pairing.bad = tries.desk.bad = None
     assert tries.begin(queued("r-2", tokens=0))
     assert "r-2" not in node.ended
+
+
+class Router:
+    """Time and terms of a router, by hand."""
+
+    def __init__(self):
+        self.us = 10_000_000
+        self.systems = []
+        self.held = []
+        self.terms = SimpleNamespace(roster_stale_us=None, hold_share=None, poll_us=500_000, report_us=1_000_000, dark_us=1_200_000)
+        self.ports = SimpleNamespace(log=Logged())
+        self.requests = SimpleNamespace(rows=lambda: list(self.held))
+
+    def now_us(self):
+        return self.us
+
+    def may_start(self):
+        return True
+
+
+def record(name, phase="decode", **more):
+    return {
+        "name": name, "address": f"{name}:1", "zone": "north", "incarnation": 1, "pool": "p", "slots": 8, "phase": phase, "queued": 0,
+        "running": 0, "kv_used": 0, "kv_total": 9, "is_leaving": False, "is_listed": True, "is_dark": False, "is_switching": False,
+        "is_changing": False, "mark": 0, "fence": 0, "age_us": 0, **more,
+    }
+
+
+def listed(roster, serial, *records):
+    roster.take({"fence": 1, "serial": serial, "age_us": 0, "runners": list(records)}, roster.node.now_us())
+
+
+class Failing(Attempts):
+    __slots__ = ("failed",)
+
+    def fail(self, request, runner, trouble, has_begun):
+        self.failed.append(request.id)
+
+
+class Fleet:
+    """Attempts of one router at two decode runners and one reader; what failed is noted in place of tried again."""
+
+    def __init__(self, read_us=0):
+        self.node = Router()
+        self.roster = Roster(self.node)
+        listed(self.roster, 1, record("d-1"), record("d-2"), record("p-1", "prefill"))
+        self.extra = SimpleNamespace(has=lambda cost: cost <= self.budget)
+        self.budget = 2
+        pairing = SimpleNamespace(
+            estimator=SimpleNamespace(read_us=lambda tokens, runner: read_us), queued_tokens=lambda runner: 0,
+            open_runners=lambda pool=None: self.roster.open_runners(),
+        )
+        self.tries = Failing(self.node, pairing, SimpleNamespace(reads_are_runs=False), self.roster, self.extra)
+        self.failed = self.tries.failed = []
+
+    def sent(self, id, name="d-1", state=DECODING, written=3, **kind):
+        request = queued(id, **{"resumable": True, **kind})
+        request.state, request.runner, request.written = state, self.roster.runners[name], written
+        request.has_begun = state == DECODING
+        request.reads = 1
+        request.progress_us = self.node.us
+        self.node.held.append(request)
+        return request
+
+    def run_for(self, span_us):
+        end_us = self.node.us + span_us
+        while self.node.us < end_us:
+            self.node.us += 50_000
+            self.tries.tick(self.node.us)
+
+    def open(self):
+        return [runner.name for runner in self.roster.open_runners()]
+
+
+def test_a_runner_that_owes_bytes_gets_no_new_work_until_its_first_byte():
+    fleet = Fleet()
+    fleet.sent("r-1")
+    fleet.run_for(600_000)
+    assert fleet.open() == ["d-1", "d-2", "p-1"]
+    fleet.run_for(100_000)
+    assert fleet.open() == ["d-2", "p-1"]
+    assert [told[:3] for told in fleet.roster.tell_evidence()] == [["d-1", 1, "silent"]]
+    fleet.roster.note_alive(fleet.roster.runners["d-1"])
+    assert fleet.open() == ["d-1", "d-2", "p-1"]
+    assert [told[:3] for told in fleet.roster.tell_evidence()] == [["d-1", 1, "alive"]]
+
+
+def test_the_reads_that_wait_there_have_their_time():
+    fleet = Fleet(read_us=1_000_000)
+    fleet.sent("r-1", "p-1", READING)
+    listed(fleet.roster, 2, record("d-1"), record("p-1", "prefill"), record("p-2", "prefill"))
+    fleet.run_for(1_600_000)
+    assert "p-1" in fleet.open()
+    fleet.run_for(100_000)
+    assert "p-1" not in fleet.open()
+
+
+def test_bytes_of_any_of_its_streams_will_do():
+    fleet = Fleet()
+    fleet.sent("r-1")
+    for _ in range(12):
+        fleet.run_for(300_000)
+        fleet.roster.note_alive(fleet.roster.runners["d-1"])
+        assert "d-1" in fleet.open()
+
+
+def test_the_only_runner_of_its_part_stays_in_use():
+    fleet = Fleet()
+    fleet.sent("r-1", "p-1", READING)
+    fleet.run_for(2_000_000)
+    assert "p-1" in fleet.open()
+
+
+def test_a_silent_runner_that_owes_nothing_any_more_is_taken_back_after_a_while():
+    fleet = Fleet()
+    fleet.sent("r-1")
+    fleet.run_for(700_000)
+    fleet.node.held.clear()
+    fleet.run_for(1_600_000)
+    assert "d-1" in fleet.open()
+
+
+def test_a_silent_stream_of_a_runner_that_is_not_dark_stays():
+    fleet = Fleet()
+    fleet.sent("r-1")
+    fleet.run_for(3_900_000)
+    assert fleet.failed == []
+
+
+@pytest.mark.parametrize("state, name, kind, is_tried", [
+    (DECODING, "d-1", {}, True),
+    (READING, "p-1", {}, True),
+    (READING, "p-1", {"repeatable": False, "resumable": False}, True),
+    (DECODING, "d-1", {"repeatable": False, "resumable": False}, False),
+    (DECODING, "d-1", {"resumable": False}, False),
+])
+def test_what_a_dark_runner_has_goes_on_elsewhere_after_a_second(state, name, kind, is_tried):
+    fleet = Fleet()
+    fleet.sent("r-1", name, state, written=3 if state == DECODING else 0, **{"attempts": 4, **kind})
+    fleet.roster.runners[name].is_dark = True
+    fleet.run_for(950_000)
+    assert fleet.failed == []
+    fleet.run_for(50_000)
+    assert fleet.failed == (["r-1"] if is_tried else [])
+
+
+@pytest.mark.parametrize("change", ["no budget", "no other", "it speaks", "held"])
+def test_a_stream_that_can_not_go_on_elsewhere_stays(change):
+    fleet = Fleet()
+    request = fleet.sent("r-1")
+    runner = fleet.roster.runners["d-1"]
+    runner.is_dark = True
+    fleet.run_for(500_000)
+    if change == "no budget":
+        fleet.budget = 0
+    elif change == "no other":
+        fleet.roster.runners["d-2"].is_dark = True
+    elif change == "it speaks":
+        fleet.roster.note_alive(runner)
+    else:
+        request.is_held = True
+    fleet.run_for(900_000)
+    assert fleet.failed == []
+
+
+class Reports:
+    def __init__(self):
+        self.asked = []
+
+    def report(self, address, done):
+        self.asked.append(done)
+        return SimpleNamespace(abandon=lambda: None)
+
+    def list_runners(self, address, done):
+        done(None, {"runners": [
+            {"name": "d-1", "address": "d-1:1", "zone": "north", "incarnation": 1, "state": "serving", "pool": "p", "phase": "decode"},
+        ]}, True)
+
+
+@pytest.mark.parametrize("is_answered, is_dark", [(True, False), (False, True)])
+def test_a_runner_silent_to_a_router_is_asked_at_once_and_dark_unless_it_answers(is_answered, is_dark):
+    node, desk = Router(), Reports()
+    keeper = RosterKeeper(node, desk, "list", [SimpleNamespace(is_held=lambda: True)])
+
+    def run_for(span_us):
+        for _ in range(span_us // 10_000):
+            node.us += 10_000
+            keeper.tick(node.us)
+
+    run_for(20_000)
+    report = record("d-1")
+    desk.asked.pop()(None, report, True)
+    run_for(300_000)
+    assert desk.asked == []
+    keeper.hear_evidence({"evidence": [["d-1", 1, "silent", 0]]})
+    assert len(desk.asked) == 1
+    run_for(200_000)
+    if is_answered:
+        desk.asked.pop()(None, report, True)
+    run_for(350_000)
+    assert keeper.runners["d-1"].is_dark is is_dark
+
+
+def test_evidence_older_than_the_last_report_asks_nothing():
+    node, desk = Router(), Reports()
+    keeper = RosterKeeper(node, desk, "list", [SimpleNamespace(is_held=lambda: True)])
+    keeper.tick(node.us)
+    while desk.asked:
+        desk.asked.pop()(None, record("d-1"), True)
+    keeper.hear_evidence({"evidence": [["d-1", 1, "silent", 1_000]]})
+    assert desk.asked == []
--- a/tests/test_gone_runner.py
+++ b/tests/test_gone_runner.py
@@ -14,7 +14,7 @@
         now_us=lambda: 5, may_start=lambda: False, systems=[], ports=SimpleNamespace(log=lambda *told, **facts: None),
     )
     pairing = SimpleNamespace(end_read=lambda *told: None, end_decode=lambda *told: None, shun=lambda runner: None, note_turned_away=lambda runner: None)
-    roster = SimpleNamespace(note_leaving=closed.append, note_dark=lambda runner: None)
+    roster = SimpleNamespace(note_leaving=closed.append, note_dark=lambda runner: None, note_alive=lambda runner: None)
     request = Request("r-1", SimpleNamespace(is_begun=False), 0)
     request.kind = {"repeatable": True, "resumable": False}
     request.state, request.attempt = READING, "r-1/1"
