A runner whose address went to another is leaving, not alive by the other's reports

After: who is new at an address ends whom the list showed there before; a first list that names both closes neither.

--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -154,6 +154,7 @@
             listed.add(name)
             runner = self.runners.get(name)
             if runner is None or self.starts.is_new(runner, incarnation, is_reported=False):
+                self._leave_address(name, record["address"], before)
                 runner = self.runners[name] = Runner(name, record["address"], record["zone"], incarnation)
                 self._ask_report(runner, sent_us)
             if incarnation in (ANY_INCARNATION, runner.incarnation):
@@ -181,6 +182,12 @@
         if before != {name: self._facts(runner) for name, runner in self.runners.items()}:
             self.changed = self.serial
 
+    def _leave_address(self, name, address, before):
+        """Who is new at an address ends whoever was listed there before: its reports would speak for the wrong one."""
+        for other in self.runners.values():
+            if other.address == address and other.name != name and other.name in before:
+                self._mark_leaving(other)
+
     def _mark_leaving(self, runner):
         if not runner.is_leaving:
             self.node.ports.log(1603, runner=runner.name)
--- /dev/null
+++ b/tests/test_exchanged_address.py
@@ -0,0 +1,61 @@
+from linkhaven.clockwork import Terms
+from linkhaven.registry.keeper import RosterKeeper
+
+
+class Part:
+    def abandon(self):
+        pass
+
+
+class Desk:
+    def list_runners(self, address, done):
+        self.listed = done
+        return Part()
+
+    def report(self, address, done):
+        return Part()
+
+
+class Duty:
+    def is_held(self):
+        return True
+
+    def is_quiet(self):
+        return False
+
+
+class Ports:
+    def log(self, number, **facts):
+        pass
+
+
+class Node:
+    def __init__(self):
+        self.terms, self.ports, self.systems, self.us = Terms(), Ports(), [], 1_000_000
+
+    def now_us(self):
+        return self.us
+
+
+def entry(name):
+    return {"name": name, "address": "10.0.0.1:8080", "zone": "a", "incarnation": 1, "state": "serving", "pool": "p", "slots": 4, "phase": "decode"}
+
+
+def listing(*rounds):
+    node, desk = Node(), Desk()
+    keeper = RosterKeeper(node, desk, "10.0.0.9:1", (Duty(),))
+    for names in rounds:
+        node.us += 1_000_000
+        keeper.tick(node.us)
+        desk.listed(None, {"runners": [entry(name) for name in names]}, True)
+    return keeper
+
+
+def test_a_runner_whose_address_went_to_another_is_leaving_before_the_list_drops_it():
+    keeper = listing(["old"], ["new", "old"])
+    assert keeper.runners["old"].is_leaving and not keeper.runners["new"].is_leaving
+
+
+def test_a_first_list_with_both_closes_neither():
+    keeper = listing(["new", "old"])
+    assert not keeper.runners["old"].is_leaving and not keeper.runners["new"].is_leaving
