Budget of further attempts by pool; a changed settings file tells the ring its seeds

SIGHUP and a changed settings file did nothing. After: a bucket for each pool, each bounded by the router's part; the file is read again at SIGHUP or when it changed, faults of it are logged and change nothing. In placement a shot is an attempt.

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -452,44 +452,44 @@
     def hear_link(self, message):
         self.estimator.links.learn(tuple(message["pair"]), tuple(message["zones"]), float(message["factor"]))
 
-    def begin_read(self, runner, shot, work):
+    def begin_read(self, runner, attempt, work):
         now_us = self.node.now_us()
         tokens = self.kept.unread(runner, work)
         is_queued = self.queued_tokens(runner) > tokens // 4
         book = self.book(runner)
-        book.reads[shot] = tokens
+        book.reads[attempt] = tokens
         book.sent_us, book.sent_tokens = now_us, tokens
-        book.predictions[shot] = (0 if is_queued else tokens, now_us)
+        book.predictions[attempt] = (0 if is_queued else tokens, now_us)
         self._change(runner, book, work.parts[:-1])
         self.kept.note(runner, work.parts)
         self.estimator.note_prompt(tokens)
 
-    def end_read(self, runner, shot, is_seen=False):
+    def end_read(self, runner, attempt, is_seen=False):
         book = self.book(runner)
-        if book.reads.pop(shot, None) is None:
+        if book.reads.pop(attempt, None) is None:
             return
-        alone_tokens, begun_us = book.predictions.pop(shot)
+        alone_tokens, begun_us = book.predictions.pop(attempt)
         self._change(runner, book)
         if is_seen:
             self.estimator.note_read(runner.name, runner.phase, alone_tokens, self.node.now_us() - begun_us)
 
-    def begin_decode(self, runner, shot, tokens):
+    def begin_decode(self, runner, attempt, tokens):
         book = self.book(runner)
-        if runner.pool is not None and shot not in book.reads:
-            book.starts.add(shot)
-        book.decodes[shot] = tokens
+        if runner.pool is not None and attempt not in book.reads:
+            book.starts.add(attempt)
+        book.decodes[attempt] = tokens
         self._change(runner, book)
 
-    def grow_decode(self, runner, shot, tokens):
+    def grow_decode(self, runner, attempt, tokens):
         book = self.book(runner)
-        if shot in book.starts:
-            book.starts.discard(shot)
+        if attempt in book.starts:
+            book.starts.discard(attempt)
             self._change(runner, book)
-        if shot in book.decodes:
-            book.decodes[shot] += tokens
+        if attempt in book.decodes:
+            book.decodes[attempt] += tokens
 
-    def end_decode(self, runner, shot):
+    def end_decode(self, runner, attempt):
         book = self.book(runner)
-        book.starts.discard(shot)
-        if book.decodes.pop(shot, None) is not None:
+        book.starts.discard(attempt)
+        if book.decodes.pop(attempt, None) is not None:
             self._change(runner, book)
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -264,7 +264,7 @@
     def try_elsewhere(self, request, runner, status):
         """The runner answered that it failed; answers whether another attempt was begun."""
         others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
-        if not others or not self.extra.has(1) or not self._has_attempts(request, 1):
+        if not others or not self.extra.has(1, request.pool) or not self._has_attempts(request, 1):
             return False
         self.fail(request, runner, Trouble("runner_lost", why=f"status {status}"), True)
         return True
@@ -274,7 +274,7 @@
         return not most or request.arrivals + cost <= most
 
     def _may_try_again(self, request, cost):
-        if not self._has_attempts(request, cost) or not self.extra.spend("retry", cost=cost):
+        if not self._has_attempts(request, cost) or not self.extra.spend("retry", cost=cost, pool=request.pool):
             return False
         request.arrivals += cost - 1
         return True
@@ -285,7 +285,7 @@
         return Trouble("extra_spent", retry_us=1_000_000, after=trouble.code)
 
     def move(self, request, target, why):
-        if not self.node.may_start() or not self.extra.spend("move", self.extra.keep_back()):
+        if not self.node.may_start() or not self.extra.spend("move", self.extra.keep_back(), pool=request.pool):
             return False
         now_us = self.node.now_us()
         origin = request.runner
@@ -343,7 +343,7 @@
             return False
         is_read_again = request.prompt_tokens and not request.written and request.reads > 0 and not self.desk.reads_are_runs
         cost = 2 if is_read_again else 1
-        if not self.node.may_start() or not self.extra.has(cost) or not self._has_attempts(request, cost):
+        if not self.node.may_start() or not self.extra.has(cost, request.pool) or not self._has_attempts(request, cost):
             return False
         others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
         return any(other.phase == DECODE for other in others)
--- a/packages/router/src/linkhaven/router/chain.py
+++ b/packages/router/src/linkhaven/router/chain.py
@@ -61,7 +61,7 @@
         request.admitted_mark = self.node.image.mark
         request.answer_tokens = request.answer_tokens or kind["answer_tokens"]
         request.deadline_us = request.arrived_us + min(kind["deadline_us"], request.patience_us or kind["deadline_us"])
-        self.node.extra.earn()
+        self.node.extra.earn(request.pool)
         if request.prompt_tokens > kind["prompt_tokens"] or request.answer_tokens > kind["answer_tokens"]:
             raise Trouble(
                 "prompt_too_long", prompt_tokens=request.prompt_tokens, answer_tokens=request.answer_tokens,
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,6 +1,8 @@
+import json
 import re
 import sys
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -15,7 +17,9 @@
 from linkhaven.platform import names  # noqa: E402
 from linkhaven.platform.callers import PlatformCallers, status_of  # noqa: E402
 from linkhaven.platform.operator import read_plan  # noqa: E402
+from linkhaven.platform.programs import SettingsWatch  # noqa: E402
 from linkhaven.platform.runners import EventReader, trouble_of  # noqa: E402
+from linkhaven.platform.settings import Place  # noqa: E402
 from linkhaven.schema import CATALOGUE, Trouble  # noqa: E402
 
 OURS = {"last-event-id", "retry-after", "request-id"}
@@ -127,3 +131,60 @@
     text = (ROOT / "deploy" / "system.toml").read_text()
     for program in re.findall(r"platform/\S+\.(?:py|sh)", text):
         assert (ROOT / program).exists()
+
+
+SETTINGS = {
+    "node_name": "edge-1", "zone": "a", "ip_address": "10.0.0.1", "bind_addresses": {"frontend": "10.0.0.1:80", "readiness": "10.0.0.1:81"},
+    "internal_port_range": [7720, 7735], "seed_nodes": ["10.0.0.2:90", "10.0.0.3:90"], "bootstrap": False, "data_directory": None,
+    "limits": {"disk_mb": 0}, "cloud_api": {"address": "10.0.0.9:70"}, "fault_tolerance": {"machines": 2},
+    "bounds": {
+        "retry_budget_ratio": 0.2, "retry_slack": 54, "grace_s": 8, "lease_ms": 3000, "contact_ms": 3000, "drain_ms": 3000, "thaw_ms": 300,
+    },
+}
+
+
+class Ring:
+    def __init__(self):
+        self.seeds = []
+
+    def add_seeds(self, seeds):
+        self.seeds += seeds
+
+
+class Shell:
+    def __init__(self):
+        self.node = SimpleNamespace(ring=Ring(), systems=[], ports=SimpleNamespace(log=lambda number, **facts: self.logged.append(number)))
+        self.logged = []
+        self.on_hangup = None
+
+
+def test_settings_that_change_or_a_hangup_tell_the_ring_its_new_seeds(tmp_path, monkeypatch):
+    path = tmp_path / "settings.json"
+    path.write_text(json.dumps(SETTINGS))
+    monkeypatch.setenv(names.SETTINGS, str(path))
+    shell = Shell()
+    watch = SettingsWatch(shell)
+    watch.look(2_000_000)
+    assert shell.node.ring.seeds == []
+    path.write_text(json.dumps({**SETTINGS, "seed_nodes": ["10.0.0.44:90"]}))
+    watch.look(4_000_000)
+    assert shell.node.ring.seeds == ["10.0.0.44:7720"]
+    shell.on_hangup()
+    assert shell.node.ring.seeds == ["10.0.0.44:7720"] * 2
+    path.write_text("{")
+    watch.look(6_000_000)
+    assert shell.logged == [1005]
+
+
+def test_bounds_become_terms_with_a_margin():
+    place = Place(SETTINGS)
+    assert place.terms.seats == 5 and place.terms.lease_us == 3_000_000 and place.margin < 54
+    assert place.terms.drain_us < 8_000_000 and place.terms.linger_us < place.terms.drain_us
+    assert place.terms.poll_us + place.terms.report_us < 3_000_000
+
+
+@pytest.mark.parametrize("lacking", ["node_name", "bounds", "cloud_api", "internal_port_range", "seed_nodes"])
+def test_settings_that_lack_something_are_told(lacking):
+    with pytest.raises(Trouble) as told:
+        Place({key: value for key, value in SETTINGS.items() if key != lacking})
+    assert told.value.code == "settings_invalid"
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -94,7 +94,7 @@
 
 
 def spend_freely(monkeypatch):
-    monkeypatch.setattr(ExtraBudget, "spend", lambda self, why, keep=0.0, cost=1: True)
+    monkeypatch.setattr(ExtraBudget, "spend", lambda self, why, keep=0.0, cost=1, pool=None: True)
 
 
 def break_every_stream(fleet_of):
