--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,27 +1,20 @@
 import json
 import re
-import sys
 from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
 
-ROOT = Path(__file__).parents[1]
-sys.path.insert(0, str(ROOT / "platform"))
-
-import linkhaven  # noqa: E402
-
-linkhaven.__path__.append(str(ROOT / "platform" / "linkhaven")) if hasattr(linkhaven.__path__, "append") else None
-
-from linkhaven.plan import fill_plan  # noqa: E402
-from linkhaven.platform import names  # noqa: E402
-from linkhaven.platform.callers import PlatformCallers, status_of  # noqa: E402
-from linkhaven.platform.operator import read_plan  # noqa: E402
-from linkhaven.platform.programs import SettingsWatch  # noqa: E402
-from linkhaven.platform.runners import EventReader, trouble_of  # noqa: E402
-from linkhaven.platform.settings import Place  # noqa: E402
-from linkhaven.schema import CATALOGUE, Trouble  # noqa: E402
+from linkhaven.plan import fill_plan
+from linkhaven.platform import names
+from linkhaven.platform.callers import PlatformCallers, status_of
+from linkhaven.platform.operator import read_plan
+from linkhaven.platform.programs import SettingsWatch
+from linkhaven.platform.runners import EventReader, trouble_of
+from linkhaven.platform.settings import Place
+from linkhaven.schema import CATALOGUE, Trouble
 
+ROOT = Path(__file__).parents[1]
 OURS = {"last-event-id", "retry-after", "request-id"}
 
 
@@ -188,3 +181,8 @@
     with pytest.raises(Trouble) as told:
         Place({key: value for key, value in SETTINGS.items() if key != lacking})
     assert told.value.code == "settings_invalid"
+
+
+def test_the_build_takes_the_versions_that_the_tests_ran_with():
+    pinned = set((ROOT / "constraints.txt").read_text().split())
+    assert set((ROOT / "platform" / "requirements.txt").read_text().split()) <= pinned
