--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 from linkhaven.platform.callers import PlatformCallers, status_of
 from linkhaven.platform.operator import read_plan
 from linkhaven.platform.programs import SettingsWatch
-from linkhaven.platform.runners import EventReader, trouble_of
+from linkhaven.platform.runners import EventReader, Stream, trouble_of
 from linkhaven.platform.settings import Place
 from linkhaven.schema import CATALOGUE, Trouble
 
@@ -186,3 +186,63 @@
 def test_the_build_takes_the_versions_that_the_tests_ran_with():
     pinned = set((ROOT / "constraints.txt").read_text().split())
     assert set((ROOT / "platform" / "requirements.txt").read_text().split()) <= pinned
+
+
+class Hearer:
+    def __init__(self):
+        self.heard = []
+
+    def on_begin(self, run, after, head):
+        self.heard.append(("begin", after, head[0]))
+
+    def on_piece(self, piece):
+        self.heard.append(("piece", piece.number))
+
+    def on_done(self, piece):
+        self.heard.append(("done",))
+
+    def on_answer(self, status, headers, body):
+        self.heard.append(("answer", status, body))
+
+    def on_trouble(self, trouble, has_begun):
+        self.heard.append((trouble.code, trouble.done, has_begun))
+
+
+EVENTS = {"content-type": "text/event-stream", names.SEAL: "s", names.REQUEST_ID: "r-1"}
+
+
+def stream(written=0):
+    hearer = Hearer()
+    request = SimpleNamespace(written=written, attempt="a/1", outside_id="r-1")
+    part = Stream(request, hearer, False, "i-1")
+    part.outing = SimpleNamespace(close=lambda: hearer.heard.append(("closed",)))
+    return part, hearer
+
+
+def test_an_answer_for_another_request_reaches_nobody():
+    part, hearer = stream()
+    part.on_head(200, {**EVENTS, names.REQUEST_ID: "r-2"})
+    part.on_data(b"id: 1\ndata: x\n\n")
+    part.on_end()
+    assert ("runner_lost", "unknown", True) in hearer.heard
+    assert not [one for one in hearer.heard if one[0] in ("begin", "piece", "done", "answer")]
+
+
+def test_a_stream_that_ends_within_an_event_does_not_look_complete():
+    part, hearer = stream()
+    part.on_head(200, EVENTS)
+    part.on_data(b"id: 1\ndata: x\n\nid: 2\nda")
+    part.on_end()
+    assert [one[0] for one in hearer.heard] == ["begin", "piece", "closed", "runner_lost"]
+
+
+def test_a_failure_of_the_runner_is_the_callers_answer_and_a_refusal_is_not():
+    part, hearer = stream()
+    part.on_head(500, {names.REQUEST_ID: "r-1"})
+    part.on_data(b"broken")
+    part.on_end()
+    assert hearer.heard == [("answer", 500, b"broken")]
+    part, hearer = stream()
+    part.on_head(503, {names.REQUEST_ID: "r-1", names.NOT_RUN: "1"})
+    part.on_end()
+    assert ("runner_full", "no", True) in hearer.heard
