--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -6,7 +6,18 @@
 
 
 class Node:
-    __slots__ = ("name", "address", "ports", "hearers", "paths", "systems", "ticked_us", "on_late", "on_hear", "terms")
+    __slots__ = (
+        "name",
+        "address",
+        "ports",
+        "hearers",
+        "paths",
+        "systems",
+        "ticked_us",
+        "on_late",
+        "on_hear",
+        "terms",
+    )
 
     def __init__(self, name, address, ports, terms=None):
         self.terms = terms or Terms()
--- a/packages/clockwork/src/linkhaven/clockwork/ports.py
+++ b/packages/clockwork/src/linkhaven/clockwork/ports.py
@@ -56,7 +56,9 @@
         raise NotImplementedError
 
     def answer_json(self, status, document, headers=None):
-        self.answer(status, {"content-type": "application/json", **(headers or {})}, write_json(document))
+        self.answer(
+            status, {"content-type": "application/json", **(headers or {})}, write_json(document)
+        )
 
     def answer_trouble(self, trouble, headers=None):
         headers = dict(headers or {})
@@ -70,5 +72,3 @@
         self.is_ended = True
         if self.on_gone:
             self.on_gone()
-
-
--- a/packages/clockwork/src/linkhaven/clockwork/text.py
+++ b/packages/clockwork/src/linkhaven/clockwork/text.py
@@ -13,4 +13,6 @@
     try:
         return json.loads(body.decode() if isinstance(body, bytes) else body)
     except (ValueError, RecursionError) as fault:
-        raise Trouble("bad_request", places=[{"place": ".", "fault": f"not JSON: {fault}"[:200]}]) from None
+        raise Trouble(
+            "bad_request", places=[{"place": ".", "fault": f"not JSON: {fault}"[:200]}]
+        ) from None
--- a/packages/credit/src/linkhaven/credit/book.py
+++ b/packages/credit/src/linkhaven/credit/book.py
@@ -5,8 +5,22 @@
 
 class GroupBook:
     __slots__ = (
-        "name", "queue", "queued_tokens", "deficit", "bucket", "share", "share_until_us", "grant", "arrived", "demand", "terms", "served", "pace", "is_busy",
-        "spent", "refused",
+        "name",
+        "queue",
+        "queued_tokens",
+        "deficit",
+        "bucket",
+        "share",
+        "share_until_us",
+        "grant",
+        "arrived",
+        "demand",
+        "terms",
+        "served",
+        "pace",
+        "is_busy",
+        "spent",
+        "refused",
     )
 
     def __init__(self, name, now_us):
--- a/packages/credit/src/linkhaven/credit/bursar.py
+++ b/packages/credit/src/linkhaven/credit/bursar.py
@@ -43,13 +43,18 @@
             return
         now_us = self.node.now_us()
         router = message["name"]
-        for group, told in [*message.get("credit", {}).items(), *([(EXTRA, message["extra"])] if "extra" in message else [])]:
+        for group, told in [
+            *message.get("credit", {}).items(),
+            *([(EXTRA, message["extra"])] if "extra" in message else []),
+        ]:
             self.wanted.setdefault(group, {})[router] = (told["wanted"], now_us)
             held = self.out.setdefault(group, {}).setdefault(router, [])
             if any(share.grant == told["grant"] for share in held):
                 held[:] = [share for share in held if share.grant >= told["grant"]]
             elif told["rate"] > 0:
-                held.append(Outstanding(told["grant"], told["rate"], now_us + self.node.terms.lease_us))
+                held.append(
+                    Outstanding(told["grant"], told["rate"], now_us + self.node.terms.lease_us)
+                )
 
     def _most_out(self, group, router, now_us):
         held = self.out.get(group, {}).get(router, [])
@@ -70,7 +75,11 @@
             told = ask.get("credit", {}).get(group)
             if told is None or terms["credit"] is None:
                 continue
-            rate = told["rate"] if is_settling else self._rate_for(group, router, self.total_of(terms), now_us, plan["floor"])
+            rate = (
+                told["rate"]
+                if is_settling
+                else self._rate_for(group, router, self.total_of(terms), now_us, plan["floor"])
+            )
             if rate > 0:
                 shares[group] = [rate, self._grant(group, router, rate, now_us)]
         facts["shares"] = {"fence": self.duty.fence, "rates": shares}
@@ -82,12 +91,16 @@
     def _grant(self, name, router, amount, now_us):
         self.serial += 1
         grant = self.duty.fence * GRANTS_A_FENCE + self.serial
-        self.out.setdefault(name, {}).setdefault(router, []).append(Outstanding(grant, amount, now_us + self.node.terms.lease_us))
+        self.out.setdefault(name, {}).setdefault(router, []).append(
+            Outstanding(grant, amount, now_us + self.node.terms.lease_us)
+        )
         return grant
 
     def _wanted(self, name, now_us):
         return {
-            router: amount for router, (amount, told_us) in self.wanted.get(name, {}).items() if now_us - told_us < QUIET_US
+            router: amount
+            for router, (amount, told_us) in self.wanted.get(name, {}).items()
+            if now_us - told_us < QUIET_US
         }
 
     def _left(self, name, router, total, now_us):
@@ -99,7 +112,11 @@
         are wanted, and one for the idle as long as nobody else wants it."""
         wanted = self._wanted(EXTRA, now_us)
         sum_wanted = sum(wanted.values())
-        parts = {name: max(1, int(margin * amount / sum_wanted)) for name, amount in wanted.items() if amount}
+        parts = {
+            name: max(1, int(margin * amount / sum_wanted))
+            for name, amount in wanted.items()
+            if amount
+        }
         spare = margin - sum(parts.values())
         part = parts.get(router, 1 if spare > 0 else 0)
         return max(0, min(part, int(self._left(EXTRA, router, margin, now_us))))
--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -17,7 +17,17 @@
     """Each group's own bounded queue at this router, its part of the group's credit, and the round
     in which ready groups are served. A group without credit waits alone."""
 
-    __slots__ = ("node", "groups", "order", "cursor", "demand_us", "is_serving", "is_called", "pace_at_first", "on_give_up")
+    __slots__ = (
+        "node",
+        "groups",
+        "order",
+        "cursor",
+        "demand_us",
+        "is_serving",
+        "is_called",
+        "pace_at_first",
+        "on_give_up",
+    )
 
     def __init__(self, node, pace_at_first, on_give_up):
         self.node = node
@@ -73,16 +83,21 @@
         return {
             book.name: {
                 "wanted": book.demand + book.queued_tokens / 2,
-                "rate": book.share if book.share is not None and now_us < book.share_until_us else 0.0,
+                "rate": book.share
+                if book.share is not None and now_us < book.share_until_us
+                else 0.0,
                 "grant": book.grant,
             }
-            for book in self.groups.values() if book.is_capped
+            for book in self.groups.values()
+            if book.is_capped
         }
 
     def enqueue(self, group, request):
         book, now_us = self.groups[group], self.node.now_us()
         bounds = book.terms["queue"]
-        is_over = len(book.queue) >= bounds["requests"] or (book.queue and book.queued_tokens + request.prompt_tokens > bounds["tokens"])
+        is_over = len(book.queue) >= bounds["requests"] or (
+            book.queue and book.queued_tokens + request.prompt_tokens > bounds["tokens"]
+        )
         credit_us = book.credit_wait_us(book.queued_tokens, request.prompt_tokens, now_us)
         if credit_us and now_us + credit_us // GROWTH > request.deadline_us:
             raise Trouble("credit_spent", retry_us=credit_us, group=group, wait_us=credit_us)
@@ -90,7 +105,11 @@
         is_short = credit_us > wait_us * PATIENCE
         most_us = int((request.deadline_us - now_us) * PATIENCE)
         if is_over or wait_us > (most_us if is_short else min(most_us, bounds["wait_us"])):
-            told = {"retry_us": max(1_000_000, credit_us, wait_us), "group": group, "wait_us": max(credit_us, wait_us)}
+            told = {
+                "retry_us": max(1_000_000, credit_us, wait_us),
+                "group": group,
+                "wait_us": max(credit_us, wait_us),
+            }
             raise Trouble("credit_spent", **told) if is_short else Trouble("queue_full", **told)
         request.queued_us = now_us
         book.queue.append(request)
@@ -105,16 +124,26 @@
             for request in list(book.queue):
                 wait_us = book.credit_wait_us(ahead, request.prompt_tokens, now_us)
                 ahead += request.prompt_tokens
-                if wait_us and now_us - request.queued_us >= SETTLED_US and now_us + wait_us > request.deadline_us:
+                if (
+                    wait_us
+                    and now_us - request.queued_us >= SETTLED_US
+                    and now_us + wait_us > request.deadline_us
+                ):
                     ahead -= request.prompt_tokens
-                    self.on_give_up(request, Trouble("credit_spent", retry_us=wait_us, group=book.name, wait_us=wait_us))
+                    self.on_give_up(
+                        request,
+                        Trouble("credit_spent", retry_us=wait_us, group=book.name, wait_us=wait_us),
+                    )
 
     def wait_us(self, group):
         """How long a request that joins the group's queue now would wait, by credit and by pace."""
         book = self.groups.get(group)
         if book is None:
             return 0
-        return max(book.credit_wait_us(book.queued_tokens, 1, self.node.now_us()), book.wait_us(self.pace_at_first()))
+        return max(
+            book.credit_wait_us(book.queued_tokens, 1, self.node.now_us()),
+            book.wait_us(self.pace_at_first()),
+        )
 
     def leave(self, group, request):
         book = self.groups.get(group)
@@ -140,14 +169,22 @@
 
     def tell_usage(self):
         return {
-            book.name: {"spent": book.spent, "refused": book.refused, "waiting": len(book.queue), "waiting_tokens": book.queued_tokens}
+            book.name: {
+                "spent": book.spent,
+                "refused": book.refused,
+                "waiting": len(book.queue),
+                "waiting_tokens": book.queued_tokens,
+            }
             for book in self.groups.values()
         }
 
     def has_credit(self, book, request, now_us):
         if not book.is_capped:
             return True
-        return book.bucket.fill(now_us) >= min(request.prompt_tokens, book.bucket.size) and book.bucket.size > 0
+        return (
+            book.bucket.fill(now_us) >= min(request.prompt_tokens, book.bucket.size)
+            and book.bucket.size > 0
+        )
 
     def serve(self, start):
         """start(request) answers whether the request could be begun; one that couldn't stays at the head."""
@@ -168,14 +205,16 @@
         stuck = set()
         while True:
             ready = [
-                name for name in self.order
-                if name not in stuck and self.groups[name].queue
+                name
+                for name in self.order
+                if name not in stuck
+                and self.groups[name].queue
                 and self.has_credit(self.groups[name], self.groups[name].queue[0], now_us)
             ]
             if not ready:
                 return
             self.cursor %= len(self.order)
-            turn = self.order[self.cursor:] + self.order[:self.cursor]
+            turn = self.order[self.cursor :] + self.order[: self.cursor]
             for name in [name for name in turn if name in ready]:
                 book = self.groups[name]
                 if book.queue[0].prompt_tokens > book.deficit:
--- a/packages/credit/src/linkhaven/credit/extra.py
+++ b/packages/credit/src/linkhaven/credit/extra.py
@@ -10,7 +10,18 @@
     at most share x requests + margin, however many routers run. Requests and attempts of each pool of runners are
     counted apart: what one pool's requests earn is not spent on another."""
 
-    __slots__ = ("node", "share", "bucket", "buckets", "spent", "refused", "grant", "until_us", "pressure", "asked_us")
+    __slots__ = (
+        "node",
+        "share",
+        "bucket",
+        "buckets",
+        "spent",
+        "refused",
+        "grant",
+        "until_us",
+        "pressure",
+        "asked_us",
+    )
 
     def __init__(self, node):
         self.node = node
@@ -45,7 +56,9 @@
     def _bucket_of(self, pool):
         bucket = self.buckets.get(pool)
         if bucket is None:
-            bucket = self.buckets[pool] = Bucket(0.0, self.bucket.size, self.node.now_us(), level=0.0)
+            bucket = self.buckets[pool] = Bucket(
+                0.0, self.bucket.size, self.node.now_us(), level=0.0
+            )
         return bucket
 
     def tick(self, now_us):
@@ -59,7 +72,8 @@
         is_used = self.asked_us is not None and now_us - self.asked_us < PRESSURE_US
         return {
             "wanted": is_used + min(PRESSURE_MOST, len(self.pressure)),
-            "rate": self.bucket.size if now_us < self.until_us else 0, "grant": self.grant,
+            "rate": self.bucket.size if now_us < self.until_us else 0,
+            "grant": self.grant,
         }
 
     def earn(self, pool=None):
--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/duty.py
@@ -12,12 +12,38 @@
     released it. `life_of` tells which start of a node runs: 0 where it is down, None where that isn't known."""
 
     __slots__ = (
-        "node", "name", "key", "proposer", "seat", "fence", "granted_us", "asked_us", "is_asking",
-        "seen", "seen_us", "grant_us", "renew_us", "quiet_us", "contest_us", "on_won", "on_lapsed", "renewal", "floor", "rank_us", "vacant_us", "ticked_us",
-        "is_vacant", "life", "life_of", "is_succession", "is_closed",
+        "node",
+        "name",
+        "key",
+        "proposer",
+        "seat",
+        "fence",
+        "granted_us",
+        "asked_us",
+        "is_asking",
+        "seen",
+        "seen_us",
+        "grant_us",
+        "renew_us",
+        "quiet_us",
+        "contest_us",
+        "on_won",
+        "on_lapsed",
+        "renewal",
+        "floor",
+        "rank_us",
+        "vacant_us",
+        "ticked_us",
+        "is_vacant",
+        "life",
+        "life_of",
+        "is_succession",
+        "is_closed",
     )
 
-    def __init__(self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None):
+    def __init__(
+        self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None
+    ):
         self.node = node
         self.name = name
         self.key = f"duty/{name}"
@@ -62,7 +88,11 @@
         """Nobody renewed for a while, or the holder is gone: who may soon hold the duty can make ready."""
         if not self.seat.is_voting or self.is_closed:
             return False
-        return self.is_vacant or self._is_holder_gone() or self.node.now_us() - self.seen_us > self.quiet_us
+        return (
+            self.is_vacant
+            or self._is_holder_gone()
+            or self.node.now_us() - self.seen_us > self.quiet_us
+        )
 
     def stand_vacant(self):
         """No living holder is known, though its grant may not have run out."""
@@ -134,7 +164,13 @@
 
     def _wait_anew(self, now_us):
         self.vacant_us = 0
-        self.contest_us = now_us + self.grant_us + MARGIN_US + self.rank_us + self.node.ports.dice.randrange(CONTEST_US * 2)
+        self.contest_us = (
+            now_us
+            + self.grant_us
+            + MARGIN_US
+            + self.rank_us
+            + self.node.ports.dice.randrange(CONTEST_US * 2)
+        )
 
     def _count_wait(self, now_us):
         """Only time that this node lived through counts against a holder: a leap of the clock is no wait."""
--- a/packages/pairing/src/linkhaven/pairing/estimator.py
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -13,7 +13,15 @@
     """Reading time of a prompt on a runner: a base and a rate from the plan (halved, as it says, on decode runners), or,
     where the plan tells no rate, a line learned from the reads that were seen; times a factor learned per runner."""
 
-    __slots__ = ("taichi", "factors", "fits", "stream_us", "prompt_mean", "answer_token_us", "links")
+    __slots__ = (
+        "taichi",
+        "factors",
+        "fits",
+        "stream_us",
+        "prompt_mean",
+        "answer_token_us",
+        "links",
+    )
 
     def __init__(self, now_us):
         self.links = Links(now_us)
@@ -31,7 +39,10 @@
     def read_us(self, tokens, runner):
         if tokens <= 0:
             return 0
-        return int(self._plain_us(tokens, runner.phase) * self.factors.get((runner.name, runner.phase), 1.0))
+        return int(
+            self._plain_us(tokens, runner.phase)
+            * self.factors.get((runner.name, runner.phase), 1.0)
+        )
 
     def _plain_us(self, tokens, phase):
         line = self._line(phase)
@@ -55,7 +66,9 @@
         return line[1] if line is not None else 1_000_000 / self.rate(runner.phase)
 
     def transfer_us(self, tokens, source=None, target=None):
-        planned_us = tokens * self.taichi["kv_bytes_per_token"] * 1_000_000 / self.taichi["link_bytes_per_s"]
+        planned_us = (
+            tokens * self.taichi["kv_bytes_per_token"] * 1_000_000 / self.taichi["link_bytes_per_s"]
+        )
         return int(planned_us * (self.links.factor(source, target) if target is not None else 1.0))
 
     def note_transfer(self, source, target, tokens, seen_us):
--- a/packages/pairing/src/linkhaven/pairing/fit.py
+++ b/packages/pairing/src/linkhaven/pairing/fit.py
@@ -14,7 +14,13 @@
 
     def note(self, tokens, span_us):
         weight = 1.0 / max(1.0, span_us)
-        for name, part in (("count", weight), ("x", weight * tokens), ("y", weight * span_us), ("xx", weight * tokens * tokens), ("xy", weight * tokens * span_us)):
+        for name, part in (
+            ("count", weight),
+            ("x", weight * tokens),
+            ("y", weight * span_us),
+            ("xx", weight * tokens * tokens),
+            ("xy", weight * tokens * span_us),
+        ):
             setattr(self, name, getattr(self, name) * FORGET + part)
         self.least = tokens if self.least is None else min(self.least * 1.02 + 1, tokens)
         self.most = tokens if self.most is None else max(self.most * 0.98, tokens)
--- a/packages/pairing/src/linkhaven/pairing/flow.py
+++ b/packages/pairing/src/linkhaven/pairing/flow.py
@@ -34,12 +34,17 @@
         return now_us - self.rested_us.get(name, -REST_US) < REST_US
 
     def _shed(self, runner, taichi, now_us):
-        if self._is_resting(runner.name, now_us) or self.pairing.kv_share(runner) <= taichi["watermark"]:
+        if (
+            self._is_resting(runner.name, now_us)
+            or self.pairing.kv_share(runner) <= taichi["watermark"]
+        ):
             return
         target = self.pairing.choose_decode(without=(runner.name,))
         if target is None or self.pairing.kv_share(target) > taichi["watermark"] - GAP:
             return
-        movable = [stream for stream in self.streams() if stream.runner is runner and stream.is_movable()]
+        movable = [
+            stream for stream in self.streams() if stream.runner is runner and stream.is_movable()
+        ]
         if not movable:
             return
         stream = max(movable, key=lambda stream: stream.tokens)
@@ -56,7 +61,10 @@
             origin = self.roster.runners.get(stream.moved_from)
             if origin is None or not origin.is_open() or origin.phase != DECODE:
                 continue
-            if self._is_resting(origin.name, now_us) or self.pairing.kv_share(origin) > taichi["watermark"] - GAP:
+            if (
+                self._is_resting(origin.name, now_us)
+                or self.pairing.kv_share(origin) > taichi["watermark"] - GAP
+            ):
                 continue
             self.rested_us[origin.name] = now_us
             if self.move(stream, origin, "back"):
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -28,7 +28,18 @@
 class Book:
     """What this router, and its fellows by their own word, have at one runner and not yet seen finished."""
 
-    __slots__ = ("reads", "decodes", "starts", "predictions", "told", "history", "sent_us", "sent_tokens", "moved_us", "count")
+    __slots__ = (
+        "reads",
+        "decodes",
+        "starts",
+        "predictions",
+        "told",
+        "history",
+        "sent_us",
+        "sent_tokens",
+        "moved_us",
+        "count",
+    )
 
     def __init__(self):
         self.moved_us = 0
@@ -44,7 +55,12 @@
 
     def own(self):
         """How many wait here to be read or begun, the tokens to read, the memory held, and the streams."""
-        return len(self.reads) + len(self.starts), sum(self.reads.values()), sum(self.decodes.values()), len(self.decodes)
+        return (
+            len(self.reads) + len(self.starts),
+            sum(self.reads.values()),
+            sum(self.decodes.values()),
+            len(self.decodes),
+        )
 
     def known(self):
         count, tokens, held, streams = self.own()
@@ -70,7 +86,11 @@
 
     def would_overtake(self, tokens, now_us):
         """A long read sent right behind a short one can reach the runner before it."""
-        return self.sent_us is not None and now_us - self.sent_us < RACE_US and tokens > 2 * self.sent_tokens
+        return (
+            self.sent_us is not None
+            and now_us - self.sent_us < RACE_US
+            and tokens > 2 * self.sent_tokens
+        )
 
     def at(self, when_us):
         count, held = 0, 0
@@ -89,9 +109,31 @@
 
 
 class Candidate:
-    __slots__ = ("runner", "queued_tokens", "unread", "q_us", "e_us", "t_us", "start_us", "is_eligible", "has_memory")
-
-    def __init__(self, runner, queued_tokens, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue=False):
+    __slots__ = (
+        "runner",
+        "queued_tokens",
+        "unread",
+        "q_us",
+        "e_us",
+        "t_us",
+        "start_us",
+        "is_eligible",
+        "has_memory",
+    )
+
+    def __init__(
+        self,
+        runner,
+        queued_tokens,
+        unread,
+        q_us,
+        e_us,
+        t_us,
+        start_us,
+        ttft_us,
+        room_us,
+        is_overdue=False,
+    ):
         self.runner = runner
         self.start_us = start_us
         self.unread = unread
@@ -100,7 +142,9 @@
         self.e_us = e_us
         self.has_memory = True
         self.t_us = t_us
-        leaves_room = q_us == 0 or q_us + e_us < room_us or is_overdue and q_us < room_us // OVERDUE_PART
+        leaves_room = (
+            q_us == 0 or q_us + e_us < room_us or is_overdue and q_us < room_us // OVERDUE_PART
+        )
         self.is_eligible = self.total_us < ttft_us and leaves_room
 
     @property
@@ -114,8 +158,15 @@
 
     def as_record(self):
         return {
-            "runner": self.runner.name, "phase": self.runner.phase, "queued_tokens": int(self.queued_tokens), "unread": self.unread,
-            "q_us": self.q_us, "e_us": self.e_us, "t_us": self.t_us, "start_us": self.start_us, "is_eligible": self.is_eligible,
+            "runner": self.runner.name,
+            "phase": self.runner.phase,
+            "queued_tokens": int(self.queued_tokens),
+            "unread": self.unread,
+            "q_us": self.q_us,
+            "e_us": self.e_us,
+            "t_us": self.t_us,
+            "start_us": self.start_us,
+            "is_eligible": self.is_eligible,
         }
 
 
@@ -141,7 +192,19 @@
     Each router tells its fellows what it has at a runner as soon as that changes, so that their
     views of the queues agree long before the runner's own late report."""
 
-    __slots__ = ("node", "roster", "fellows", "estimator", "books", "exceptions", "told_us", "shunned", "kept", "in_place_us", "resting")
+    __slots__ = (
+        "node",
+        "roster",
+        "fellows",
+        "estimator",
+        "books",
+        "exceptions",
+        "told_us",
+        "shunned",
+        "kept",
+        "in_place_us",
+        "resting",
+    )
 
     def __init__(self, node, roster, fellows=list):
         self.node = node
@@ -173,7 +236,11 @@
         key = (runner.name, runner.incarnation)
         book = self.books.get(key)
         if book is None:
-            for old in [old for old in self.books if old[0] == runner.name and not any(self.books[old].own())]:
+            for old in [
+                old
+                for old in self.books
+                if old[0] == runner.name and not any(self.books[old].own())
+            ]:
                 del self.books[old]
             book = self.books[key] = Book()
         return book
@@ -246,11 +313,19 @@
     def _forget_gone(self, now_us):
         """Runners that no list names any more leave nothing behind once nothing runs there."""
         names = set(self.roster.runners)
-        for key in [key for key, book in self.books.items() if key[0] not in names and not any(book.known())]:
+        for key in [
+            key for key, book in self.books.items() if key[0] not in names and not any(book.known())
+        ]:
             del self.books[key]
-        for name in [name for name, (until_us, _) in self.resting.items() if now_us > until_us + REST_MOST_US]:
+        for name in [
+            name for name, (until_us, _) in self.resting.items() if now_us > until_us + REST_MOST_US
+        ]:
             del self.resting[name]
-        for key in [key for key, (until_us, _) in self.shunned.items() if key[0] not in names or now_us > until_us + SHUN_MOST_US]:
+        for key in [
+            key
+            for key, (until_us, _) in self.shunned.items()
+            if key[0] not in names or now_us > until_us + SHUN_MOST_US
+        ]:
             del self.shunned[key]
         self.kept.forget(names)
         self.estimator.forget(names)
@@ -266,7 +341,11 @@
             return tokens
         known_count, _ = book.at(runner.reported_us)
         unknown = max(0, runner.queued - known_count) * self.estimator.prompt_mean
-        read_since = (self.node.now_us() - runner.reported_us) / self.estimator.token_us(runner) if runner.pool is not None else 0
+        read_since = (
+            (self.node.now_us() - runner.reported_us) / self.estimator.token_us(runner)
+            if runner.pool is not None
+            else 0
+        )
         return tokens + max(0, unknown - read_since)
 
     def kv_share(self, runner):
@@ -299,7 +378,10 @@
         self.shunned.pop((runner.name, runner.incarnation), None)
 
     def _is_shunned(self, runner):
-        return runner.phase == PREFILL and self.node.now_us() < self.shunned.get((runner.name, runner.incarnation), (0, 0))[0]
+        return (
+            runner.phase == PREFILL
+            and self.node.now_us() < self.shunned.get((runner.name, runner.incarnation), (0, 0))[0]
+        )
 
     def _queue_us(self, runner, queued, now_us):
         """The queue's reading time, less what the read at its head has had since the last one ended."""
@@ -309,14 +391,24 @@
 
     def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
         candidates, now_us = [], self.node.now_us()
-        fit = self._few([runner for runner in self.open_runners(work.pool) if runner.name not in without], work)
+        fit = self._few(
+            [runner for runner in self.open_runners(work.pool) if runner.name not in without], work
+        )
         for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
             queued = self.queued_tokens(runner)
-            q_us = self._queue_us(runner, queued, now_us) if runner.phase == PREFILL or work.pool is None else self._start_us(runner, now_us)
+            q_us = (
+                self._queue_us(runner, queued, now_us)
+                if runner.phase == PREFILL or work.pool is None
+                else self._start_us(runner, now_us)
+            )
             unread = self.kept.unread(runner, work)
             e_us = self.estimator.read_us(unread, runner)
-            t_us, start_us = self._hand_over_us(runner, work, without) if runner.phase == PREFILL else (0, 0)
-            candidate = Candidate(runner, queued, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue)
+            t_us, start_us = (
+                self._hand_over_us(runner, work, without) if runner.phase == PREFILL else (0, 0)
+            )
+            candidate = Candidate(
+                runner, queued, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue
+            )
             if runner.phase == DECODE and work.pool is not None and q_us + e_us > self.in_place_us:
                 candidate.is_eligible = False
             if self.book(runner).would_overtake(unread, now_us):
@@ -336,11 +428,16 @@
 
     def _keep_to_memory(self, candidates, work, without):
         fit = {
-            runner.name for runner in self.open_runners(work.pool)
-            if runner.phase == DECODE and runner.name not in without and self.fits(runner, work.tokens)
+            runner.name
+            for runner in self.open_runners(work.pool)
+            if runner.phase == DECODE
+            and runner.name not in without
+            and self.fits(runner, work.tokens)
         }
         for candidate in candidates:
-            has_memory = bool(fit) if candidate.runner.phase == PREFILL else candidate.runner.name in fit
+            has_memory = (
+                bool(fit) if candidate.runner.phase == PREFILL else candidate.runner.name in fit
+            )
             candidate.has_memory = has_memory
             candidate.is_eligible = candidate.is_eligible and has_memory
 
@@ -352,14 +449,22 @@
         eligible = [candidate for candidate in candidates if candidate.is_eligible]
         if not eligible:
             return Decision(candidates, None)
-        return Decision(candidates, self._least(eligible, lambda candidate: self._ahead(candidate, work)))
+        return Decision(
+            candidates, self._least(eligible, lambda candidate: self._ahead(candidate, work))
+        )
 
     def choose_anyway(self, work, ttft_us, why, without=()):
         decision = self.choose(work, ttft_us, without)
         if decision.winner is not None or not decision.candidates:
             return decision
-        readers = [candidate for candidate in decision.candidates if candidate.runner.phase == PREFILL] if work.pool is not None else []
-        decision.winner = self._least(readers or decision.candidates, lambda candidate: candidate.total_us)
+        readers = (
+            [candidate for candidate in decision.candidates if candidate.runner.phase == PREFILL]
+            if work.pool is not None
+            else []
+        )
+        decision.winner = self._least(
+            readers or decision.candidates, lambda candidate: candidate.total_us
+        )
         decision.exception = why
         self.exceptions[why] = self.exceptions.get(why, 0) + 1
         return decision
@@ -401,32 +506,51 @@
         runners = self.open_runners(pool)
         known = [self.book(runner).known() for runner in runners]
         places = sum(runner.slots for runner in runners)
-        return any(count > 1 for count, _, _, _ in known) or 2 * sum(streams for _, _, _, streams in known) >= places
+        return (
+            any(count > 1 for count, _, _, _ in known)
+            or 2 * sum(streams for _, _, _, streams in known) >= places
+        )
 
     def least_unread(self, work):
         """What of a prompt no runner of its pool keeps, about."""
         if not work.parts:
             return work.prompt_tokens
         asked = Work(work.prompt_tokens, work.parts, work.pool)
-        return min((self.kept.unread(runner, asked) for runner in self.open_runners(work.pool)), default=work.prompt_tokens)
+        return min(
+            (self.kept.unread(runner, asked) for runner in self.open_runners(work.pool)),
+            default=work.prompt_tokens,
+        )
 
     def has_decode(self, without=(), pool=None):
-        return any(runner.phase == DECODE and runner.name not in without for runner in self.open_runners(pool))
+        return any(
+            runner.phase == DECODE and runner.name not in without
+            for runner in self.open_runners(pool)
+        )
 
     def choose_decode(self, without=(), source=None, tokens=0, pool=None):
         """The decode runner using least memory, of those that the source's memory reaches without a clearly slower link."""
-        runners = [runner for runner in self.open_runners(pool) if runner.phase == DECODE and runner.name not in without]
+        runners = [
+            runner
+            for runner in self.open_runners(pool)
+            if runner.phase == DECODE and runner.name not in without
+        ]
         if not runners:
             return None
         runners = self._few(runners)
         if source is not None:
-            times = {runner.name: self.estimator.transfer_us(tokens, source, runner) for runner in runners}
+            times = {
+                runner.name: self.estimator.transfer_us(tokens, source, runner)
+                for runner in runners
+            }
             most_us = SLOW * min(times.values()) + SLOW_US
             runners = [runner for runner in runners if times[runner.name] <= most_us]
         if pool is None:
             return self._least(runners, self.kv_share)
         now_us = self.node.now_us()
-        return self._least(runners, lambda runner: (self._start_us(runner, now_us) // START_US, self.kv_share(runner)))
+        return self._least(
+            runners,
+            lambda runner: (self._start_us(runner, now_us) // START_US, self.kv_share(runner)),
+        )
 
     def _start_us(self, runner, now_us):
         """How long a decode waits there: for the reads before it, and for a place where all are taken."""
@@ -438,7 +562,11 @@
 
     def _hand_over_us(self, source, work, without):
         target = self.choose_decode(without, source, work.tokens, work.pool)
-        start_us = self._start_us(target, self.node.now_us()) if target is not None and work.pool is not None else 0
+        start_us = (
+            self._start_us(target, self.node.now_us())
+            if target is not None and work.pool is not None
+            else 0
+        )
         return self.estimator.transfer_us(work.tokens, source, target), start_us
 
     def note_begin(self, source, target, tokens, seen_us):
@@ -450,7 +578,9 @@
             self.node.tell(fellow.address, "link", pair=news[0], zones=news[1], factor=news[2])
 
     def hear_link(self, message):
-        self.estimator.links.learn(tuple(message["pair"]), tuple(message["zones"]), float(message["factor"]))
+        self.estimator.links.learn(
+            tuple(message["pair"]), tuple(message["zones"]), float(message["factor"])
+        )
 
     def begin_read(self, runner, attempt, work):
         now_us = self.node.now_us()
@@ -471,7 +601,9 @@
         alone_tokens, begun_us = book.predictions.pop(attempt)
         self._change(runner, book)
         if is_seen:
-            self.estimator.note_read(runner.name, runner.phase, alone_tokens, self.node.now_us() - begun_us)
+            self.estimator.note_read(
+                runner.name, runner.phase, alone_tokens, self.node.now_us() - begun_us
+            )
 
     def begin_decode(self, runner, attempt, tokens):
         book = self.book(runner)
--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -39,7 +39,10 @@
 
     def search(self, runners, prompt_rate, answer_rate, taichi):
         counts = range(0, runners)
-        return min(counts, key=lambda count: (self.busy(count, runners, prompt_rate, answer_rate, taichi), -count))
+        return min(
+            counts,
+            key=lambda count: (self.busy(count, runners, prompt_rate, answer_rate, taichi), -count),
+        )
 
     def settle(self, current, runners, prompt_rate, answer_rate, taichi, now_us):
         if runners < 2 or prompt_rate + answer_rate <= 0:
@@ -51,7 +54,11 @@
             return self.busy(min(count, runners - 1), runners, prompt_rate, answer_rate, taichi)
 
         if self.target is not None:
-            if self.target < runners and self.target != current and busy(self.target) < busy(current):
+            if (
+                self.target < runners
+                and self.target != current
+                and busy(self.target) < busy(current)
+            ):
                 return self.target
             self.target = None
         best = self.search(runners, prompt_rate, answer_rate, taichi)
--- a/packages/plan/src/linkhaven/plan/desk.py
+++ b/packages/plan/src/linkhaven/plan/desk.py
@@ -15,7 +15,9 @@
 
 def _without(plan, part, name):
     if name not in plan.get(part, {}):
-        raise Trouble("plan_invalid", places=[{"place": f"{part}/{name}", "fault": "is not in the plan"}])
+        raise Trouble(
+            "plan_invalid", places=[{"place": f"{part}/{name}", "fault": "is not in the plan"}]
+        )
     return _with(plan, part, {other: terms for other, terms in plan[part].items() if other != name})
 
 
@@ -37,7 +39,10 @@
 
 
 def refuse_beside(plan, overlay, name, document):
-    raise Trouble("plan_invalid", places=[{"place": f"kinds/{name}", "fault": "is its document's; its sender removes it"}])
+    raise Trouble(
+        "plan_invalid",
+        places=[{"place": f"kinds/{name}", "fault": "is its document's; its sender removes it"}],
+    )
 
 
 class Part:
@@ -51,9 +56,21 @@
         self.edit_beside = edit_beside
 
 
-GROUP_PUT = Part("GroupPut", put_group, lambda plan, overlay, name, document: overlay_group(plan, overlay, name, document["group"]))
-GROUP_REMOVE = Part("PartRemove", remove_group, lambda plan, overlay, name, document: overlay_without_group(plan, overlay, name))
-KIND_PUT = Part("KindPut", put_kind, lambda plan, overlay, name, document: overlay_kind(plan, overlay, name, document["kind"]))
+GROUP_PUT = Part(
+    "GroupPut",
+    put_group,
+    lambda plan, overlay, name, document: overlay_group(plan, overlay, name, document["group"]),
+)
+GROUP_REMOVE = Part(
+    "PartRemove",
+    remove_group,
+    lambda plan, overlay, name, document: overlay_without_group(plan, overlay, name),
+)
+KIND_PUT = Part(
+    "KindPut",
+    put_kind,
+    lambda plan, overlay, name, document: overlay_kind(plan, overlay, name, document["kind"]),
+)
 KIND_REMOVE = Part("PartRemove", remove_kind, refuse_beside)
 
 
@@ -75,15 +92,21 @@
         self.proposer = proposer
         self.seat = seat
         self.image = image
-        node.paths.update({
-            ("GET", "/v1/plan"): self.serve_show,
-            ("PUT", "/v1/plan"): self.serve_put,
-            ("POST", "/v1/plan/check"): self.serve_check,
-            ("PUT", "/v1/groups/"): lambda call, name: self.serve_part(call, name, GROUP_PUT),
-            ("DELETE", "/v1/groups/"): lambda call, name: self.serve_part(call, name, GROUP_REMOVE),
-            ("PUT", "/v1/kinds/"): lambda call, name: self.serve_part(call, name, KIND_PUT),
-            ("DELETE", "/v1/kinds/"): lambda call, name: self.serve_part(call, name, KIND_REMOVE),
-        })
+        node.paths.update(
+            {
+                ("GET", "/v1/plan"): self.serve_show,
+                ("PUT", "/v1/plan"): self.serve_put,
+                ("POST", "/v1/plan/check"): self.serve_check,
+                ("PUT", "/v1/groups/"): lambda call, name: self.serve_part(call, name, GROUP_PUT),
+                ("DELETE", "/v1/groups/"): lambda call, name: self.serve_part(
+                    call, name, GROUP_REMOVE
+                ),
+                ("PUT", "/v1/kinds/"): lambda call, name: self.serve_part(call, name, KIND_PUT),
+                ("DELETE", "/v1/kinds/"): lambda call, name: self.serve_part(
+                    call, name, KIND_REMOVE
+                ),
+            }
+        )
 
     def serve_check(self, call):
         places = check_plan(read_json(call.body))
@@ -103,6 +126,7 @@
 
     def read_document(self, done):
         """done(trouble, value) with what a majority of the core holds: the plan, and the document it was read from."""
+
         def end(outcome, value):
             if outcome != "chosen":
                 return done(Trouble("core_unready", done="no", retry_us=1_000_000, why=value), None)
@@ -129,7 +153,11 @@
                 return "stop", trouble
             mark = value["mark"] if value else 0
             return "set", {
-                "mark": mark + 1, "put_id": put_id, "plan": plan, "document": document, "revision": revision,
+                "mark": mark + 1,
+                "put_id": put_id,
+                "plan": plan,
+                "document": document,
+                "revision": revision,
                 "overlay": overlay_of(value),
             }
 
@@ -157,7 +185,10 @@
 
         def edit(value):
             if value.get("document") is not None:
-                return {**value, "overlay": part.edit_beside(value["plan"], overlay_of(value), name, document)}
+                return {
+                    **value,
+                    "overlay": part.edit_beside(value["plan"], overlay_of(value), name, document),
+                }
             plan = part.edit(value.get("plan") or {}, name, document)
             fill_plan(plan)
             return {**value, "plan": plan}
@@ -166,9 +197,15 @@
 
     def put(self, expect, put_id, plan, call):
         """Takes the place of a document, too: what that held under its revision is then no longer in force."""
+
         def edit(value):
             fill_plan(plan)
-            return {"plan": plan, "document": None, "revision": value.get("revision") or 0, "overlay": overlay_of(None)}
+            return {
+                "plan": plan,
+                "document": None,
+                "revision": value.get("revision") or 0,
+                "overlay": overlay_of(None),
+            }
 
         self.change(expect, put_id, edit, call)
 
--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -18,7 +18,18 @@
 class NewsDesk:
     """Core side of the news: holds each router's ask until there is something to tell or a hold runs out."""
 
-    __slots__ = ("node", "seat", "proposer", "image", "asks", "extras", "on_ask", "is_reading", "read_us", "asked_us")
+    __slots__ = (
+        "node",
+        "seat",
+        "proposer",
+        "image",
+        "asks",
+        "extras",
+        "on_ask",
+        "is_reading",
+        "read_us",
+        "asked_us",
+    )
 
     def __init__(self, node, seat, proposer, image):
         self.node = node
@@ -54,7 +65,11 @@
         return value["mark"] if value else 0
 
     def is_current(self):
-        return self.seat.is_voting and self.seat.is_known_chosen(KEY) and self.image.highest <= self.held_mark()
+        return (
+            self.seat.is_voting
+            and self.seat.is_known_chosen(KEY)
+            and self.image.highest <= self.held_mark()
+        )
 
     def _has_news(self, ask):
         return self.is_current() and self.held_mark() > ask.mark
@@ -73,7 +88,14 @@
             del self.asks[ask.back]
         is_current = self.is_current()
         value = self._value()
-        facts = {"id": ask.id, "seat": self.seat.seat, "incarnation": self.seat.incarnation, "is_current": is_current, "mark": self.held_mark(), "known": self.seat.known_of_all()}
+        facts = {
+            "id": ask.id,
+            "seat": self.seat.seat,
+            "incarnation": self.seat.incarnation,
+            "is_current": is_current,
+            "mark": self.held_mark(),
+            "known": self.seat.known_of_all(),
+        }
         if is_current and value and value["mark"] > ask.mark:
             facts["plan"] = value
         for extra in self.extras:
@@ -116,7 +138,17 @@
     """Router side: one open ask at every core seat; the plan is confirmed as of the sending
     of the asks that a majority of seats has answered."""
 
-    __slots__ = ("node", "directory", "image", "majority", "told", "serial", "facts", "on_news", "confirmed_us")
+    __slots__ = (
+        "node",
+        "directory",
+        "image",
+        "majority",
+        "told",
+        "serial",
+        "facts",
+        "on_news",
+        "confirmed_us",
+    )
 
     def __init__(self, node, directory, image, majority=None):
         self.node = node
@@ -178,8 +210,11 @@
         seats = self.directory.seats()
         sent = sorted(
             (
-                told.confirmed_us for seat, told in self.told.items()
-                if told.confirmed_us is not None and seat in seats and told.incarnation >= seats[seat][1]
+                told.confirmed_us
+                for seat, told in self.told.items()
+                if told.confirmed_us is not None
+                and seat in seats
+                and told.incarnation >= seats[seat][1]
             ),
             reverse=True,
         )
@@ -189,5 +224,9 @@
     def tick(self, now_us):
         for seat, (address, _) in self.directory.seats().items():
             told = self.told.get(seat)
-            if told is None or told.id is None or now_us - told.sent_us > self.node.terms.news_hold_us + LATE_US:
+            if (
+                told is None
+                or told.id is None
+                or now_us - told.sent_us > self.node.terms.news_hold_us + LATE_US
+            ):
                 self._ask(seat, address, now_us)
--- a/packages/plan/src/linkhaven/plan/overlay.py
+++ b/packages/plan/src/linkhaven/plan/overlay.py
@@ -13,7 +13,9 @@
     """Groups of the overlay replace the plan's or are added; kinds are attached where both ends are there."""
     groups = {**plan["groups"], **overlay["groups"]}
     kinds = {
-        name: {**kind, "group": overlay["kinds"][name]} if overlay["kinds"].get(name) in groups else kind
+        name: {**kind, "group": overlay["kinds"][name]}
+        if overlay["kinds"].get(name) in groups
+        else kind
         for name, kind in plan["kinds"].items()
     }
     return {**plan, "groups": groups, "kinds": kinds}
@@ -43,8 +45,16 @@
 
 def overlay_without_group(plan, overlay, name):
     if name not in overlay["groups"]:
-        raise _misfit(f"groups/{name}", "is not in the overlay; what the document holds, its sender removes")
-    return _check(plan, {**overlay, "groups": {other: terms for other, terms in overlay["groups"].items() if other != name}})
+        raise _misfit(
+            f"groups/{name}", "is not in the overlay; what the document holds, its sender removes"
+        )
+    return _check(
+        plan,
+        {
+            **overlay,
+            "groups": {other: terms for other, terms in overlay["groups"].items() if other != name},
+        },
+    )
 
 
 def overlay_kind(plan, overlay, name, kind):
--- a/packages/register/src/linkhaven/register/occupants.py
+++ b/packages/register/src/linkhaven/register/occupants.py
@@ -8,7 +8,17 @@
     """Who has which seat. A voting seat keeps the last occupant of each on its disk and says which stand vacant; a
     spare asks all of them, and takes a seat that all who answer hold for vacant, or that was its own."""
 
-    __slots__ = ("node", "seat", "records", "gone_us", "looked_us", "told", "asked_us", "contact", "lost_us")
+    __slots__ = (
+        "node",
+        "seat",
+        "records",
+        "gone_us",
+        "looked_us",
+        "told",
+        "asked_us",
+        "contact",
+        "lost_us",
+    )
 
     def __init__(self, node, seat, records):
         self.node = node
@@ -34,8 +44,12 @@
         """Seats whose last occupant runs and has none: its disk is lost, and nothing more will come from it."""
         fellows = self.seat.directory.fellows
         return {
-            seat for seat, (_, _, name, address) in self.records.items()
-            if name in fellows and fellows[name].is_up and fellows[name].address == address and not fellows[name].seat
+            seat
+            for seat, (_, _, name, address) in self.records.items()
+            if name in fellows
+            and fellows[name].is_up
+            and fellows[name].address == address
+            and not fellows[name].seat
         }
 
     def name_of(self, seat):
@@ -104,7 +118,11 @@
         if seat == self.seat.seat:
             return True
         _, _, name, address = self.records.get(seat, [0, "", "", ""])
-        return name != message["name"] and address != message["back"] and not self._is_vacant(seat, self.node.now_us())
+        return (
+            name != message["name"]
+            and address != message["back"]
+            and not self._is_vacant(seat, self.node.now_us())
+        )
 
     def hear_ask(self, message):
         if not self.seat.is_voting:
@@ -163,13 +181,22 @@
         tables = [table for table, told_us in self.told.values() if now_us - told_us < FRESH_US]
         if len(tables) < len(self.seat.seats) - self.seat.majority + 1:
             return
-        own = [seat for seat in self.seat.seats if all(self._is_own(table[seat]) for table in tables)]
+        own = [
+            seat for seat in self.seat.seats if all(self._is_own(table[seat]) for table in tables)
+        ]
         vacant = [seat for seat in self.seat.seats if all(table[seat][2] for table in tables)]
         if own:
             return self._take(own[0])
-        newcomers = sorted([self.node.name, *(
-            fellow.name for fellow in self.seat.directory.live("registry") if not fellow.seat
-        )])
+        newcomers = sorted(
+            [
+                self.node.name,
+                *(
+                    fellow.name
+                    for fellow in self.seat.directory.live("registry")
+                    if not fellow.seat
+                ),
+            ]
+        )
         place = newcomers.index(self.node.name)
         if place < len(vacant):
             self._take(vacant[place])
--- a/packages/register/src/linkhaven/register/proposer.py
+++ b/packages/register/src/linkhaven/register/proposer.py
@@ -7,8 +7,21 @@
 
 class Change:
     __slots__ = (
-        "id", "key", "step", "done", "phase", "ballot", "votes", "highest", "value",
-        "result", "deadline_us", "shot_us", "shots", "has_sent_accept", "refusal",
+        "id",
+        "key",
+        "step",
+        "done",
+        "phase",
+        "ballot",
+        "votes",
+        "highest",
+        "value",
+        "result",
+        "deadline_us",
+        "shot_us",
+        "shots",
+        "has_sent_accept",
+        "refusal",
     )
 
     def __init__(self, id, key, step, done, deadline_us):
@@ -74,8 +87,15 @@
         known = {seat: incarnation for seat, (_, incarnation) in seats.items()}
         for seat, (address, incarnation) in seats.items():
             self.node.tell(
-                address, say, id=change.id, key=change.key, ballot=change.ballot,
-                seat=seat, incarnation=incarnation, known=known, **facts,
+                address,
+                say,
+                id=change.id,
+                key=change.key,
+                ballot=change.ballot,
+                seat=seat,
+                incarnation=incarnation,
+                known=known,
+                **facts,
             )
 
     def _vote_of(self, message, phase):
@@ -135,8 +155,15 @@
             known[seat] = incarnation
         for seat, (address, _) in seats.items():
             self.node.tell(
-                address, "accept", id=change.id, key=change.key, ballot=change.ballot,
-                value=change.value, seat=seat, incarnation=known[seat], known=known,
+                address,
+                "accept",
+                id=change.id,
+                key=change.key,
+                ballot=change.ballot,
+                value=change.value,
+                seat=seat,
+                incarnation=known[seat],
+                known=known,
             )
 
     def hear_accepted(self, message):
@@ -158,6 +185,8 @@
     def tick(self, now_us):
         for change in list(self.changes.values()):
             if now_us >= change.deadline_us:
-                self._end(change, "unknown" if change.has_sent_accept else "refused", change.refusal)
+                self._end(
+                    change, "unknown" if change.has_sent_accept else "refused", change.refusal
+                )
             elif now_us >= change.shot_us:
                 self._prepare(change, now_us)
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -1,6 +1,13 @@
 from bisect import bisect_right
 
-REJOINING, VOTING, WAITING, FENCED, SPARE, BEGINNING = "rejoining", "voting", "waiting", "fenced", "spare", "beginning"
+REJOINING, VOTING, WAITING, FENCED, SPARE, BEGINNING = (
+    "rejoining",
+    "voting",
+    "waiting",
+    "fenced",
+    "spare",
+    "beginning",
+)
 
 ASK_US = 200_000
 FIRST_ASK_US = 50_000
@@ -19,7 +26,24 @@
     make good such a loss: a majority with disks goes on once the rest has answered that it has none, and where the
     rest is silent, after `terms.alone_us`."""
 
-    __slots__ = ("node", "seat", "told", "notes", "cursors", "asked_us", "started_us", "start", "is_genesis", "is_doubted", "moved_us", "wait_reason", "browsers", "asked_back", "has_met_no_vote", "is_anew")
+    __slots__ = (
+        "node",
+        "seat",
+        "told",
+        "notes",
+        "cursors",
+        "asked_us",
+        "started_us",
+        "start",
+        "is_genesis",
+        "is_doubted",
+        "moved_us",
+        "wait_reason",
+        "browsers",
+        "asked_back",
+        "has_met_no_vote",
+        "is_anew",
+    )
 
     def __init__(self, node, seat):
         self.node = node
@@ -38,8 +62,12 @@
         self.asked_back = None
         self.has_met_no_vote = self.is_anew = False
         node.hearers.update(
-            rejoin=self.hear_rejoin, rejoin_state=self.hear_state, rejoin_note=self.hear_note, rejoin_noted=self.hear_noted,
-            rejoin_browse=self.hear_browse, rejoin_page=self.hear_page,
+            rejoin=self.hear_rejoin,
+            rejoin_state=self.hear_state,
+            rejoin_note=self.hear_note,
+            rejoin_noted=self.hear_noted,
+            rejoin_browse=self.hear_browse,
+            rejoin_page=self.hear_page,
         )
 
     def begin_anew(self, is_doubted=False):
@@ -76,19 +104,35 @@
         if not seat.seat:
             return
         self.node.tell(
-            message["back"], "rejoin_state", seat=seat.seat, for_seat=message["seat"], is_voting=seat.is_voting,
-            is_empty=seat.is_empty, incarnation=seat.incarnation, known=self._known_with(message["seat"]), start=self.start,
-            asked=message["asked"], occupant=seat.occupants.name_of(message["seat"]),
+            message["back"],
+            "rejoin_state",
+            seat=seat.seat,
+            for_seat=message["seat"],
+            is_voting=seat.is_voting,
+            is_empty=seat.is_empty,
+            incarnation=seat.incarnation,
+            known=self._known_with(message["seat"]),
+            start=self.start,
+            asked=message["asked"],
+            occupant=seat.occupants.name_of(message["seat"]),
             is_taken=seat.is_voting and seat.occupants.is_taken(message),
         )
         self._ask_back(message)
 
     def _ask_back(self, message):
         """Who asks runs: its own standing needn't wait for the next round of asks."""
-        if self.seat.standing not in (REJOINING, WAITING) or self.notes is not None or message["seat"] == self.seat.seat:
+        if (
+            self.seat.standing not in (REJOINING, WAITING)
+            or self.notes is not None
+            or message["seat"] == self.seat.seat
+        ):
             return
         told = self.told.get(message["seat"])
-        if told is not None and told["start"] == message["asked"] or self.asked_back == message["asked"]:
+        if (
+            told is not None
+            and told["start"] == message["asked"]
+            or self.asked_back == message["asked"]
+        ):
             return
         self.asked_back = message["asked"]
         self._ask(message["back"])
@@ -98,7 +142,11 @@
 
     def hear_state(self, message):
         seat = self.seat
-        if seat.standing not in (REJOINING, WAITING) or message["for_seat"] != seat.seat or self.notes is not None:
+        if (
+            seat.standing not in (REJOINING, WAITING)
+            or message["for_seat"] != seat.seat
+            or self.notes is not None
+        ):
             return
         if message["asked"] != self.start:
             return
@@ -159,7 +207,13 @@
         self.notes = {state["seat"] for state in states}
         self.cursors = {}
         self.moved_us = self.node.now_us()
-        record = {"seat": seat.seat, "incarnation": seat.incarnation, "known": seat.known, "clock_us": seat.clock_us, "is_partial": seat.is_empty}
+        record = {
+            "seat": seat.seat,
+            "incarnation": seat.incarnation,
+            "known": seat.known,
+            "clock_us": seat.clock_us,
+            "is_partial": seat.is_empty,
+        }
 
         def go_on(is_kept):
             if not is_kept:
@@ -183,8 +237,14 @@
                     self._browse(name, address)
             elif name in (self.notes or ()):
                 self.node.tell(
-                    address, "rejoin_note", seat=self.seat.seat, incarnation=self.seat.incarnation, start=self.start,
-                    genesis=self.told[name]["start"] if self.is_genesis and name in self.told else None,
+                    address,
+                    "rejoin_note",
+                    seat=self.seat.seat,
+                    incarnation=self.seat.incarnation,
+                    start=self.start,
+                    genesis=self.told[name]["start"]
+                    if self.is_genesis and name in self.told
+                    else None,
                 )
 
     def hear_note(self, message):
@@ -195,26 +255,43 @@
 
         def answer(is_kept):
             if is_kept:
-                self.node.tell(message["back"], "rejoin_noted", seat=seat.seat, incarnation=incarnation)
+                self.node.tell(
+                    message["back"], "rejoin_noted", seat=seat.seat, incarnation=incarnation
+                )
             if is_kept and message["genesis"] == self.start and self._is_waiting_empty():
                 self.is_genesis = True
                 self._adopt(self.told.values())
 
-        self.node.ports.disk.write({"known": dict(seat.known), "occupants": dict(seat.occupants.records)}, answer)
+        self.node.ports.disk.write(
+            {"known": dict(seat.known), "occupants": dict(seat.occupants.records)}, answer
+        )
 
     def _is_waiting_empty(self):
-        return self.seat.is_empty and self.notes is None and self.seat.standing in (REJOINING, WAITING)
+        return (
+            self.seat.is_empty and self.notes is None and self.seat.standing in (REJOINING, WAITING)
+        )
 
     def hear_noted(self, message):
         name = message["seat"]
-        if self.notes is None or message["incarnation"] != self.seat.incarnation or name in self.cursors or name not in self.notes:
+        if (
+            self.notes is None
+            or message["incarnation"] != self.seat.incarnation
+            or name in self.cursors
+            or name not in self.notes
+        ):
             return
         self.cursors[name] = ""
         self.moved_us = self.node.now_us()
         self._browse(name, message["back"])
 
     def _browse(self, name, address):
-        self.node.tell(address, "rejoin_browse", seat=self.seat.seat, asked=self.start, after=self.cursors[name])
+        self.node.tell(
+            address,
+            "rejoin_browse",
+            seat=self.seat.seat,
+            asked=self.start,
+            after=self.cursors[name],
+        )
 
     def hear_browse(self, message):
         """One page of what this seat holds, in the order of its keys."""
@@ -225,16 +302,26 @@
                 del self.browsers[next(iter(self.browsers))]
             keys = self.browsers[asked] = sorted(seat.cells)
         place = bisect_right(keys, after)
-        page = keys[place: place + PAGE]
+        page = keys[place : place + PAGE]
         self.node.tell(
-            message["back"], "rejoin_page", seat=seat.seat, start=self.start, asked=asked, after=after,
-            last=page[-1] if len(keys) > place + PAGE else None, are_claims_open=seat.are_claims_open,
+            message["back"],
+            "rejoin_page",
+            seat=seat.seat,
+            start=self.start,
+            asked=asked,
+            after=after,
+            last=page[-1] if len(keys) > place + PAGE else None,
+            are_claims_open=seat.are_claims_open,
             cells={key: seat.cells[key].as_record()[:3] for key in page if key in seat.cells},
         )
 
     def hear_page(self, message):
         name = message["seat"]
-        if self.notes is None or message["asked"] != self.start or self.cursors.get(name) != message["after"]:
+        if (
+            self.notes is None
+            or message["asked"] != self.start
+            or self.cursors.get(name) != message["after"]
+        ):
             return
         if name in self.told and self.told[name]["start"] != message["start"]:
             return self.begin_anew()
@@ -272,14 +359,18 @@
             self.cursors = {}
             seat.begin_votes()
 
-        self.node.ports.disk.write({"is_partial": None, "are_claims_open": seat.are_claims_open}, vote)
+        self.node.ports.disk.write(
+            {"is_partial": None, "are_claims_open": seat.are_claims_open}, vote
+        )
 
     def tick(self, now_us):
         is_first = now_us - self.started_us < FIRST_ASKS_US
         if now_us - self.asked_us < (FIRST_ASK_US if is_first else ASK_US):
             return
         self.asked_us = now_us
-        if now_us - self.moved_us > STUCK_US and (self.notes is not None or self.seat.occupants.is_trying):
+        if now_us - self.moved_us > STUCK_US and (
+            self.notes is not None or self.seat.occupants.is_trying
+        ):
             return self._try_anew()
         if self.notes is not None:
             return self._tell_notes()
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -33,14 +33,44 @@
     forgotten before; when there is no room for more, new ones get no vote."""
 
     __slots__ = (
-        "node", "seat", "seats", "majority", "directory", "cells", "incarnation", "known", "standing", "is_empty",
-        "is_failing", "votes_from_us", "on_change", "on_votes", "clock_us", "clocked_us", "claim_terms", "claims",
-        "rejoin", "are_claims_open", "ticked_us", "is_learned", "occupants",
+        "node",
+        "seat",
+        "seats",
+        "majority",
+        "directory",
+        "cells",
+        "incarnation",
+        "known",
+        "standing",
+        "is_empty",
+        "is_failing",
+        "votes_from_us",
+        "on_change",
+        "on_votes",
+        "clock_us",
+        "clocked_us",
+        "claim_terms",
+        "claims",
+        "rejoin",
+        "are_claims_open",
+        "ticked_us",
+        "is_learned",
+        "occupants",
     )
 
-    OWN_KEYS = ("seat", "incarnation", "known", "clock_us", "is_partial", "are_claims_open", "occupants")
+    OWN_KEYS = (
+        "seat",
+        "incarnation",
+        "known",
+        "clock_us",
+        "is_partial",
+        "are_claims_open",
+        "occupants",
+    )
 
-    def __init__(self, node, seat, seats, directory, on_change, on_votes, claim_terms=default_terms):
+    def __init__(
+        self, node, seat, seats, directory, on_change, on_votes, claim_terms=default_terms
+    ):
         """`seat` None: which one it is stands on the disk, or is learned."""
         self.node = node
         self.is_learned = seat is None
@@ -56,7 +86,9 @@
         self.cells = {
             key[5:]: Cell(*record) for key, record in held.items() if key.startswith("cell/")
         }
-        self.claims = deque(sorted((cell.kept_us, key) for key, cell in self.cells.items() if key.startswith(CLAIM)))
+        self.claims = deque(
+            sorted((cell.kept_us, key) for key, cell in self.cells.items() if key.startswith(CLAIM))
+        )
         self.incarnation = held.get("incarnation", 0)
         self.known = held.get("known", {})
         self.clock_us = held.get("clock_us", 0)
@@ -69,7 +101,9 @@
         self.occupants = Occupants(node, self, held.get("occupants", {}))
         self.ticked_us = now_us
         self.rejoin = Rejoin(node, self)
-        node.hearers.update(prepare=self.hear_prepare, accept=self.hear_accept, chosen=self.hear_chosen)
+        node.hearers.update(
+            prepare=self.hear_prepare, accept=self.hear_accept, chosen=self.hear_chosen
+        )
         node.systems.append(self.tick)
         if self.seat:
             node.ports.log(1201, seat=self.seat, empty=self.is_empty)
@@ -123,7 +157,9 @@
                 return
             self.begin_votes(is_first=True)
 
-        self.node.ports.disk.write({"seat": seat, "incarnation": 1, "occupants": self.occupants.records}, vote)
+        self.node.ports.disk.write(
+            {"seat": seat, "incarnation": 1, "occupants": self.occupants.records}, vote
+        )
 
     def take(self, seat):
         """A spare tries for a seat: what it needs to vote comes by the rejoin."""
@@ -139,7 +175,11 @@
 
     def retire(self):
         """Back to a spare that keeps nothing which votes."""
-        dropped = [*self.node.ports.disk.load(), *self.OWN_KEYS, *(f"cell/{key}" for key in self.cells)]
+        dropped = [
+            *self.node.ports.disk.load(),
+            *self.OWN_KEYS,
+            *(f"cell/{key}" for key in self.cells),
+        ]
         self.seat, self.standing, self.incarnation = "", SPARE, 0
         self.cells, self.known = {}, {}
         self.claims.clear()
@@ -161,8 +201,16 @@
 
     def _refuse(self, message, say, why, **facts):
         self.node.tell(
-            message["back"], say, id=message["id"], ballot=message["ballot"], is_yes=False,
-            why=why, seat=self.seat, incarnation=self.incarnation, known=self.known_of_all(), **facts,
+            message["back"],
+            say,
+            id=message["id"],
+            ballot=message["ballot"],
+            is_yes=False,
+            why=why,
+            seat=self.seat,
+            incarnation=self.incarnation,
+            known=self.known_of_all(),
+            **facts,
         )
 
     def known_of_all(self):
@@ -242,8 +290,15 @@
             if self.standing != VOTING or message["incarnation"] != self.incarnation:
                 return
             self.node.tell(
-                message["back"], say, id=message["id"], ballot=message["ballot"], is_yes=True,
-                seat=self.seat, incarnation=self.incarnation, known=self.known_of_all(), **facts,
+                message["back"],
+                say,
+                id=message["id"],
+                ballot=message["ballot"],
+                is_yes=True,
+                seat=self.seat,
+                incarnation=self.incarnation,
+                known=self.known_of_all(),
+                **facts,
             )
             self.on_change(key)
 
--- a/packages/registry/src/linkhaven/registry/disk.py
+++ b/packages/registry/src/linkhaven/registry/disk.py
@@ -18,7 +18,12 @@
         self.most_bytes = most_bytes
         try:
             self.env = self._open()
-        except (lmdb.CorruptedError, lmdb.InvalidError, lmdb.VersionMismatchError, lmdb.PageNotFoundError) as fault:
+        except (
+            lmdb.CorruptedError,
+            lmdb.InvalidError,
+            lmdb.VersionMismatchError,
+            lmdb.PageNotFoundError,
+        ) as fault:
             raise Trouble("disk_corrupt", data=folder, why=str(fault)) from None
         except (lmdb.Error, OSError) as fault:
             raise Trouble("disk_failing", data=folder, why=str(fault)) from None
@@ -36,7 +41,11 @@
         try:
             if held < needed:
                 raise ValueError(f"data.mdb has {held} of {needed} bytes")
-            if not all(isinstance(value, list) for key, value in self.load().items() if key.startswith("cell/")):
+            if not all(
+                isinstance(value, list)
+                for key, value in self.load().items()
+                if key.startswith("cell/")
+            ):
                 raise ValueError("a record is not one of this program's")
         except (lmdb.Error, ValueError) as fault:
             self.env.close()
@@ -52,7 +61,15 @@
     def write(self, items, done):
         if not self.waiting:
             self.clock.call_in(0, self._sync)
-        self.waiting.append(({key: json.dumps(value) if value is not None else None for key, value in items.items()}, done))
+        self.waiting.append(
+            (
+                {
+                    key: json.dumps(value) if value is not None else None
+                    for key, value in items.items()
+                },
+                done,
+            )
+        )
 
     def _sync(self):
         waiting, self.waiting = self.waiting, []
--- a/packages/registry/src/linkhaven/registry/gate.py
+++ b/packages/registry/src/linkhaven/registry/gate.py
@@ -53,7 +53,11 @@
 
     def hear_keys(self, message):
         name, place = message["name"], message["place"]
-        if message["start"] != self._start() or self.seat.are_claims_open or self.places.get(name) != place:
+        if (
+            message["start"] != self._start()
+            or self.seat.are_claims_open
+            or self.places.get(name) != place
+        ):
             return
         self.places[name] = -1
         changed = self.seat.merge({key: [[0, ""], TOLD, {"by": by}] for key, by in message["keys"]})
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -16,9 +16,30 @@
     first-hand word. Works while one of the duties that need it is held."""
 
     __slots__ = (
-        "node", "desk", "platform", "needs", "runners", "polled_us", "listed_us", "poll", "reports",
-        "reported_us", "pressed_us", "owed_us", "heard_us", "blind_us", "changed", "serial", "since_us", "leaving", "on_blind", "starts",
-        "first_us", "is_settled", "on_ready", "silent",
+        "node",
+        "desk",
+        "platform",
+        "needs",
+        "runners",
+        "polled_us",
+        "listed_us",
+        "poll",
+        "reports",
+        "reported_us",
+        "pressed_us",
+        "owed_us",
+        "heard_us",
+        "blind_us",
+        "changed",
+        "serial",
+        "since_us",
+        "leaving",
+        "on_blind",
+        "starts",
+        "first_us",
+        "is_settled",
+        "on_ready",
+        "silent",
     )
 
     def __init__(self, node, desk, platform, needs):
@@ -85,8 +106,11 @@
         if held is not None and self.changed <= held <= self.serial:
             return {"serial": held, "age_us": now_us - self.listed_us}
         return {
-            "serial": self.serial, "age_us": now_us - self.listed_us,
-            "runners": [runner.as_record(now_us) for runner in self.runners.values() if runner.is_listed],
+            "serial": self.serial,
+            "age_us": now_us - self.listed_us,
+            "runners": [
+                runner.as_record(now_us) for runner in self.runners.values() if runner.is_listed
+            ],
         }
 
     def tick(self, now_us):
@@ -155,7 +179,9 @@
             runner = self.runners.get(name)
             if runner is None or self.starts.is_new(runner, incarnation, is_reported=False):
                 self._leave_address(name, record["address"], before)
-                runner = self.runners[name] = Runner(name, record["address"], record["zone"], incarnation)
+                runner = self.runners[name] = Runner(
+                    name, record["address"], record["zone"], incarnation
+                )
                 self._ask_report(runner, sent_us)
             if incarnation in (ANY_INCARNATION, runner.incarnation):
                 runner.address = record["address"]
@@ -172,7 +198,11 @@
             del self.heard_us[name]
             self.owed_us.pop(name, None)
             self.silent.pop(name, None)
-        for key in [key for key, left_us in self.leaving.items() if key[0] not in listed and sent_us - left_us > LEFT_US]:
+        for key in [
+            key
+            for key, left_us in self.leaving.items()
+            if key[0] not in listed and sent_us - left_us > LEFT_US
+        ]:
             del self.leaving[key]
         self.starts.forget(listed)
         self.listed_us = sent_us
@@ -216,9 +246,13 @@
     def _take_report(self, runner, report):
         now_us = self.node.now_us()
         if runner.incarnation != report["incarnation"]:
-            if runner.incarnation and not self.starts.is_new(runner, report["incarnation"], is_reported=True):
+            if runner.incarnation and not self.starts.is_new(
+                runner, report["incarnation"], is_reported=True
+            ):
                 return
-            runner = self.runners[runner.name] = Runner(runner.name, runner.address, runner.zone, report["incarnation"])
+            runner = self.runners[runner.name] = Runner(
+                runner.name, runner.address, runner.zone, report["incarnation"]
+            )
         before = self._facts(runner) if runner.reported_us is not None else None
         runner.take_report(report, now_us)
         if report["is_leaving"] or (runner.name, runner.incarnation) in self.leaving:
@@ -250,7 +284,12 @@
 
     def _hear_silent(self, runner, now_us, seen_us):
         """A router waits for its bytes: it is asked at once, and is dark where it leaves that unanswered, too."""
-        if self.since_us is None or runner.is_dark or runner.name in self.silent or seen_us <= self.heard_us.get(runner.name, -1):
+        if (
+            self.since_us is None
+            or runner.is_dark
+            or runner.name in self.silent
+            or seen_us <= self.heard_us.get(runner.name, -1)
+        ):
             return
         self.silent[runner.name] = now_us
         self._ask_report(runner, now_us)
@@ -260,7 +299,10 @@
             runner = self.runners.get(name)
             if runner is None or runner.is_dark:
                 del self.silent[name]
-            elif now_us - told_us >= UNANSWERED_US and now_us - self.owed_us.get(name, now_us) >= UNANSWERED_US:
+            elif (
+                now_us - told_us >= UNANSWERED_US
+                and now_us - self.owed_us.get(name, now_us) >= UNANSWERED_US
+            ):
                 del self.silent[name]
                 self._darken(runner)
 
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -23,15 +23,50 @@
 
 class RegistryNode(Node):
     __slots__ = (
-        "ring", "seat", "proposer", "image", "plan_desk", "news", "duties", "desk", "keeper", "steward",
-        "gate", "usage", "views", "bursar", "is_draining", "told_image", "voted_us", "contacts", "is_adopting", "incarnation", "adopt_us",
-        "on_drained", "leave_by_us", "unreleased",
+        "ring",
+        "seat",
+        "proposer",
+        "image",
+        "plan_desk",
+        "news",
+        "duties",
+        "desk",
+        "keeper",
+        "steward",
+        "gate",
+        "usage",
+        "views",
+        "bursar",
+        "is_draining",
+        "told_image",
+        "voted_us",
+        "contacts",
+        "is_adopting",
+        "incarnation",
+        "adopt_us",
+        "on_drained",
+        "leave_by_us",
+        "unreleased",
     )
 
-    def __init__(self, name, address, ports, zone, seeds, incarnation, seat, platform, terms=None, contacts=(), contact=None, desk_of=RunnerDesk):
+    def __init__(
+        self,
+        name,
+        address,
+        ports,
+        zone,
+        seeds,
+        incarnation,
+        seat,
+        platform,
+        terms=None,
+        contacts=(),
+        contact=None,
+        desk_of=RunnerDesk,
+    ):
         """`seat` None: the disk says it, a first start's contacts say it, or it is learned."""
         super().__init__(name, address, ports, terms)
-        seats = SEATS[:self.terms.seats]
+        seats = SEATS[: self.terms.seats]
         self.incarnation = incarnation
         self.image = PlanImage()
         self.is_draining = False
@@ -43,9 +78,13 @@
         self.on_drained = None
         self.leave_by_us = 0
         self.unreleased = set()
-        self.ring = Ring(self, "registry", zone, seeds, incarnation, seat or "", mark_of=lambda: self.image.mark)
+        self.ring = Ring(
+            self, "registry", zone, seeds, incarnation, seat or "", mark_of=lambda: self.image.mark
+        )
         self.proposer = Proposer(self, self.ring)
-        self.seat = Seat(self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms)
+        self.seat = Seat(
+            self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms
+        )
         self.seat.occupants.contact = contact or address
         self.contacts = sorted(contacts)
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
@@ -57,29 +96,46 @@
             duty.life_of = self._life_of
         self._rank_duties()
         self.duties["roster"].on_won = self.news.answer_all
-        self.keeper = RosterKeeper(self, self.desk, platform, (self.duties["roster"], self.duties["steward"]))
+        self.keeper = RosterKeeper(
+            self, self.desk, platform, (self.duties["roster"], self.duties["steward"])
+        )
         self.keeper.on_blind = self.duties["roster"].give_up
         self.keeper.on_ready = self.news.answer_all
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
         self.ring.on_mark.append(self._hear_mark)
         self.views = Views(self)
-        self.news.on_ask += [self.views.hear_ask, self.keeper.hear_evidence, self.steward.hear_ask, self.bursar.hear_ask, self._hear_asked_mark, self._hear_fences, self._hear_usage]
+        self.news.on_ask += [
+            self.views.hear_ask,
+            self.keeper.hear_evidence,
+            self.steward.hear_ask,
+            self.bursar.hear_ask,
+            self._hear_asked_mark,
+            self._hear_fences,
+            self._hear_usage,
+        ]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.hearers["image"] = self._hear_image
         self.systems += [self._adopt_image, self._watch_edge, self._leave_in_time]
-        self.paths.update({
-            ("GET", "/v1/core"): self.serve_core,
-            ("GET", "/v1/groups"): self.serve_groups,
-            ("POST", "/v1/core/restore"): self.serve_restore,
-            ("GET", "/v1/standing"): self.serve_standing,
-        })
+        self.paths.update(
+            {
+                ("GET", "/v1/core"): self.serve_core,
+                ("GET", "/v1/groups"): self.serve_groups,
+                ("POST", "/v1/core/restore"): self.serve_restore,
+                ("GET", "/v1/standing"): self.serve_standing,
+            }
+        )
         self._begin_first()
 
     def _begin_first(self):
         """A core that was told that nothing was ever started: its contacts have the first seats at once."""
         contact = self.seat.occupants.contact
-        if self.seat.seat or not self.seat.is_empty or not self.terms.bootstrap or contact not in self.contacts:
+        if (
+            self.seat.seat
+            or not self.seat.is_empty
+            or not self.terms.bootstrap
+            or contact not in self.contacts
+        ):
             return
         place = self.contacts.index(contact)
         if place < len(self.seat.seats):
@@ -130,7 +186,9 @@
     def _hear_usage(self, message):
         now_us = self.now_us()
         self.usage[message["name"]] = (message["usage"], now_us)
-        for name in [name for name, (_, heard_us) in self.usage.items() if now_us - heard_us > USAGE_US]:
+        for name in [
+            name for name, (_, heard_us) in self.usage.items() if now_us - heard_us > USAGE_US
+        ]:
             del self.usage[name]
 
     def serve_groups(self, call):
@@ -150,11 +208,17 @@
         plan = self.image.plan
         if plan is None:
             raise Trouble("plan_absent", retry_us=2_000_000)
-        told = [usage for usage, heard_us in self.usage.values() if self.now_us() - heard_us <= USAGE_US]
+        told = [
+            usage for usage, heard_us in self.usage.values() if self.now_us() - heard_us <= USAGE_US
+        ]
         groups = {
             name: {
-                **terms, "kinds": sorted(kind for kind, of in plan["kinds"].items() if of["group"] == name),
-                **{what: sum(usage.get(name, {}).get(what, 0) for usage in told) for what in ("spent", "refused", "waiting", "waiting_tokens")},
+                **terms,
+                "kinds": sorted(kind for kind, of in plan["kinds"].items() if of["group"] == name),
+                **{
+                    what: sum(usage.get(name, {}).get(what, 0) for usage in told)
+                    for what in ("spent", "refused", "waiting", "waiting_tokens")
+                },
             }
             for name, terms in plan["groups"].items()
         }
@@ -177,7 +241,11 @@
         told = self.told_image
         if told is None or self.is_adopting or now_us - self.adopt_us < IMAGE_WAIT_US:
             return
-        if self.voted_us is None or now_us - self.voted_us < IMAGE_WAIT_US or told["mark"] < self.image.highest:
+        if (
+            self.voted_us is None
+            or now_us - self.voted_us < IMAGE_WAIT_US
+            or told["mark"] < self.image.highest
+        ):
             return
         if not self._is_behind(told["mark"]):
             self.told_image = None
@@ -201,7 +269,10 @@
 
     def _watch_edge(self, now_us):
         """A seat that no router asks any more, though routers run, serves nobody with its duties."""
-        if now_us - self.news.asked_us < 2 * self.terms.news_hold_us + UNASKED_US or not self.ring.live("router"):
+        if (
+            now_us - self.news.asked_us < 2 * self.terms.news_hold_us + UNASKED_US
+            or not self.ring.live("router")
+        ):
             return
         for duty in self.duties.values():
             duty.give_up()
@@ -212,7 +283,10 @@
             fence, serial = ask.get("roster") or (None, None)
             if "views" in ask:
                 facts["views"] = self.views.of_others(ask["name"])
-            facts["roster"] = {"fence": rank, **self.keeper.document(serial if fence == rank else None)}
+            facts["roster"] = {
+                "fence": rank,
+                **self.keeper.document(serial if fence == rank else None),
+            }
         self.steward.add_news(facts)
 
     def _roster_rank(self):
@@ -252,21 +326,36 @@
 
     def serve_core(self, call):
         seats = self.ring.seats()
-        call.answer_json(200, {
-            "seat": self.seat.seat, "standing": self.seat.standing, "incarnation": self.seat.incarnation,
-            "claims": len(self.seat.claims), "are_claims_open": self.seat.are_claims_open,
-            "is_empty": self.seat.is_empty, "is_failing": self.seat.is_failing, "why": self.seat.rejoin.wait_reason,
-            "mark": self.news.held_mark(), "highest_mark": self.image.highest,
-            "seats": {seat: {"address": address, "incarnation": incarnation} for seat, (address, incarnation) in seats.items()},
-            "heard": {
-                seat: {"is_voting": state["is_voting"], "is_empty": state["is_empty"]}
-                for seat, state in self.seat.rejoin.told.items()
+        call.answer_json(
+            200,
+            {
+                "seat": self.seat.seat,
+                "standing": self.seat.standing,
+                "incarnation": self.seat.incarnation,
+                "claims": len(self.seat.claims),
+                "are_claims_open": self.seat.are_claims_open,
+                "is_empty": self.seat.is_empty,
+                "is_failing": self.seat.is_failing,
+                "why": self.seat.rejoin.wait_reason,
+                "mark": self.news.held_mark(),
+                "highest_mark": self.image.highest,
+                "seats": {
+                    seat: {"address": address, "incarnation": incarnation}
+                    for seat, (address, incarnation) in seats.items()
+                },
+                "heard": {
+                    seat: {"is_voting": state["is_voting"], "is_empty": state["is_empty"]}
+                    for seat, state in self.seat.rejoin.told.items()
+                },
+                "duties": {
+                    name: {
+                        "held": duty.is_held(),
+                        **(duty.holder() or {"holder": None, "fence": 0, "renewal": 0}),
+                    }
+                    for name, duty in self.duties.items()
+                },
             },
-            "duties": {
-                name: {"held": duty.is_held(), **(duty.holder() or {"holder": None, "fence": 0, "renewal": 0})}
-                for name, duty in self.duties.items()
-            },
-        })
+        )
 
     def serve_restore(self, call):
         if not self.seat.restore():
@@ -275,10 +364,18 @@
 
     def serve_standing(self, call):
         now_us = self.now_us()
-        call.answer_json(200, {
-            "name": self.name, "kind": "registry", "zone": self.ring.me.zone, "mark": self.image.mark,
-            "is_current": self.news.is_current(), "seat": self.seat.seat, "standing": self.seat.standing,
-            "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
-            "runners": [runner.as_record(now_us) for runner in self.keeper.runners.values()],
-            "orders": self.steward.orders,
-        })
+        call.answer_json(
+            200,
+            {
+                "name": self.name,
+                "kind": "registry",
+                "zone": self.ring.me.zone,
+                "mark": self.image.mark,
+                "is_current": self.news.is_current(),
+                "seat": self.seat.seat,
+                "standing": self.seat.standing,
+                "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
+                "runners": [runner.as_record(now_us) for runner in self.keeper.runners.values()],
+                "orders": self.steward.orders,
+            },
+        )
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -5,12 +5,20 @@
 from linkhaven.plan import check_plan, diff_plans
 from linkhaven.schema import Trouble
 from linkhaven.wire import Shell
-from linkhaven.wire.console import PLACE_OPTIONS, CodedCommand, call_json, read_document, run_application
+from linkhaven.wire.console import (
+    PLACE_OPTIONS,
+    CodedCommand,
+    call_json,
+    read_document,
+    run_application,
+)
 
 from .disk import LmdbDisk
 from .node import RegistryNode
 
-REGISTRY_OPTION = option("registry", "r", "HTTP address of a registry", flag=False, default="127.0.0.1:8001")
+REGISTRY_OPTION = option(
+    "registry", "r", "HTTP address of a registry", flag=False, default="127.0.0.1:8001"
+)
 CORE_OPTIONS = [
     *PLACE_OPTIONS,
     option("data", None, "the data folder", flag=False),
@@ -23,7 +31,12 @@
     options = CORE_OPTIONS
 
     def read_core(self):
-        return self.read_place("registry", data=self.option("data"), seat=self.option("seat"), platform=self.option("platform"))
+        return self.read_place(
+            "registry",
+            data=self.option("data"),
+            seat=self.option("seat"),
+            platform=self.option("platform"),
+        )
 
 
 class ServeCommand(CoreCommand):
@@ -36,14 +49,27 @@
 
         def build(ports, incarnation):
             return RegistryNode(
-                settings["name"], settings["lines"], ports, settings["zone"], settings["seeds"], incarnation,
-                settings["seat"], settings["platform"],
+                settings["name"],
+                settings["lines"],
+                ports,
+                settings["zone"],
+                settings["seeds"],
+                incarnation,
+                settings["seat"],
+                settings["platform"],
             )
 
         try:
             shell = Shell(
-                settings["name"], settings["lines"], settings["http"], build, disk, settings["log"]["level"],
-                settings["log"].get("file"), settings["body_bytes"], settings["conns"],
+                settings["name"],
+                settings["lines"],
+                settings["http"],
+                build,
+                disk,
+                settings["log"]["level"],
+                settings["log"].get("file"),
+                settings["body_bytes"],
+                settings["conns"],
             )
             return shell.run_to_end()
         finally:
@@ -73,7 +99,10 @@
 def read_expect(command, least):
     text = command.option("expect")
     if text is None or not text.isdigit() or int(text) < least:
-        raise Trouble("bad_request", places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}])
+        raise Trouble(
+            "bad_request",
+            places=[{"place": "--expect", "fault": "needs the mark that 'plan show' gives"}],
+        )
     return int(text)
 
 
@@ -83,13 +112,21 @@
     arguments = [argument("file", "the plan as JSON")]
     options = [
         REGISTRY_OPTION,
-        option("expect", "e", "the mark of the plan that this one replaces (0 for the first)", flag=False),
-        option("put-id", None, "id of this put, to repeat one whose outcome is unknown", flag=False),
+        option(
+            "expect",
+            "e",
+            "the mark of the plan that this one replaces (0 for the first)",
+            flag=False,
+        ),
+        option(
+            "put-id", None, "id of this put, to repeat one whose outcome is unknown", flag=False
+        ),
     ]
 
     def act(self):
         document = {
-            "expect": read_expect(self, 0), "put_id": self.option("put-id") or str(uuid.uuid4()),
+            "expect": read_expect(self, 0),
+            "put_id": self.option("put-id") or str(uuid.uuid4()),
             "plan": read_document(self.argument("file")),
         }
         self.line_error(f"put id {document['put_id']}")
@@ -125,9 +162,17 @@
     """One group or kind of the plan, changed under the mark that the operator expects."""
 
     def change(self, method, part, document):
-        document = {"expect": read_expect(self, 1), "put_id": self.option("put-id") or str(uuid.uuid4()), **document}
+        document = {
+            "expect": read_expect(self, 1),
+            "put_id": self.option("put-id") or str(uuid.uuid4()),
+            **document,
+        }
         self.line_error(f"put id {document['put_id']}")
-        self.show(call_json(self.option("registry"), method, f"/v1/{part}/{self.argument('name')}", document))
+        self.show(
+            call_json(
+                self.option("registry"), method, f"/v1/{part}/{self.argument('name')}", document
+            )
+        )
 
 
 PART_OPTIONS = [
@@ -153,19 +198,40 @@
     arguments = [NAME_ARGUMENT]
     options = [
         *PART_OPTIONS,
-        option("tokens", None, "tokens of credit in a period; without it the group isn't capped", flag=False),
+        option(
+            "tokens",
+            None,
+            "tokens of credit in a period; without it the group isn't capped",
+            flag=False,
+        ),
         option("period-ms", None, "the period", flag=False, default="10000"),
         option("weight", None, "its weight where groups with credit meet", flag=False, default="1"),
     ]
 
     def act(self):
         is_capped = self.option("tokens") is not None
-        fields = {name: self.option(name) or "" for name in (*(["tokens"] if is_capped else []), "period-ms", "weight")}
-        wrong = [name for name, text in fields.items() if not text.replace(".", "", name == "weight").isdigit()]
+        fields = {
+            name: self.option(name) or ""
+            for name in (*(["tokens"] if is_capped else []), "period-ms", "weight")
+        }
+        wrong = [
+            name
+            for name, text in fields.items()
+            if not text.replace(".", "", name == "weight").isdigit()
+        ]
         if wrong:
-            raise Trouble("bad_request", places=[{"place": f"--{name}", "fault": "is not a number"} for name in wrong])
-        credit = {"tokens": int(fields["tokens"]), "period_us": int(fields["period-ms"]) * 1_000} if is_capped else None
-        self.change("PUT", "groups", {"group": {"credit": credit, "weight": float(fields["weight"])}})
+            raise Trouble(
+                "bad_request",
+                places=[{"place": f"--{name}", "fault": "is not a number"} for name in wrong],
+            )
+        credit = (
+            {"tokens": int(fields["tokens"]), "period_us": int(fields["period-ms"]) * 1_000}
+            if is_capped
+            else None
+        )
+        self.change(
+            "PUT", "groups", {"group": {"credit": credit, "weight": float(fields["weight"])}}
+        )
 
 
 class GroupRemoveCommand(PartCommand):
@@ -198,7 +264,10 @@
         held = call_json(self.option("registry"), "GET", "/v1/plan")
         kind = ((held["plan"] or {}).get("kinds") or {}).get(self.argument("name"))
         if kind is None:
-            raise Trouble("plan_invalid", places=[{"place": f"kinds/{self.argument('name')}", "fault": "is not in the plan"}])
+            raise Trouble(
+                "plan_invalid",
+                places=[{"place": f"kinds/{self.argument('name')}", "fault": "is not in the plan"}],
+            )
         self.change("PUT", "kinds", {"kind": {**kind, "group": self.argument("group")}})
 
 
@@ -224,11 +293,22 @@
 class SeatRestoreCommand(CodedCommand):
     name = "seat restore"
     description = "Let a waiting seat vote with what its disk and the seats that answered hold. May lose acknowledged plans."
-    options = [REGISTRY_OPTION, option("yes", None, "do it: plans that only the lost seats held are given up")]
+    options = [
+        REGISTRY_OPTION,
+        option("yes", None, "do it: plans that only the lost seats held are given up"),
+    ]
 
     def act(self):
         if not self.option("yes"):
-            raise Trouble("bad_request", places=[{"place": "--yes", "fault": "is needed: plans that only the lost seats held are given up"}])
+            raise Trouble(
+                "bad_request",
+                places=[
+                    {
+                        "place": "--yes",
+                        "fault": "is needed: plans that only the lost seats held are given up",
+                    }
+                ],
+            )
         self.show(call_json(self.option("registry"), "POST", "/v1/core/restore", {}))
 
 
@@ -242,8 +322,23 @@
 
 
 def main():
-    run_application("linkhaven-registry", [
-        ServeCommand(), CheckCommand(), PlanCheckCommand(), PlanPutCommand(), PlanShowCommand(), PlanDiffCommand(),
-        GroupListCommand(), GroupPutCommand(), GroupRemoveCommand(), KindPutCommand(), KindAttachCommand(), KindRemoveCommand(),
-        CoreStatusCommand(), SeatRestoreCommand(), StandingCommand(),
-    ])
+    run_application(
+        "linkhaven-registry",
+        [
+            ServeCommand(),
+            CheckCommand(),
+            PlanCheckCommand(),
+            PlanPutCommand(),
+            PlanShowCommand(),
+            PlanDiffCommand(),
+            GroupListCommand(),
+            GroupPutCommand(),
+            GroupRemoveCommand(),
+            KindPutCommand(),
+            KindAttachCommand(),
+            KindRemoveCommand(),
+            CoreStatusCommand(),
+            SeatRestoreCommand(),
+            StandingCommand(),
+        ],
+    )
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -14,8 +14,27 @@
     leaves, a dwell after it. Wanted is a count of reading runners; the loop works off the difference."""
 
     __slots__ = (
-        "node", "duty", "keeper", "desk", "image", "search", "rates", "looked_us", "changing",
-        "wanted_phase", "seen", "bare_us", "won_us", "woken_us", "told_us", "is_sent", "dwell_us", "serial", "orders", "sent_us", "settled",
+        "node",
+        "duty",
+        "keeper",
+        "desk",
+        "image",
+        "search",
+        "rates",
+        "looked_us",
+        "changing",
+        "wanted_phase",
+        "seen",
+        "bare_us",
+        "won_us",
+        "woken_us",
+        "told_us",
+        "is_sent",
+        "dwell_us",
+        "serial",
+        "orders",
+        "sent_us",
+        "settled",
     )
 
     def __init__(self, node, duty, keeper, desk, image):
@@ -70,7 +89,8 @@
     def add_news(self, facts):
         if self.duty.is_held():
             facts["steward"] = {
-                "fence": self.duty.fence, "serial": self.serial,
+                "fence": self.duty.fence,
+                "serial": self.serial,
                 "changing": [self.changing] if self.changing else [],
                 "settled": {name: phase for name, (phase, _) in self.settled.items()},
             }
@@ -78,11 +98,17 @@
     def tick(self, now_us):
         if not self.duty.is_held() or not self.keeper.is_ready() or self.image.plan is None:
             return
-        for name in [name for name, (_, at_us) in self.settled.items() if now_us - at_us > SETTLED_US]:
+        for name in [
+            name for name, (_, at_us) in self.settled.items() if now_us - at_us > SETTLED_US
+        ]:
             del self.settled[name]
         if self.changing is not None:
             return self._work_off(now_us)
-        if now_us - self.looked_us < LOOK_US or now_us < self.dwell_us or not self.may_order(now_us):
+        if (
+            now_us - self.looked_us < LOOK_US
+            or now_us < self.dwell_us
+            or not self.may_order(now_us)
+        ):
             return
         self.looked_us = now_us
         self._look(now_us)
@@ -95,10 +121,18 @@
 
     def _look(self, now_us):
         taichi = self.image.plan["taichi"]
-        fit = [runner for runner in self.keeper.runners.values() if runner.is_open() and runner.reported_us is not None]
+        fit = [
+            runner
+            for runner in self.keeper.runners.values()
+            if runner.is_open() and runner.reported_us is not None
+        ]
         reading = [runner for runner in fit if runner.phase == PREFILL]
         decoding = [runner for runner in fit if runner.phase == DECODE]
-        if any(runner.reported_us is None for runner in self.keeper.runners.values() if runner.is_open()):
+        if any(
+            runner.reported_us is None
+            for runner in self.keeper.runners.values()
+            if runner.is_open()
+        ):
             return
         self.seen = {"reading": len(reading), "decoding": len(decoding)}
         if decoding or not fit:
@@ -111,10 +145,19 @@
             return
         prompt_rate, answer_rate = self._demand(now_us)
         self.search.held = sum(runner.kv_used / runner.kv_total for runner in fit)
-        self.search.streams = sum(runner.running / runner.slots for runner in decoding if runner.slots)
+        self.search.streams = sum(
+            runner.running / runner.slots for runner in decoding if runner.slots
+        )
         self.search.is_in_place = not any(runner.pool for runner in fit)
-        wanted = self.search.settle(len(reading), len(fit), prompt_rate, answer_rate, taichi, now_us)
-        self.seen.update(wanted=wanted, prompts=int(prompt_rate), streams=round(self.search.streams, 2), held=round(self.search.held, 2))
+        wanted = self.search.settle(
+            len(reading), len(fit), prompt_rate, answer_rate, taichi, now_us
+        )
+        self.seen.update(
+            wanted=wanted,
+            prompts=int(prompt_rate),
+            streams=round(self.search.streams, 2),
+            held=round(self.search.held, 2),
+        )
         if wanted > len(reading) and len(decoding) > 1:
             self._change(min(decoding, key=lambda runner: runner.running), PREFILL, now_us)
         elif wanted < len(reading):
@@ -139,7 +182,9 @@
             self.settled[runner.name] = (runner.phase, now_us)
             return self._finish(now_us)
         is_told_since = runner.reported_us is not None and runner.reported_us > self.sent_us
-        if now_us - self.sent_us > QUIET_US and (not runner.is_switching or not is_told_since or now_us - self.sent_us > SWITCH_MOST_US):
+        if now_us - self.sent_us > QUIET_US and (
+            not runner.is_switching or not is_told_since or now_us - self.sent_us > SWITCH_MOST_US
+        ):
             self._finish(now_us)
 
     def _order(self, runner, now_us):
@@ -148,7 +193,13 @@
         self.is_sent = True
         self.sent_us = now_us
         fence = self.duty.fence
-        order = {"phase": self.wanted_phase, "fence": fence, "mark": self.image.mark, "holder": self.node.name, "incarnation": runner.incarnation}
+        order = {
+            "phase": self.wanted_phase,
+            "fence": fence,
+            "mark": self.image.mark,
+            "holder": self.node.name,
+            "incarnation": runner.incarnation,
+        }
 
         def done(trouble, document, has_begun):
             if trouble is not None:
@@ -156,7 +207,9 @@
                 self.duty.hear_fence(trouble.detail.get("fence", 0))
 
         self.orders += 1
-        self.node.ports.log(1501, runner=runner.name, phase=self.wanted_phase, fence=fence, **self.seen)
+        self.node.ports.log(
+            1501, runner=runner.name, phase=self.wanted_phase, fence=fence, **self.seen
+        )
         self.desk.order_phase(runner.address, order, done)
 
     def _finish(self, now_us):
--- a/packages/registry/src/linkhaven/registry/views.py
+++ b/packages/registry/src/linkhaven/registry/views.py
@@ -35,15 +35,24 @@
                 self.sums.pop(key, None)
 
     def of_others(self, router):
-        own = {(name, incarnation): figures for name, incarnation, *figures in self.told.get(router, ((), 0))[0]}
+        own = {
+            (name, incarnation): figures
+            for name, incarnation, *figures in self.told.get(router, ((), 0))[0]
+        }
         rows = []
         for key, total in self.sums.items():
             figures = own.get(key)
-            rest = total if figures is None else tuple(one - other for one, other in zip(total, figures))
+            rest = (
+                total
+                if figures is None
+                else tuple(one - other for one, other in zip(total, figures))
+            )
             if any(rest):
                 rows.append([*key, *rest])
         return rows
 
     def tick(self, now_us):
-        for router in [router for router, (_, told_us) in self.told.items() if now_us - told_us > QUIET_US]:
+        for router in [
+            router for router, (_, told_us) in self.told.items() if now_us - told_us > QUIET_US
+        ]:
             self._replace(router, None)
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -18,8 +18,21 @@
 
 class Fellow:
     __slots__ = (
-        "name", "address", "kind", "zone", "seat", "seat_incarnation", "incarnation",
-        "mark", "heard_us", "spoke_us", "probed_us", "verdicts", "is_up", "down_us", "has_left",
+        "name",
+        "address",
+        "kind",
+        "zone",
+        "seat",
+        "seat_incarnation",
+        "incarnation",
+        "mark",
+        "heard_us",
+        "spoke_us",
+        "probed_us",
+        "verdicts",
+        "is_up",
+        "down_us",
+        "has_left",
     )
 
     def __init__(self, name, incarnation):
@@ -38,8 +51,15 @@
 
     def as_record(self):
         return [
-            self.name, self.incarnation, self.address, self.kind, self.zone,
-            self.seat, self.seat_incarnation, self.mark, self.is_up,
+            self.name,
+            self.incarnation,
+            self.address,
+            self.kind,
+            self.zone,
+            self.seat,
+            self.seat_incarnation,
+            self.mark,
+            self.is_up,
         ]
 
 
@@ -47,8 +67,20 @@
     """Who exists: hello to the seeds, beats to the watchers that the ring names, verdicts by most of them."""
 
     __slots__ = (
-        "node", "me", "seeds", "fellows", "beat_us", "gossip_us", "on_standing", "on_mark", "mark_of",
-        "seat_marks", "order", "raises_own", "sought_us", "seek_until_us",
+        "node",
+        "me",
+        "seeds",
+        "fellows",
+        "beat_us",
+        "gossip_us",
+        "on_standing",
+        "on_mark",
+        "mark_of",
+        "seat_marks",
+        "order",
+        "raises_own",
+        "sought_us",
+        "seek_until_us",
     )
 
     def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
@@ -66,8 +98,11 @@
         self.beat_us = self.gossip_us = self.sought_us = 0
         self.seek_until_us = node.now_us() + SEEK_FOR_US
         node.hearers.update(
-            hello=self.hear_hello, members=self.hear_members, beat=self.hear_beat,
-            verdict=self.hear_verdict, bye=self.hear_bye,
+            hello=self.hear_hello,
+            members=self.hear_members,
+            beat=self.hear_beat,
+            verdict=self.hear_verdict,
+            bye=self.hear_bye,
         )
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
@@ -80,12 +115,17 @@
 
     def live(self, kind=None):
         return [
-            fellow for fellow in self.fellows.values()
+            fellow
+            for fellow in self.fellows.values()
             if fellow.is_up and not fellow.has_left and kind in (None, fellow.kind)
         ]
 
     def add_seeds(self, addresses):
-        self.seeds += [address for address in addresses if address and address not in self.seeds and address != self.node.address]
+        self.seeds += [
+            address
+            for address in addresses
+            if address and address not in self.seeds and address != self.node.address
+        ]
 
     def sit(self, seat, seat_incarnation):
         """This node took a seat, or left it: a new incarnation in the ring, told to everyone at once."""
@@ -123,13 +163,21 @@
         for seat, incarnation in known.items():
             if incarnation > self.seat_marks.get(seat, 0):
                 self.seat_marks[seat] = incarnation
-        if self.raises_own and self.me.seat in known and known[self.me.seat] > self.me.seat_incarnation:
+        if (
+            self.raises_own
+            and self.me.seat in known
+            and known[self.me.seat] > self.me.seat_incarnation
+        ):
             self.me.seat_incarnation = self.seat_marks[self.me.seat]
 
     def watchers_of(self, name):
         """The next names on the ring after this one's place, of those that are up."""
         if self.order is None:
-            names = [fellow.name for fellow in self.fellows.values() if fellow.is_up and not fellow.has_left]
+            names = [
+                fellow.name
+                for fellow in self.fellows.values()
+                if fellow.is_up and not fellow.has_left
+            ]
             self.order = sorted((place_of(other), other) for other in (*names, self.node.name))
         start = bisect_left(self.order, (place_of(name), name))
         found = []
@@ -147,7 +195,10 @@
 
     def _records(self):
         self.me.mark = self.mark_of()
-        return [self.me.as_record(), *(fellow.as_record() for fellow in self.fellows.values() if not fellow.has_left)]
+        return [
+            self.me.as_record(),
+            *(fellow.as_record() for fellow in self.fellows.values() if not fellow.has_left),
+        ]
 
     def hear_members(self, message):
         for record in message["fellows"]:
@@ -207,7 +258,13 @@
     def _judge(self, fellow, is_down):
         fellow.verdicts[self.node.name] = is_down
         for other in self.live():
-            self.node.tell(other.address, "verdict", about=fellow.name, incarnation=fellow.incarnation, is_down=is_down)
+            self.node.tell(
+                other.address,
+                "verdict",
+                about=fellow.name,
+                incarnation=fellow.incarnation,
+                is_down=is_down,
+            )
         self._weigh(fellow)
 
     def hear_verdict(self, message):
@@ -218,7 +275,9 @@
         self._weigh(fellow)
 
     def _weigh(self, fellow):
-        watchers = [name for name in self.watchers_of(fellow.name) if self._is_heard_from(name, fellow)]
+        watchers = [
+            name for name in self.watchers_of(fellow.name) if self._is_heard_from(name, fellow)
+        ]
         against = sum(1 for watcher in watchers if fellow.verdicts.get(watcher))
         is_up = against * 2 <= len(watchers)
         if is_up == fellow.is_up:
@@ -226,7 +285,9 @@
         fellow.is_up = is_up
         self.order = None
         fellow.down_us = 0 if is_up else self.node.now_us()
-        self.node.ports.log(1101 if is_up else 1102, fellow=fellow.name, incarnation=fellow.incarnation)
+        self.node.ports.log(
+            1101 if is_up else 1102, fellow=fellow.name, incarnation=fellow.incarnation
+        )
         self._spread(fellow)
 
     def _is_heard_from(self, name, about):
@@ -269,7 +330,9 @@
         if now_us - self.gossip_us >= GOSSIP_US:
             self.gossip_us = now_us
             self._gossip(now_us)
-        elif now_us < self.seek_until_us and now_us - max(self.gossip_us, self.sought_us) >= SEEK_US:
+        elif (
+            now_us < self.seek_until_us and now_us - max(self.gossip_us, self.sought_us) >= SEEK_US
+        ):
             self._seek(now_us)
 
     def _seek(self, now_us):
@@ -296,7 +359,9 @@
                 continue
             if fellow.heard_us is None:
                 fellow.heard_us = now_us
-            if now_us - fellow.heard_us > self.node.terms.missed_us and not fellow.verdicts.get(self.node.name):
+            if now_us - fellow.heard_us > self.node.terms.missed_us and not fellow.verdicts.get(
+                self.node.name
+            ):
                 self._judge(fellow, True)
         for fellow in self.fellows.rows():
             if fellow.is_up and any(fellow.verdicts.values()):
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -34,7 +34,11 @@
             self.node.ports.log(1005, request=request.id, fault=repr(fault))
             is_queued = request.state == states.QUEUED
             may_be_sent = request.has_begun or request.attempts > 0
-            trouble = Trouble("runner_lost", why="a fault at its start") if may_be_sent else Trouble("no_runner", retry_us=self.node.terms.retry_least_us)
+            trouble = (
+                Trouble("runner_lost", why="a fault at its start")
+                if may_be_sent
+                else Trouble("no_runner", retry_us=self.node.terms.retry_least_us)
+            )
             self.node.end_in_trouble(request, trouble)
             return not is_queued
 
@@ -47,7 +51,9 @@
         ttft_us = request.kind["ttft_us"] - self._spent_us(request, now_us)
         work = self.work_of(request)
         decision = self.pairing.choose(
-            work, ttft_us, room_us=self.node.rooms.get(request.group, NO_BOUND_US),
+            work,
+            ttft_us,
+            room_us=self.node.rooms.get(request.group, NO_BOUND_US),
             is_overdue=now_us - request.queued_us > request.kind["ttft_us"],
         )
         if decision.winner is not None:
@@ -61,11 +67,16 @@
             return False
         if self._is_hopeless(request, decision, now_us):
             request.decisions.append(decision)
-            self.node.end_in_trouble(request, Trouble(
-                "no_runner", retry_us=self._room_us(decision, ttft_us), why=decision.exception,
-                soonest_us=min(candidate.total_us for candidate in decision.candidates),
-                has_memory=any(candidate.has_memory for candidate in decision.candidates),
-            ))
+            self.node.end_in_trouble(
+                request,
+                Trouble(
+                    "no_runner",
+                    retry_us=self._room_us(decision, ttft_us),
+                    why=decision.exception,
+                    soonest_us=min(candidate.total_us for candidate in decision.candidates),
+                    has_memory=any(candidate.has_memory for candidate in decision.candidates),
+                ),
+            )
             return False
         self._place(request, decision)
         return True
@@ -79,7 +90,10 @@
 
     def _room_us(self, decision, ttft_us):
         """When the soonest of the candidates should be able to meet the target again."""
-        return max(self.node.terms.retry_least_us, min(candidate.total_us for candidate in decision.candidates) - ttft_us)
+        return max(
+            self.node.terms.retry_least_us,
+            min(candidate.total_us for candidate in decision.candidates) - ttft_us,
+        )
 
     def _is_hopeless(self, request, decision, now_us):
         if self.node.terms.hold_share is not None:
@@ -125,7 +139,9 @@
         request.handle = None
         if request.prompt_tokens:
             self.pairing.begin_read(runner, request.attempt, self.work_of(request))
-        request.note(now_us, "attempt", runner=runner.name, phase=runner.phase, number=request.attempts)
+        request.note(
+            now_us, "attempt", runner=runner.name, phase=runner.phase, number=request.attempts
+        )
         if runner.phase == PREFILL and not request.run:
             return self._read(request, runner)
         self._decode(request, runner, None)
@@ -158,10 +174,9 @@
             return self._park(request, self._hand_over)
         request.parked = None
         source, tokens = request.handle[1], request.prompt_tokens
-        runner = (
-            self.pairing.choose_decode(request.failed, source, tokens, request.pool)
-            or self.pairing.choose_decode((), source, tokens, request.pool)
-        )
+        runner = self.pairing.choose_decode(
+            request.failed, source, tokens, request.pool
+        ) or self.pairing.choose_decode((), source, tokens, request.pool)
         if runner is None:
             return self.fail(request, request.runner, Trouble("no_runner", done="unknown"), True)
         request.note(self.node.now_us(), "hand-over", runner=runner.name)
@@ -197,9 +212,13 @@
             self.pairing.shun(request.handle[1])
         self.leave_runner(request)
         now_us = self.node.now_us()
-        request.note(now_us, "failed", runner=runner.name, code=trouble.code, number=request.attempts)
+        request.note(
+            now_us, "failed", runner=runner.name, code=trouble.code, number=request.attempts
+        )
         request.failed.append(runner.name)
-        self.node.ports.log(2106, request=request.id, runner=runner.name, code=trouble.code, has_begun=has_begun)
+        self.node.ports.log(
+            2106, request=request.id, runner=runner.name, code=trouble.code, has_begun=has_begun
+        )
         if not has_begun:
             self.roster.note_dark(runner)
         elif trouble.code in TURNED_AWAY:
@@ -228,7 +247,11 @@
         self._retry(request, trouble)
 
     def _unknown(self, trouble):
-        return trouble if trouble.done == "unknown" else Trouble(trouble.code, done="unknown", **trouble.detail)
+        return (
+            trouble
+            if trouble.done == "unknown"
+            else Trouble(trouble.code, done="unknown", **trouble.detail)
+        )
 
     def _run_unknown(self, request, trouble):
         is_callers = request.resume and request.resume[1] == request.written
@@ -241,13 +264,14 @@
         if request.run or not request.prompt_tokens:
             if not self._may_try_again(request, 1):
                 return self.node.end_in_trouble(request, self._spent(request, trouble))
-            runner = (
-                self.pairing.choose_decode(without=request.failed, pool=request.pool)
-                or self.pairing.choose_decode(pool=request.pool)
-            )
+            runner = self.pairing.choose_decode(
+                without=request.failed, pool=request.pool
+            ) or self.pairing.choose_decode(pool=request.pool)
             if runner is None:
                 return self.node.end_in_trouble(request, self._spent(request, trouble))
-            self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
+            self.node.ports.log(
+                2104, request=request.id, why=trouble.code, shot=request.attempts + 1
+            )
             return self._start(request, runner)
         work, ttft_us = self.work_of(request), request.kind["ttft_us"]
         decision = self.pairing.choose_anyway(work, ttft_us, "retry", request.failed)
@@ -255,7 +279,11 @@
             decision = self.pairing.choose_anyway(work, ttft_us, "retry")
         if decision.winner is None:
             return self.node.end_in_trouble(request, self._spent(request, trouble))
-        is_read_again = decision.winner.runner.phase == PREFILL and request.reads > 0 and not self.desk.reads_are_runs
+        is_read_again = (
+            decision.winner.runner.phase == PREFILL
+            and request.reads > 0
+            and not self.desk.reads_are_runs
+        )
         if not self._may_try_again(request, 2 if is_read_again else 1):
             return self.node.end_in_trouble(request, self._spent(request, trouble))
         self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
@@ -274,7 +302,9 @@
         return not most or request.arrivals + cost <= most
 
     def _may_try_again(self, request, cost):
-        if not self._has_attempts(request, cost) or not self.extra.spend("retry", cost=cost, pool=request.pool):
+        if not self._has_attempts(request, cost) or not self.extra.spend(
+            "retry", cost=cost, pool=request.pool
+        ):
             return False
         request.arrivals += cost - 1
         return True
@@ -285,7 +315,9 @@
         return Trouble("extra_spent", retry_us=1_000_000, after=trouble.code)
 
     def move(self, request, target, why):
-        if not self.node.may_start() or not self.extra.spend("move", self.extra.keep_back(), pool=request.pool):
+        if not self.node.may_start() or not self.extra.spend(
+            "move", self.extra.keep_back(), pool=request.pool
+        ):
             return False
         now_us = self.node.now_us()
         origin = request.runner
@@ -293,7 +325,9 @@
         request.moved_from = origin.name if why == "shed" else None
         request.pace_tokens = 0
         request.pace_from_us = now_us
-        self.node.ports.log(2105, request=request.id, why=why, source=origin.name, target=target.name)
+        self.node.ports.log(
+            2105, request=request.id, why=why, source=origin.name, target=target.name
+        )
         request.note(now_us, "moved", why=why, runner=target.name)
         self._start(request, target)
         return True
@@ -306,19 +340,31 @@
             if request.parked and self.node.may_start():
                 request.parked(request)
             elif self._is_lost(request, now_us):
-                self.fail(request, request.runner, Trouble("runner_lost", why="its runner is dark"), True)
+                self.fail(
+                    request, request.runner, Trouble("runner_lost", why="its runner is dark"), True
+                )
             elif request.state == states.DECODING and self._is_quiet(request, now_us):
                 runner = request.runner
                 self.roster.note_dark(runner)
                 self.fail(request, runner, Trouble("runner_lost", why="no progress"), True)
-            elif request.state == states.READING and not request.parked and self._is_read_quiet(request, now_us):
+            elif (
+                request.state == states.READING
+                and not request.parked
+                and self._is_read_quiet(request, now_us)
+            ):
                 runner = request.runner
                 self.roster.note_dark(runner)
-                self.fail(request, runner, Trouble("runner_lost", why="no answer to the read"), True)
+                self.fail(
+                    request, runner, Trouble("runner_lost", why="no answer to the read"), True
+                )
 
     def _is_waiting(self, request):
         """Whether bytes of its runner are due."""
-        return request.state in (states.READING, states.DECODING) and not request.parked and not request.is_held
+        return (
+            request.state in (states.READING, states.DECODING)
+            and not request.parked
+            and not request.is_held
+        )
 
     def _note_silent(self, now_us):
         """A runner that owes answers, and from which no byte came for longer than its reads should take."""
@@ -329,7 +375,9 @@
                 owing[request.runner] = min(sent_us, request.progress_us)
         for runner, sent_us in owing.items():
             quiet_us = now_us - max(sent_us, runner.alive_us or 0)
-            if quiet_us > SILENT_US and quiet_us > SILENT_US + self.pairing.estimator.read_us(self.pairing.queued_tokens(runner), runner):
+            if quiet_us > SILENT_US and quiet_us > SILENT_US + self.pairing.estimator.read_us(
+                self.pairing.queued_tokens(runner), runner
+            ):
                 self.roster.note_silent(runner)
 
     def _is_lost(self, request, now_us):
@@ -339,11 +387,25 @@
             return False
         if now_us - max(request.progress_us, runner.alive_us or 0) < DARK_QUIET_US:
             return False
-        if request.written and not request.is_resumable or request.is_one_time and request.has_begun:
+        if (
+            request.written
+            and not request.is_resumable
+            or request.is_one_time
+            and request.has_begun
+        ):
             return False
-        is_read_again = request.prompt_tokens and not request.written and request.reads > 0 and not self.desk.reads_are_runs
+        is_read_again = (
+            request.prompt_tokens
+            and not request.written
+            and request.reads > 0
+            and not self.desk.reads_are_runs
+        )
         cost = 2 if is_read_again else 1
-        if not self.node.may_start() or not self.extra.has(cost, request.pool) or not self._has_attempts(request, cost):
+        if (
+            not self.node.may_start()
+            or not self.extra.has(cost, request.pool)
+            or not self._has_attempts(request, cost)
+        ):
             return False
         others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
         return any(other.phase == DECODE for other in others)
@@ -354,11 +416,17 @@
         patience_us = QUIET_US
         if request.first_us is None or request.attempts > 1:
             patience_us += 2 * self.pairing.estimator.read_us(request.prompt_tokens, request.runner)
-        return now_us - request.progress_us > patience_us and self._is_suspect(request.runner, now_us)
+        return now_us - request.progress_us > patience_us and self._is_suspect(
+            request.runner, now_us
+        )
 
     def _is_read_quiet(self, request, now_us):
-        predicted_us = self.pairing.estimator.read_us(self.pairing.queued_tokens(request.runner), request.runner)
-        return now_us - request.progress_us > QUIET_US + 2 * predicted_us and self._is_suspect(request.runner, now_us)
+        predicted_us = self.pairing.estimator.read_us(
+            self.pairing.queued_tokens(request.runner), request.runner
+        )
+        return now_us - request.progress_us > QUIET_US + 2 * predicted_us and self._is_suspect(
+            request.runner, now_us
+        )
 
     def _is_suspect(self, runner, now_us):
         is_reporting = runner.reported_us is not None and now_us - runner.reported_us < QUIET_US
@@ -386,7 +454,9 @@
         self.attempts.roster.note_alive(self.runner)
         request, now_us, pairing = self.request, self.attempts.node.now_us(), self.attempts.pairing
         if request.handle:
-            pairing.note_begin(request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us)
+            pairing.note_begin(
+                request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us
+            )
             pairing.note_hand_over(request.handle[1])
             request.handle = None
         request.progress_us = now_us
@@ -411,7 +481,9 @@
         now_us = node.now_us()
         request.progress_us = now_us
         self.attempts.roster.note_alive(self.runner)
-        self.attempts.pairing.end_read(self.runner, self.attempt, is_seen=self.runner.phase == DECODE and not self.is_handed)
+        self.attempts.pairing.end_read(
+            self.runner, self.attempt, is_seen=self.runner.phase == DECODE and not self.is_handed
+        )
         tokens = piece.document.get("tokens", 1)
         if not isinstance(tokens, int) or tokens < 0:
             return self._break("a piece without its tokens")
@@ -432,7 +504,12 @@
             return
         self.attempts.roster.note_alive(self.runner)
         request = self.request
-        if status >= 500 and not request.is_one_time and not request.written and self.attempts.try_elsewhere(request, self.runner, status):
+        if (
+            status >= 500
+            and not request.is_one_time
+            and not request.written
+            and self.attempts.try_elsewhere(request, self.runner, status)
+        ):
             return
         self.attempts.leave_runner(request)
         self.attempts.node.end_answered(request, status, headers, body)
--- a/packages/router/src/linkhaven/router/chain.py
+++ b/packages/router/src/linkhaven/router/chain.py
@@ -31,7 +31,10 @@
         self.node = node
 
     def chain(self, answer):
-        return Chain([self.bound, self.read, self.fresh, self.kind, self.resume, self.claim, self.queue], answer)
+        return Chain(
+            [self.bound, self.read, self.fresh, self.kind, self.resume, self.claim, self.queue],
+            answer,
+        )
 
     def bound(self, request):
         if self.node.is_draining and not self.node.is_lingering():
@@ -60,12 +63,20 @@
         request.pool = self.node.choose_pool(kind)
         request.admitted_mark = self.node.image.mark
         request.answer_tokens = request.answer_tokens or kind["answer_tokens"]
-        request.deadline_us = request.arrived_us + min(kind["deadline_us"], request.patience_us or kind["deadline_us"])
+        request.deadline_us = request.arrived_us + min(
+            kind["deadline_us"], request.patience_us or kind["deadline_us"]
+        )
         self.node.extra.earn(request.pool)
-        if request.prompt_tokens > kind["prompt_tokens"] or request.answer_tokens > kind["answer_tokens"]:
+        if (
+            request.prompt_tokens > kind["prompt_tokens"]
+            or request.answer_tokens > kind["answer_tokens"]
+        ):
             raise Trouble(
-                "prompt_too_long", prompt_tokens=request.prompt_tokens, answer_tokens=request.answer_tokens,
-                prompt_tokens_at_most=kind["prompt_tokens"], answer_tokens_at_most=kind["answer_tokens"],
+                "prompt_too_long",
+                prompt_tokens=request.prompt_tokens,
+                answer_tokens=request.answer_tokens,
+                prompt_tokens_at_most=kind["prompt_tokens"],
+                answer_tokens_at_most=kind["answer_tokens"],
             )
         return PASS
 
--- a/packages/router/src/linkhaven/router/explain.py
+++ b/packages/router/src/linkhaven/router/explain.py
@@ -43,10 +43,13 @@
         if request is None:
             return None
         begun_us = request.arrived_us - BEFORE_US
-        ended_us = request.arrived_us + (request.steps[-1]["at_us"] if request.steps else 0) + AFTER_US
+        ended_us = (
+            request.arrived_us + (request.steps[-1]["at_us"] if request.steps else 0) + AFTER_US
+        )
         around = [
             {"at_us": at_us - request.arrived_us, "event": number, **facts}
-            for at_us, number, facts in self.events if begun_us <= at_us <= ended_us
+            for at_us, number, facts in self.events
+            if begun_us <= at_us <= ended_us
         ]
         return {**request.as_record(), "router": self.node.name, "around": around}
 
@@ -61,7 +64,12 @@
         self.node.tell(owner.address, "want_explain", request=id)
 
     def hear_want(self, message):
-        self.node.tell(message["back"], "explained", request=message["request"], record=self._record(message["request"]))
+        self.node.tell(
+            message["back"],
+            "explained",
+            request=message["request"],
+            record=self._record(message["request"]),
+        )
 
     def hear_explained(self, message):
         self._answer(message["request"], message["record"])
--- a/packages/router/src/linkhaven/router/keys.py
+++ b/packages/router/src/linkhaven/router/keys.py
@@ -30,7 +30,11 @@
     def claim(self, request, go_on):
         request.state = states.CLAIMING
         if len(self.won) >= self.terms["most"]:
-            raise Trouble("claim_unavailable", retry_us=self._room_us(), why="this router keeps as many keys as the plan allows")
+            raise Trouble(
+                "claim_unavailable",
+                retry_us=self._room_us(),
+                why="this router keeps as many keys as the plan allows",
+            )
 
         def step(value):
             if value is None or value["by"] is None:
@@ -48,7 +52,9 @@
                 return go_on(request)
             if outcome == "stopped":
                 return self.node.end_in_trouble(request, Trouble("key_used"))
-            self.node.end_in_trouble(request, Trouble("claim_unavailable", retry_us=1_000_000, why=value))
+            self.node.end_in_trouble(
+                request, Trouble("claim_unavailable", retry_us=1_000_000, why=value)
+            )
 
         digest = hashlib.blake2b(request.key.encode(), digest_size=20).hexdigest()
         request.claim_key = f"claim/{request.group}/{digest}"
@@ -80,9 +86,13 @@
     def hear_want(self, message):
         """A seat that began empty asks for what was won before, a page at a time."""
         place = message["place"]
-        keys = list(self.won.items())[place: place + PAGE] if self.won else []
+        keys = list(self.won.items())[place : place + PAGE] if self.won else []
         is_last = place + PAGE >= len(self.won)
         self.node.tell(
-            message["back"], "keys", start=message["start"], place=place, is_last=is_last,
+            message["back"],
+            "keys",
+            start=message["start"],
+            place=place,
+            is_last=is_last,
             keys=[[key, by] for key, (by, _) in keys],
         )
--- a/packages/router/src/linkhaven/router/native.py
+++ b/packages/router/src/linkhaven/router/native.py
@@ -26,7 +26,9 @@
         request.answer_tokens = document.get("answer_tokens", 0)
         request.key = request.call.headers.get("idempotency-key") or None
         if request.key and len(request.key) > KEY_AT_MOST:
-            raise Trouble("bad_request", places=[{"place": "Idempotency-Key", "fault": "is too long"}])
+            raise Trouble(
+                "bad_request", places=[{"place": "Idempotency-Key", "fault": "is too long"}]
+            )
 
     def resume_place(self, request):
         told = request.call.headers.get("last-event-id")
@@ -38,13 +40,20 @@
         return place
 
     def begin(self, request, head):
-        request.call.begin(200, {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)})
+        request.call.begin(
+            200,
+            {**STREAM_HEADERS, "request-id": request.id, "plan-mark": str(request.admitted_mark)},
+        )
 
     def piece(self, request, piece):
-        return request.call.write(write_event("piece", piece.document, f"{piece.run}:{piece.number}"))
+        return request.call.write(
+            write_event("piece", piece.document, f"{piece.run}:{piece.number}")
+        )
 
     def finish(self, request):
-        request.call.write(write_event("done", {"count": request.written, "tokens": request.tokens}))
+        request.call.write(
+            write_event("done", {"count": request.written, "tokens": request.tokens})
+        )
         request.call.finish()
 
     def refuse(self, request, trouble):
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -29,13 +29,55 @@
 
 class RouterNode(Node):
     __slots__ = (
-        "ring", "proposer", "image", "news", "roster", "desk", "pairing", "extra", "credit", "attempts", "flow",
-        "requests", "chain", "explainer", "is_draining", "drain_us", "on_drained", "serial", "counts",
-        "requests_at_most", "incarnation", "arrived", "produced", "rates", "rated_us", "steward_place", "is_open", "rooms", "on_end",
-        "closed_us", "unserved", "keys", "callers", "doors",
+        "ring",
+        "proposer",
+        "image",
+        "news",
+        "roster",
+        "desk",
+        "pairing",
+        "extra",
+        "credit",
+        "attempts",
+        "flow",
+        "requests",
+        "chain",
+        "explainer",
+        "is_draining",
+        "drain_us",
+        "on_drained",
+        "serial",
+        "counts",
+        "requests_at_most",
+        "incarnation",
+        "arrived",
+        "produced",
+        "rates",
+        "rated_us",
+        "steward_place",
+        "is_open",
+        "rooms",
+        "on_end",
+        "closed_us",
+        "unserved",
+        "keys",
+        "callers",
+        "doors",
     )
 
-    def __init__(self, name, address, ports, zone, seeds, incarnation, requests_at_most=2_000, terms=None, callers=None, desk_of=RunnerDesk):
+    def __init__(
+        self,
+        name,
+        address,
+        ports,
+        zone,
+        seeds,
+        incarnation,
+        requests_at_most=2_000,
+        terms=None,
+        callers=None,
+        desk_of=RunnerDesk,
+    ):
         super().__init__(name, address, ports, terms)
         majority = self.terms.seats // 2 + 1
         self.callers = callers or NativeCallers()
@@ -77,7 +119,14 @@
         self.news.on_news.append(self._hear_news)
         self.roster.on_new.append(self.wake_queue)
         self.hearers["want_image"] = self._hear_want_image
-        self.systems += [self._keep_deadlines, self._serve_queue, self._rate, self._watch_openness, self._give_up_closed, self._drain]
+        self.systems += [
+            self._keep_deadlines,
+            self._serve_queue,
+            self._rate,
+            self._watch_openness,
+            self._give_up_closed,
+            self._drain,
+        ]
         self.paths = {
             ("POST", "/v1/requests"): self.serve_request,
             ("GET", "/v1/explain/"): self.explainer.serve,
@@ -127,7 +176,9 @@
             facts["views"] = self.pairing.own_views()
         grants = [self.extra.grant, *(book.grant for book in self.credit.groups.values())]
         facts["fences"] = {
-            "roster": self.roster.place[0], "steward": self.steward_place[0], "bursar": max(grants, default=0) // GRANTS_A_FENCE,
+            "roster": self.roster.place[0],
+            "steward": self.steward_place[0],
+            "bursar": max(grants, default=0) // GRANTS_A_FENCE,
         }
 
     def _hear_news(self, message, sent_us):
@@ -160,7 +211,11 @@
         return self.news.is_fresh() and self.roster.is_fresh()
 
     def check_fresh(self):
-        if self.image.plan is None and not self.image.is_behind and self.news.confirmed_us is not None:
+        if (
+            self.image.plan is None
+            and not self.image.is_behind
+            and self.news.confirmed_us is not None
+        ):
             raise Trouble("plan_absent", retry_us=2_000_000)
         if not self.may_start():
             raise self.say_closed()
@@ -251,17 +306,30 @@
         self.callers.finish(request)
         self.counts["served"] += 1
         if request.first_us is not None:
-            self.pairing.estimator.note_answer(request.answer_tokens, self.now_us() - request.first_us)
-        self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=request.tokens, shots=request.attempts, **request.times(self.now_us()))
+            self.pairing.estimator.note_answer(
+                request.answer_tokens, self.now_us() - request.first_us
+            )
+        self.ports.log(
+            2101,
+            request=request.id,
+            kind=request.kind_name,
+            tokens=request.tokens,
+            shots=request.attempts,
+            **request.times(self.now_us()),
+        )
         self._close(request, "done")
 
     def end_answered(self, request, status, headers, body):
         """The runner's own answer, whole and unchanged."""
         self.counts["served" if status < 300 else "troubled"] += 1
         if status < 300:
-            self.ports.log(2101, request=request.id, kind=request.kind_name, tokens=0, shots=request.attempts)
+            self.ports.log(
+                2101, request=request.id, kind=request.kind_name, tokens=0, shots=request.attempts
+            )
         else:
-            self.ports.log(2102, request=request.id, kind=request.kind_name, code=f"status {status}")
+            self.ports.log(
+                2102, request=request.id, kind=request.kind_name, code=f"status {status}"
+            )
         if request.call.is_begun:
             request.call.cut()
         else:
@@ -274,7 +342,12 @@
         self.attempts.leave_runner(request)
         is_refused = trouble.done == "no"
         self.counts["refused" if is_refused else "troubled"] += 1
-        told = {**trouble.detail, "request": request.id, "kind": request.kind_name, "code": trouble.code}
+        told = {
+            **trouble.detail,
+            "request": request.id,
+            "kind": request.kind_name,
+            "code": trouble.code,
+        }
         if is_refused:
             self.ports.log(2103, **told)
         else:
@@ -315,12 +388,16 @@
             if request.deadline_us is None or now_us < request.deadline_us:
                 continue
             if request.has_begun:
-                self.end_in_trouble(request, Trouble("deadline", retry_us=self.credit.wait_us(request.group)))
+                self.end_in_trouble(
+                    request, Trouble("deadline", retry_us=self.credit.wait_us(request.group))
+                )
                 continue
             cause = self._find_cause(request)
             self.unserved[cause] = self.unserved.get(cause, 0) + 1
             retry_us = max(1_000_000, self.credit.wait_us(request.group))
-            self.end_in_trouble(request, Trouble("deadline_unserved", retry_us=retry_us, cause=cause))
+            self.end_in_trouble(
+                request, Trouble("deadline_unserved", retry_us=retry_us, cause=cause)
+            )
 
     def _find_cause(self, request):
         if not self.may_start():
@@ -328,7 +405,11 @@
         if request.state == states.CLAIMING:
             return "claim"
         book = self.credit.groups.get(request.group)
-        if book is not None and book.queue and not self.credit.has_credit(book, book.queue[0], self.now_us()):
+        if (
+            book is not None
+            and book.queue
+            and not self.credit.has_credit(book, book.queue[0], self.now_us())
+        ):
             return "credit"
         return "no_runner" if not self.roster.open_runners() else "no_room"
 
@@ -340,7 +421,9 @@
             if request.state == states.QUEUED:
                 self.end_in_trouble(request, self.say_closed())
             elif request.parked:
-                self.end_in_trouble(request, self.say_closed("unknown" if request.has_begun else None))
+                self.end_in_trouble(
+                    request, self.say_closed("unknown" if request.has_begun else None)
+                )
 
     def _serve_queue(self, now_us):
         self.wake_queue()
@@ -396,21 +479,39 @@
 
     def serve_standing(self, call):
         now_us = self.now_us()
-        call.answer_json(200, {
-            "name": self.name, "kind": "router", "zone": self.ring.me.zone, "mark": self.image.mark,
-            "is_fresh": self.news.is_fresh(), "is_draining": self.is_draining,
-            "roster_age_us": now_us - self.roster.taken_us if self.roster.taken_us is not None else None,
-            "runners": [runner.as_record(now_us) for runner in self.roster.runners.values()],
-            "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
-            "groups": {
-                book.name: {
-                    "queued": len(book.queue), "queued_tokens": book.queued_tokens, "credit": int(book.bucket.fill(now_us)),
-                    "rate": book.bucket.rate,
-                }
-                for book in self.credit.groups.values()
+        call.answer_json(
+            200,
+            {
+                "name": self.name,
+                "kind": "router",
+                "zone": self.ring.me.zone,
+                "mark": self.image.mark,
+                "is_fresh": self.news.is_fresh(),
+                "is_draining": self.is_draining,
+                "roster_age_us": now_us - self.roster.taken_us
+                if self.roster.taken_us is not None
+                else None,
+                "runners": [runner.as_record(now_us) for runner in self.roster.runners.values()],
+                "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
+                "groups": {
+                    book.name: {
+                        "queued": len(book.queue),
+                        "queued_tokens": book.queued_tokens,
+                        "credit": int(book.bucket.fill(now_us)),
+                        "rate": book.bucket.rate,
+                    }
+                    for book in self.credit.groups.values()
+                },
+                "extra": {
+                    "left": self.extra.bucket.level,
+                    "spent": self.extra.spent,
+                    "refused": self.extra.refused,
+                },
+                "moves": self.flow.moves,
+                "exceptions": self.pairing.exceptions,
+                "counts": self.counts,
+                "unserved": self.unserved,
+                "keys": len(self.keys.won),
+                "running": len(self.requests),
             },
-            "extra": {"left": self.extra.bucket.level, "spent": self.extra.spent, "refused": self.extra.refused},
-            "moves": self.flow.moves, "exceptions": self.pairing.exceptions, "counts": self.counts,
-            "unserved": self.unserved, "keys": len(self.keys.won),
-            "running": len(self.requests),
-        })
+        )
--- a/packages/router/src/linkhaven/router/program.py
+++ b/packages/router/src/linkhaven/router/program.py
@@ -6,7 +6,9 @@
 
 from .node import RouterNode
 
-ROUTER_OPTION = option("router", "r", "HTTP address of the router", flag=False, default="127.0.0.1:8101")
+ROUTER_OPTION = option(
+    "router", "r", "HTTP address of the router", flag=False, default="127.0.0.1:8101"
+)
 
 
 class ServeCommand(CodedCommand):
@@ -19,13 +21,25 @@
 
         def build(ports, incarnation):
             return RouterNode(
-                settings["name"], settings["lines"], ports, settings["zone"], settings["seeds"], incarnation, settings["requests"],
+                settings["name"],
+                settings["lines"],
+                ports,
+                settings["zone"],
+                settings["seeds"],
+                incarnation,
+                settings["requests"],
             )
 
         traces = TraceWriter(settings["traces"], settings["name"]) if "traces" in settings else None
         shell = Shell(
-            settings["name"], settings["lines"], settings["http"], build, level=settings["log"]["level"],
-            log_path=settings["log"].get("file"), body_bytes=settings["body_bytes"], conns=settings["conns"],
+            settings["name"],
+            settings["lines"],
+            settings["http"],
+            build,
+            level=settings["log"]["level"],
+            log_path=settings["log"].get("file"),
+            body_bytes=settings["body_bytes"],
+            conns=settings["conns"],
         )
         if traces:
             shell.node.on_end.append(traces.write)
@@ -52,7 +66,9 @@
     options = [ROUTER_OPTION]
 
     def act(self):
-        self.show(call_json(self.option("router"), "GET", f"/v1/explain/{self.argument('request')}"))
+        self.show(
+            call_json(self.option("router"), "GET", f"/v1/explain/{self.argument('request')}")
+        )
 
 
 class StandingCommand(CodedCommand):
@@ -65,4 +81,6 @@
 
 
 def main():
-    run_application("linkhaven-router", [ServeCommand(), CheckCommand(), ExplainCommand(), StandingCommand()])
+    run_application(
+        "linkhaven-router", [ServeCommand(), CheckCommand(), ExplainCommand(), StandingCommand()]
+    )
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -1,16 +1,67 @@
 WAITING, CLAIMING, QUEUED, READING, DECODING, PARKED, ENDED = (
-    "waiting", "claiming", "queued", "reading", "decoding", "parked", "ended",
+    "waiting",
+    "claiming",
+    "queued",
+    "reading",
+    "decoding",
+    "parked",
+    "ended",
 )
 
 
 class Request:
     __slots__ = (
-        "id", "call", "kind_name", "kind", "group", "prompt", "prompt_tokens", "answer_tokens", "key",
-        "state", "place", "arrived_us", "deadline_us", "admitted_mark", "run", "written", "resume",
-        "attempts", "part", "runner", "attempt", "has_begun", "failed", "parked", "tokens",
-        "first_us", "pace_tokens", "pace_from_us", "moved_from", "is_moving", "progress_us",
-        "decisions", "steps", "outcome", "handle", "is_held", "claim_key", "queued_us",
-        "host", "method", "path", "fields", "body", "outside_id", "parts", "pool", "patience_us", "reads", "head", "had_begun", "arrivals",
+        "id",
+        "call",
+        "kind_name",
+        "kind",
+        "group",
+        "prompt",
+        "prompt_tokens",
+        "answer_tokens",
+        "key",
+        "state",
+        "place",
+        "arrived_us",
+        "deadline_us",
+        "admitted_mark",
+        "run",
+        "written",
+        "resume",
+        "attempts",
+        "part",
+        "runner",
+        "attempt",
+        "has_begun",
+        "failed",
+        "parked",
+        "tokens",
+        "first_us",
+        "pace_tokens",
+        "pace_from_us",
+        "moved_from",
+        "is_moving",
+        "progress_us",
+        "decisions",
+        "steps",
+        "outcome",
+        "handle",
+        "is_held",
+        "claim_key",
+        "queued_us",
+        "host",
+        "method",
+        "path",
+        "fields",
+        "body",
+        "outside_id",
+        "parts",
+        "pool",
+        "patience_us",
+        "reads",
+        "head",
+        "had_begun",
+        "arrivals",
     )
 
     def __init__(self, id, call, now_us):
@@ -47,7 +98,9 @@
         self.is_held = False
         self.claim_key = None
         self.queued_us = 0
-        self.host = self.method = self.path = self.fields = self.body = self.outside_id = self.head = None
+        self.host = self.method = self.path = self.fields = self.body = self.outside_id = (
+            self.head
+        ) = None
         self.parts = ()
         self.pool = None
         self.patience_us = 0
@@ -68,7 +121,9 @@
         return self.kind["tpot_us"]
 
     def is_movable(self):
-        return self.state == DECODING and self.is_resumable and self.written > 0 and not self.is_moving
+        return (
+            self.state == DECODING and self.is_resumable and self.written > 0 and not self.is_moving
+        )
 
     @property
     def priority(self):
@@ -83,7 +138,11 @@
 
     def times(self, now_us):
         """When it was placed, handed over and first answered, since it came; and what was predicted for its read."""
-        seen = {"prompt": self.prompt_tokens, "ended": now_us - self.arrived_us, "runner": self.runner and self.runner.name}
+        seen = {
+            "prompt": self.prompt_tokens,
+            "ended": now_us - self.arrived_us,
+            "runner": self.runner and self.runner.name,
+        }
         for step in self.steps:
             if step["step"] in ("attempt", "hand-over"):
                 seen[step["step"]] = step["at_us"]
@@ -92,12 +151,27 @@
         if self.decisions:
             winner = self.decisions[-1].winner
             if winner is not None:
-                seen.update(phase=winner.runner.phase, unread=winner.unread, q=winner.q_us, e=winner.e_us, t=winner.t_us, start=winner.start_us)
+                seen.update(
+                    phase=winner.runner.phase,
+                    unread=winner.unread,
+                    q=winner.q_us,
+                    e=winner.e_us,
+                    t=winner.t_us,
+                    start=winner.start_us,
+                )
         return seen
 
     def as_record(self):
         return {
-            "request": self.id, "outside": self.outside_id, "kind": self.kind_name, "group": self.group, "mark": self.admitted_mark,
-            "prompt_tokens": self.prompt_tokens, "state": self.state, "attempts": self.attempts,
-            "decisions": [decision.as_record() for decision in self.decisions], "steps": self.steps, "outcome": self.outcome,
+            "request": self.id,
+            "outside": self.outside_id,
+            "kind": self.kind_name,
+            "group": self.group,
+            "mark": self.admitted_mark,
+            "prompt_tokens": self.prompt_tokens,
+            "state": self.state,
+            "attempts": self.attempts,
+            "decisions": [decision.as_record() for decision in self.decisions],
+            "steps": self.steps,
+            "outcome": self.outcome,
         }
--- a/packages/runner/src/linkhaven/runner/adapter.py
+++ b/packages/runner/src/linkhaven/runner/adapter.py
@@ -148,12 +148,16 @@
 
     def _ask(self, request):
         return {
-            "request": request.id, "shot": request.attempts, "mark": self.node.image.mark,
-            "one_time": request.is_one_time, "prompt": request.prompt,
+            "request": request.id,
+            "shot": request.attempts,
+            "mark": self.node.image.mark,
+            "one_time": request.is_one_time,
+            "prompt": request.prompt,
         }
 
     def prefill(self, runner, request, done):
         """done(trouble, handle, has_begun) with the handle of the memory that the runner holds."""
+
         def check(trouble, document, has_begun):
             if trouble is not None:
                 return done(trouble, None, has_begun)
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -8,8 +8,27 @@
 
 class Runner:
     __slots__ = (
-        "name", "address", "zone", "incarnation", "phase", "queued", "running", "kv_used", "kv_total",
-        "is_leaving", "is_listed", "reported_us", "mark", "is_dark", "is_changing", "fence", "alive_us", "pool", "slots", "is_switching", "silent_us",
+        "name",
+        "address",
+        "zone",
+        "incarnation",
+        "phase",
+        "queued",
+        "running",
+        "kv_used",
+        "kv_total",
+        "is_leaving",
+        "is_listed",
+        "reported_us",
+        "mark",
+        "is_dark",
+        "is_changing",
+        "fence",
+        "alive_us",
+        "pool",
+        "slots",
+        "is_switching",
+        "silent_us",
     )
 
     def __init__(self, name, address, zone, incarnation):
@@ -50,15 +69,34 @@
         self.is_leaving = self.is_leaving or report["is_leaving"]
 
     def is_open(self):
-        return self.is_listed and not self.is_leaving and not self.is_dark and not self.is_changing and not self.is_switching
+        return (
+            self.is_listed
+            and not self.is_leaving
+            and not self.is_dark
+            and not self.is_changing
+            and not self.is_switching
+        )
 
     def as_record(self, now_us):
         return {
-            "name": self.name, "address": self.address, "zone": self.zone, "incarnation": self.incarnation,
-            "pool": self.pool, "slots": self.slots, "is_switching": self.is_switching,
-            "phase": self.phase, "queued": self.queued, "running": self.running, "kv_used": self.kv_used,
-            "kv_total": self.kv_total, "is_leaving": self.is_leaving, "is_listed": self.is_listed,
-            "is_dark": self.is_dark, "is_changing": self.is_changing, "mark": self.mark, "fence": self.fence,
+            "name": self.name,
+            "address": self.address,
+            "zone": self.zone,
+            "incarnation": self.incarnation,
+            "pool": self.pool,
+            "slots": self.slots,
+            "is_switching": self.is_switching,
+            "phase": self.phase,
+            "queued": self.queued,
+            "running": self.running,
+            "kv_used": self.kv_used,
+            "kv_total": self.kv_total,
+            "is_leaving": self.is_leaving,
+            "is_listed": self.is_listed,
+            "is_dark": self.is_dark,
+            "is_changing": self.is_changing,
+            "mark": self.mark,
+            "fence": self.fence,
             "age_us": now_us - self.reported_us if self.reported_us is not None else None,
         }
 
@@ -102,7 +140,9 @@
 
     def is_fresh(self):
         stale_us = self.node.terms.roster_stale_us
-        return self.taken_us is not None and (stale_us is None or self.node.now_us() - self.taken_us <= stale_us)
+        return self.taken_us is not None and (
+            stale_us is None or self.node.now_us() - self.taken_us <= stale_us
+        )
 
     def take(self, document, sent_us):
         place = (document["fence"], document["serial"])
@@ -127,7 +167,9 @@
 
     def _take_record(self, record, now_us):
         runner = self.runners.get(record["name"])
-        if runner is None or self.starts.is_new(runner, record["incarnation"], record["age_us"] is not None):
+        if runner is None or self.starts.is_new(
+            runner, record["incarnation"], record["age_us"] is not None
+        ):
             runner = self.runners[record["name"]] = Runner(
                 record["name"], record["address"], record["zone"], record["incarnation"]
             )
@@ -184,15 +226,22 @@
                 del self.evidence[key]
         alive = [
             [runner.name, runner.incarnation, "alive", now_us - runner.alive_us]
-            for runner in self.runners.values() if self._is_alive_first_hand(runner, now_us)
+            for runner in self.runners.values()
+            if self._is_alive_first_hand(runner, now_us)
         ]
         return [[*key, now_us - seen_us] for key, seen_us in self.evidence.items()] + alive
 
     def open_runners(self):
         """Without the silent ones, where another of the same pool plays the same part."""
         runners = [runner for runner in self.runners.values() if runner.is_open()]
-        silent = [runner for runner in runners if runner.silent_us is not None and self.is_silent(runner)]
+        silent = [
+            runner for runner in runners if runner.silent_us is not None and self.is_silent(runner)
+        ]
         if not silent:
             return runners
         heard = {(runner.pool, runner.phase) for runner in runners if runner not in silent}
-        return [runner for runner in runners if runner not in silent or (runner.pool, runner.phase) not in heard]
+        return [
+            runner
+            for runner in runners
+            if runner not in silent or (runner.pool, runner.phase) not in heard
+        ]
--- a/packages/schema/src/linkhaven/schema/check.py
+++ b/packages/schema/src/linkhaven/schema/check.py
@@ -17,7 +17,9 @@
 @lru_cache(maxsize=64)
 def _validator(name):
     schema = read_schema()
-    return Draft202012Validator({"$ref": f"#/components/schemas/{name}", "components": schema["components"]})
+    return Draft202012Validator(
+        {"$ref": f"#/components/schemas/{name}", "components": schema["components"]}
+    )
 
 
 def list_complaints(name, document):
--- a/packages/schema/src/linkhaven/schema/fields.py
+++ b/packages/schema/src/linkhaven/schema/fields.py
@@ -21,7 +21,9 @@
         if type(value) not in (int, float) or value != value:
             return t.DataError("is not a number")
         if above is not None and value <= above or least is not None and value < least:
-            return t.DataError(f"is not {'above' if above is not None else 'at least'} {above if above is not None else least}")
+            return t.DataError(
+                f"is not {'above' if above is not None else 'at least'} {above if above is not None else least}"
+            )
         if most is not None and value > most:
             return t.DataError(f"is above {most}")
         return value
--- a/packages/simulator/src/linkhaven/simulator/answer.py
+++ b/packages/simulator/src/linkhaven/simulator/answer.py
@@ -12,15 +12,32 @@
     fleet_terms, demand = question["fleet"], question["demand"]
     plan = question["plan"]
     rate = sum(kind["rate"] for kind in demand.values())
-    mix = {kind: (terms["rate"] / rate, terms["prompt_tokens"], terms["answer_tokens"]) for kind, terms in demand.items()}
+    mix = {
+        kind: (terms["rate"] / rate, terms["prompt_tokens"], terms["answer_tokens"])
+        for kind, terms in demand.items()
+    }
     deployment = Deployment(
-        "question", tuple(fleet_terms["zones"]), fleet_terms["routers"], fleet_terms["runners"], fleet_terms["prefills"],
-        plan["groups"], plan["kinds"], mix, rate,
+        "question",
+        tuple(fleet_terms["zones"]),
+        fleet_terms["routers"],
+        fleet_terms["runners"],
+        fleet_terms["prefills"],
+        plan["groups"],
+        plan["kinds"],
+        mix,
+        rate,
     )
     fleet = SimFleet(
-        deployment, question["seed"], plan=plan,
-        speeds=Speeds(prefill_rate=fleet_terms["prefill_tokens_per_s"], step_us=fleet_terms["decode_step_us"]),
-        runner_given={"kv_total": fleet_terms["kv_tokens"], "report_every_us": fleet_terms["report_every_us"]},
+        deployment,
+        question["seed"],
+        plan=plan,
+        speeds=Speeds(
+            prefill_rate=fleet_terms["prefill_tokens_per_s"], step_us=fleet_terms["decode_step_us"]
+        ),
+        runner_given={
+            "kv_total": fleet_terms["kv_tokens"],
+            "report_every_us": fleet_terms["report_every_us"],
+        },
     ).start()
     fleet.comes_back = False
     faults = Faults(fleet)
@@ -48,15 +65,25 @@
     deadlines = {kind: terms["deadline_us"] for kind, terms in kinds.items()}
     return {
         "all": summarise(asked, kinds),
-        "kinds": {kind: summarise([one for one in asked if one.kind == kind], kinds) for kind in fleet.mix},
+        "kinds": {
+            kind: summarise([one for one in asked if one.kind == kind], kinds) for kind in fleet.mix
+        },
         "groups": {
-            group: summarise([one for one in asked if kinds[one.kind]["group"] == group], kinds) for group in fleet.plan["groups"]
+            group: summarise([one for one in asked if kinds[one.kind]["group"] == group], kinds)
+            for group in fleet.plan["groups"]
         },
-        "prefill_runners": sum(phase == "prefill" for phase in phases.values()), "runners": len(phases),
-        "extra_shots": sum(sum(host.node.extra.spent.values()) for host in fleet.routers.values() if host.node),
-        "broken_rules": sorted(judge(
-            fleet.world.record, deadlines=deadlines, margin=fleet.plan["extra"]["margin"],
-        )),
+        "prefill_runners": sum(phase == "prefill" for phase in phases.values()),
+        "runners": len(phases),
+        "extra_shots": sum(
+            sum(host.node.extra.spent.values()) for host in fleet.routers.values() if host.node
+        ),
+        "broken_rules": sorted(
+            judge(
+                fleet.world.record,
+                deadlines=deadlines,
+                margin=fleet.plan["extra"]["margin"],
+            )
+        ),
     }
 
 
@@ -65,24 +92,56 @@
     answers = {"as it is": run_question(question)}
     for name, change in question["what_if"].items():
         answers[name] = run_question(apply_change(question, change))
-    return {"title": question["title"], "seed": question["seed"], "seconds": question["seconds"], "answers": answers}
+    return {
+        "title": question["title"],
+        "seed": question["seed"],
+        "seconds": question["seconds"],
+        "answers": answers,
+    }
 
 
 def write_table(told):
-    head = ("case", "asked", "served", "refused", "troubled", "good", "ttft p50", "ttft p90", "tpot p90", "prefill", "extra")
+    head = (
+        "case",
+        "asked",
+        "served",
+        "refused",
+        "troubled",
+        "good",
+        "ttft p50",
+        "ttft p90",
+        "tpot p90",
+        "prefill",
+        "extra",
+    )
     rows = [head]
     for name, found in told["answers"].items():
         seen = found["all"]
         share = "-" if seen["goodput_share"] is None else f"{seen['goodput_share'] * 100:.1f}%"
-        rows.append((
-            name, seen["asked"], seen["served"], seen["refused"], seen["troubled"] + seen["cut"], share,
-            _ms(seen["ttft_ms"]["p50"]), _ms(seen["ttft_ms"]["p90"]), _ms(seen["tpot_ms"]["p90"]),
-            f"{found['prefill_runners']}/{found['runners']}", found["extra_shots"],
-        ))
+        rows.append(
+            (
+                name,
+                seen["asked"],
+                seen["served"],
+                seen["refused"],
+                seen["troubled"] + seen["cut"],
+                share,
+                _ms(seen["ttft_ms"]["p50"]),
+                _ms(seen["ttft_ms"]["p90"]),
+                _ms(seen["tpot_ms"]["p90"]),
+                f"{found['prefill_runners']}/{found['runners']}",
+                found["extra_shots"],
+            )
+        )
     widths = [max(len(str(row[place])) for row in rows) for place in range(len(head))]
     lines = [f"{told['title']} (seed {told['seed']}, {told['seconds']} s)"]
     for row in rows:
-        lines.append("  ".join(str(cell).ljust(width) if not place else str(cell).rjust(width) for place, (cell, width) in enumerate(zip(row, widths))))
+        lines.append(
+            "  ".join(
+                str(cell).ljust(width) if not place else str(cell).rjust(width)
+                for place, (cell, width) in enumerate(zip(row, widths))
+            )
+        )
     for name, found in told["answers"].items():
         if found["broken_rules"]:
             lines.append(f"{name}: broke {', '.join(found['broken_rules'])}")
--- a/packages/simulator/src/linkhaven/simulator/program.py
+++ b/packages/simulator/src/linkhaven/simulator/program.py
@@ -22,7 +22,10 @@
         document = read_settings(self.argument("file"))
         if self.option("seed"):
             if not self.option("seed").isdigit():
-                raise Trouble("question_invalid", places=[{"place": "--seed", "fault": "is not a whole number"}])
+                raise Trouble(
+                    "question_invalid",
+                    places=[{"place": "--seed", "fault": "is not a whole number"}],
+                )
             document["seed"] = int(self.option("seed"))
         told = answer(read_question(document))
         if self.option("json"):
@@ -47,7 +50,12 @@
 
     def act(self):
         if self.argument("deployment") not in DEPLOYMENTS:
-            raise Trouble("question_invalid", places=[{"place": "deployment", "fault": f"is not one of {', '.join(DEPLOYMENTS)}"}])
+            raise Trouble(
+                "question_invalid",
+                places=[
+                    {"place": "deployment", "fault": f"is not one of {', '.join(DEPLOYMENTS)}"}
+                ],
+            )
         self.show(example_question(self.argument("deployment")))
 
 
--- a/packages/simulator/src/linkhaven/simulator/question.py
+++ b/packages/simulator/src/linkhaven/simulator/question.py
@@ -11,75 +11,122 @@
 
 SECONDS = number(least=0, most=600)
 
-FAULT = t.Dict({
-    t.Key("name"): t.Enum(*ALL),
-    t.Key("at_s"): SECONDS,
-    t.Key("for_s", default=5): SECONDS,
-    t.Key("on", optional=True): t.String(),
-})
-
-DEMAND = t.Dict({
-    t.Key("rate"): number(above=0, most=200),
-    t.Key("prompt_tokens"): whole(1, 100_000),
-    t.Key("answer_tokens"): whole(1, 10_000),
-})
-
-FLEET = t.Dict({
-    t.Key("zones"): t.List(NAME, min_length=1, max_length=20),
-    t.Key("routers"): whole(1, 50),
-    t.Key("runners"): whole(1, 100),
-    t.Key("prefills"): whole(0, 99),
-    t.Key("prefill_tokens_per_s", default=8_000): whole(1),
-    t.Key("decode_step_us", default=16_000): whole(1),
-    t.Key("kv_tokens", default=120_000): whole(1_000),
-    t.Key("report_every_us", default=500_000): whole(1_000),
-})
-
-CHANGE = t.Dict({
-    t.Key("fleet", default=dict): t.Mapping(t.String(), t.Any()),
-    t.Key("demand", default=dict): t.Mapping(NAME, number(least=0, most=100)),
-    t.Key("taichi", default=dict): t.Mapping(t.String(), t.Any()),
-    t.Key("groups", default=dict): t.Mapping(NAME, t.Mapping(t.String(), t.Any())),
-    t.Key("kinds", default=dict): t.Mapping(NAME, t.Mapping(t.String(), t.Any())),
-    t.Key("faults", default=list): t.List(FAULT),
-})
-
-QUESTION = t.Dict({
-    t.Key("title"): t.String(),
-    t.Key("plan"): t.Any(),
-    t.Key("fleet"): FLEET,
-    t.Key("demand"): t.Mapping(NAME, DEMAND),
-    t.Key("seconds", default=30): whole(5, 600),
-    t.Key("seed", default=1): whole(0),
-    t.Key("faults", default=list): t.List(FAULT),
-    t.Key("what_if", default=dict): t.Mapping(t.String(), CHANGE),
-})
+FAULT = t.Dict(
+    {
+        t.Key("name"): t.Enum(*ALL),
+        t.Key("at_s"): SECONDS,
+        t.Key("for_s", default=5): SECONDS,
+        t.Key("on", optional=True): t.String(),
+    }
+)
+
+DEMAND = t.Dict(
+    {
+        t.Key("rate"): number(above=0, most=200),
+        t.Key("prompt_tokens"): whole(1, 100_000),
+        t.Key("answer_tokens"): whole(1, 10_000),
+    }
+)
+
+FLEET = t.Dict(
+    {
+        t.Key("zones"): t.List(NAME, min_length=1, max_length=20),
+        t.Key("routers"): whole(1, 50),
+        t.Key("runners"): whole(1, 100),
+        t.Key("prefills"): whole(0, 99),
+        t.Key("prefill_tokens_per_s", default=8_000): whole(1),
+        t.Key("decode_step_us", default=16_000): whole(1),
+        t.Key("kv_tokens", default=120_000): whole(1_000),
+        t.Key("report_every_us", default=500_000): whole(1_000),
+    }
+)
+
+CHANGE = t.Dict(
+    {
+        t.Key("fleet", default=dict): t.Mapping(t.String(), t.Any()),
+        t.Key("demand", default=dict): t.Mapping(NAME, number(least=0, most=100)),
+        t.Key("taichi", default=dict): t.Mapping(t.String(), t.Any()),
+        t.Key("groups", default=dict): t.Mapping(NAME, t.Mapping(t.String(), t.Any())),
+        t.Key("kinds", default=dict): t.Mapping(NAME, t.Mapping(t.String(), t.Any())),
+        t.Key("faults", default=list): t.List(FAULT),
+    }
+)
+
+QUESTION = t.Dict(
+    {
+        t.Key("title"): t.String(),
+        t.Key("plan"): t.Any(),
+        t.Key("fleet"): FLEET,
+        t.Key("demand"): t.Mapping(NAME, DEMAND),
+        t.Key("seconds", default=30): whole(5, 600),
+        t.Key("seed", default=1): whole(0),
+        t.Key("faults", default=list): t.List(FAULT),
+        t.Key("what_if", default=dict): t.Mapping(t.String(), CHANGE),
+    }
+)
 
 
 def _clashes_of(question, place):
     plan, fleet = question["plan"], question["fleet"]
-    places = [{"place": f"{place}plan/{found['place']}", "fault": found["fault"]} for found in check_plan(plan)]
+    places = [
+        {"place": f"{place}plan/{found['place']}", "fault": found["fault"]}
+        for found in check_plan(plan)
+    ]
     if fleet["prefills"] >= fleet["runners"]:
         places.append({"place": f"{place}fleet/prefills", "fault": "leaves no decode runner"})
-    kinds = plan.get("kinds") if isinstance(plan, dict) and isinstance(plan.get("kinds"), dict) else {}
+    kinds = (
+        plan.get("kinds") if isinstance(plan, dict) and isinstance(plan.get("kinds"), dict) else {}
+    )
     for kind in question["demand"]:
         if kind not in kinds:
-            places.append({"place": f"{place}demand/{kind}", "fault": "the plan names no such kind"})
+            places.append(
+                {"place": f"{place}demand/{kind}", "fault": "the plan names no such kind"}
+            )
     return places + [
-        {"place": f"{place}faults/{number}/on", "fault": f"{fault['name']} cannot strike {fault['on']}"}
-        for number, fault in enumerate(question["faults"]) if "on" in fault and fault["on"] not in _targets_of(fault["name"], question)
+        {
+            "place": f"{place}faults/{number}/on",
+            "fault": f"{fault['name']} cannot strike {fault['on']}",
+        }
+        for number, fault in enumerate(question["faults"])
+        if "on" in fault and fault["on"] not in _targets_of(fault["name"], question)
     ]
 
 
 ZONE_FAULTS = {"cut_zone", "kill_zone", "freeze_zone"}
 DUTY_FAULTS = {"freeze_holder"}
 SEAT_FAULTS = {
-    "kill_core", "freeze_core", "freeze_seat_in_a_put", "empty_core", "exchange_awake_core", "lossy_core", "full_disk",
-    "full_disk_in_a_rejoin", "stall_disk", "stall_disk_in_a_put", "slow_disk", "cut_core", "cut_seat_from_seats",
-    "cut_seat_from_edge", "slow_seat",
+    "kill_core",
+    "freeze_core",
+    "freeze_seat_in_a_put",
+    "empty_core",
+    "exchange_awake_core",
+    "lossy_core",
+    "full_disk",
+    "full_disk_in_a_rejoin",
+    "stall_disk",
+    "stall_disk_in_a_put",
+    "slow_disk",
+    "cut_core",
+    "cut_seat_from_seats",
+    "cut_seat_from_edge",
+    "slow_seat",
+}
+ROUTER_FAULTS = {
+    "kill_router",
+    "freeze_router",
+    "cut_router",
+    "cut_router_one_way",
+    "cut_router_from_core",
+    "jump_clock",
+}
+RUNNER_FAULTS = {
+    "crash_runner",
+    "dark_runner",
+    "freeze_runner",
+    "replace_runner",
+    "rename_runner",
+    "leave_unlisted",
 }
-ROUTER_FAULTS = {"kill_router", "freeze_router", "cut_router", "cut_router_one_way", "cut_router_from_core", "jump_clock"}
-RUNNER_FAULTS = {"crash_runner", "dark_runner", "freeze_runner", "replace_runner", "rename_runner", "leave_unlisted"}
 GROUP_FAULTS = {"remove_group"}
 
 
@@ -106,7 +153,9 @@
     try:
         question = QUESTION.check(document)
     except t.DataError as fault:
-        raise Trouble("question_invalid", places=sorted(list_places(fault), key=lambda place: place["place"])) from None
+        raise Trouble(
+            "question_invalid", places=sorted(list_places(fault), key=lambda place: place["place"])
+        ) from None
     places = _clashes_of(question, "")
     for name, change in question["what_if"].items():
         places += _clashes_of_change(question, name, change)
@@ -119,7 +168,10 @@
     place = f"what_if/{name}/"
     unknown = [kind for kind in change["demand"] if kind not in question["demand"]]
     if unknown:
-        return [{"place": f"{place}demand/{kind}", "fault": "the question has no such demand"} for kind in unknown]
+        return [
+            {"place": f"{place}demand/{kind}", "fault": "the question has no such demand"}
+            for kind in unknown
+        ]
     try:
         FLEET.check({**question["fleet"], **change["fleet"]})
     except t.DataError as fault:
@@ -132,7 +184,9 @@
     changed["fleet"] = FLEET.check({**question["fleet"], **change["fleet"]})
     for kind, factor in change["demand"].items():
         changed["demand"][kind]["rate"] *= factor
-    changed["demand"] = {kind: demand for kind, demand in changed["demand"].items() if demand["rate"] > 0}
+    changed["demand"] = {
+        kind: demand for kind, demand in changed["demand"].items() if demand["rate"] > 0
+    }
     if change["taichi"]:
         changed["plan"]["taichi"] = {**changed["plan"].get("taichi", {}), **change["taichi"]}
     for part in ("groups", "kinds"):
@@ -147,23 +201,48 @@
     """One of the two deployments as a question."""
     deployment = DEPLOYMENTS[name]
     return {
-        "title": f"{name}: the usual day", "plan": deployment.plan(),
-        "fleet": {"zones": list(deployment.zones), "routers": deployment.routers, "runners": deployment.runners, "prefills": deployment.prefills},
+        "title": f"{name}: the usual day",
+        "plan": deployment.plan(),
+        "fleet": {
+            "zones": list(deployment.zones),
+            "routers": deployment.routers,
+            "runners": deployment.runners,
+            "prefills": deployment.prefills,
+        },
         "demand": {
-            kind: {"rate": round(deployment.rate * share, 3), "prompt_tokens": prompt, "answer_tokens": answer}
+            kind: {
+                "rate": round(deployment.rate * share, 3),
+                "prompt_tokens": prompt,
+                "answer_tokens": answer,
+            }
             for kind, (share, prompt, answer) in deployment.mix.items()
         },
-        "seconds": 30, "seed": 1, "faults": [],
+        "seconds": 30,
+        "seed": 1,
+        "faults": [],
         "what_if": {
             "one runner less": {"fleet": {"runners": deployment.runners - 1}},
-            "twice the long work": {"demand": {min(deployment.mix, key=lambda kind: deployment.mix[kind][0]): 2}},
+            "twice the long work": {
+                "demand": {min(deployment.mix, key=lambda kind: deployment.mix[kind][0]): 2}
+            },
             "a third of the credit for the commonest kind": {
                 "groups": {
-                    group: {"credit": {**deployment.groups[group]["credit"], "tokens": deployment.groups[group]["credit"]["tokens"] // 3}}
-                    for group in [deployment.kinds[max(deployment.mix, key=lambda kind: deployment.mix[kind][0])]["group"]]
+                    group: {
+                        "credit": {
+                            **deployment.groups[group]["credit"],
+                            "tokens": deployment.groups[group]["credit"]["tokens"] // 3,
+                        }
+                    }
+                    for group in [
+                        deployment.kinds[
+                            max(deployment.mix, key=lambda kind: deployment.mix[kind][0])
+                        ]["group"]
+                    ]
                 },
             },
-            "a zone cut off": {"faults": [{"name": "cut_zone", "on": deployment.zones[-1], "at_s": 8, "for_s": 8}]},
+            "a zone cut off": {
+                "faults": [{"name": "cut_zone", "on": deployment.zones[-1], "at_s": 8, "for_s": 8}]
+            },
             "a core machine lost": {"faults": [{"name": "empty_core", "on": "b", "at_s": 8}]},
         },
     }
--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -4,7 +4,16 @@
 
 SECOND = 1_000_000
 ANSWER_US = 10_000
-AT_ONCE = ("plan_absent", "unknown_kind", "prompt_too_long", "draining", "too_busy", "queue_full", "bad_request", "not_resumable")
+AT_ONCE = (
+    "plan_absent",
+    "unknown_kind",
+    "prompt_too_long",
+    "draining",
+    "too_busy",
+    "queue_full",
+    "bad_request",
+    "not_resumable",
+)
 CLOSED = ("plan_stale", "roster_stale")
 
 
@@ -99,7 +108,11 @@
             last[id] = facts["number"]
         elif kind == "ended" and facts["how"] == "done":
             id = facts["id"]
-            whole = count_pieces(runs[id], asked[id]["answer_tokens"], terms.get("piece_tokens", 4)) if id in runs else None
+            whole = (
+                count_pieces(runs[id], asked[id]["answer_tokens"], terms.get("piece_tokens", 4))
+                if id in runs
+                else None
+            )
             if facts["count"] != last.get(id, 0) or facts["count"] != whole:
                 yield f"{id} looks complete with {last.get(id, 0)} pieces, told {facts['count']}, whole {whole}"
 
@@ -114,7 +127,9 @@
             owner = issued.get(facts["handle"])
             if owner != (facts["request"], facts["shot"]):
                 yield f"{facts['request']} shot {facts['shot']} was sent with the handle of {owner}"
-        elif kind == "kv" and (facts["wanted"] != facts["got"] or facts["shot"] != facts["got_shot"]):
+        elif kind == "kv" and (
+            facts["wanted"] != facts["got"] or facts["shot"] != facts["got_shot"]
+        ):
             yield f"{facts['runner']} got memory of {facts['got']} for {facts['wanted']}"
 
 
@@ -132,8 +147,13 @@
     """By time of sending, no node offers or orders under an older mark than it used before; and no runner that
     checks takes anything under an older mark than it has seen."""
     sent = [
-        (facts["sent_us"], facts["holder"] if kind == "order" else facts["request"].rsplit("-", 2)[0], facts["mark"])
-        for _, kind, facts in record if kind in ("offered", "order")
+        (
+            facts["sent_us"],
+            facts["holder"] if kind == "order" else facts["request"].rsplit("-", 2)[0],
+            facts["mark"],
+        )
+        for _, kind, facts in record
+        if kind in ("offered", "order")
     ]
     highest = {}
     for sent_us, node, mark in sorted(sent):
@@ -184,7 +204,9 @@
             sent_us = facts["sent_us"]
             if facts["runner"] in leaving and sent_us > leaving[facts["runner"]] + within_us:
                 yield f"{facts['runner']} is leaving since {leaving[facts['runner']]} and was sent {facts['request']} at {sent_us}"
-            told_us = told.get((facts["runner"], facts["incarnation"], facts["request"].rsplit("-", 2)[0]))
+            told_us = told.get(
+                (facts["runner"], facts["incarnation"], facts["request"].rsplit("-", 2)[0])
+            )
             if told_us is not None and sent_us > told_us + ANSWER_US:
                 yield f"{facts['runner']} told its router at {told_us} that it leaves, and was sent {facts['request']} at {sent_us}"
 
@@ -211,7 +233,9 @@
     the order is taken or refused; no runner takes a lower fence than before, not even over a restart; and no duty
     is held by two at once."""
     holders, fences = {}, {}
-    won = [(at_us, facts["fence"]) for at_us, facts in _of(record, "won") if facts["duty"] == "steward"]
+    won = [
+        (at_us, facts["fence"]) for at_us, facts in _of(record, "won") if facts["duty"] == "steward"
+    ]
     won += [(facts["sent_us"], facts["fence"]) for _, facts in _of(record, "order")]
     for at_us, kind, facts in record:
         if kind == "won" and facts["duty"] == "steward":
@@ -238,7 +262,14 @@
             fences[facts["runner"]] = max(fence, fences.get(facts["runner"], 0))
 
 
-def refusals_come_in_time(record, at_once_us=SECOND // 2, claim_us=5 * SECOND // 2, closed_us=11 * SECOND // 5, in_force_us=2 * SECOND, **terms):
+def refusals_come_in_time(
+    record,
+    at_once_us=SECOND // 2,
+    claim_us=5 * SECOND // 2,
+    closed_us=11 * SECOND // 5,
+    in_force_us=2 * SECOND,
+    **terms,
+):
     """What is refused hears so when it is known: at once where only the call was looked at, soon after its router shut
     (a conn still being made has two seconds), never at the deadline for want of credit or behind a closed router."""
     asked, shuts, still = {}, defaultdict(list), _still_spans(record)
@@ -253,13 +284,23 @@
             router = call["router"]
             if facts["code"] == "deadline_unserved" and facts["cause"] in ("credit", "closed"):
                 yield f"{facts['id']} was kept until its deadline for want of {facts['cause']}"
-            if any(from_us < at_us and (until_us is None or until_us > asked_us) for from_us, until_us in still[router]):
+            if any(
+                from_us < at_us and (until_us is None or until_us > asked_us)
+                for from_us, until_us in still[router]
+            ):
                 continue
             known_us = asked_us + at_once_us + (claim_us if call["key"] else 0)
             if facts["code"] in CLOSED:
-                known_us = max([known_us, *[shut_us + closed_us for shut_us in shuts[router] if shut_us < at_us]])
+                known_us = max(
+                    [
+                        known_us,
+                        *[shut_us + closed_us for shut_us in shuts[router] if shut_us < at_us],
+                    ]
+                )
             if facts["code"] == "unknown_kind":
-                known_us = max([known_us, *[acked_us + in_force_us for acked_us in acked if acked_us < at_us]])
+                known_us = max(
+                    [known_us, *[acked_us + in_force_us for acked_us in acked if acked_us < at_us]]
+                )
             if facts["code"] in (*AT_ONCE, *CLOSED) and at_us > known_us:
                 yield f"{facts['id']} was refused with {facts['code']} {at_us - known_us} us later than {router} could know"
 
@@ -281,7 +322,9 @@
             yield f"{facts['id']} was served {call['answer_tokens']} tokens under mark {facts['mark']}, which allows {kind['answer_tokens']}"
 
 
-def work_is_served_again(record, after_us=12 * SECOND, for_us=8 * SECOND, most=0.9, most_of_a_kind=0.5, **terms):
+def work_is_served_again(
+    record, after_us=12 * SECOND, for_us=8 * SECOND, most=0.9, most_of_a_kind=0.5, **terms
+):
     """Past the bound after the last fault closed, most requests are served, and most of each kind. A key that was
     used before is no request of its own, and what a group without credit is refused is not for the fleet to serve."""
     closed = [at_us for at_us, facts in _of(record, "closed")]
@@ -290,7 +333,11 @@
     begin_us = max(closed) + after_us
     asked, served, kinds, keys = set(), set(), defaultdict(set), {}
     for at_us, kind, facts in record:
-        if kind == "asked" and facts["key"] and keys.setdefault(facts["key"], facts["id"]) != facts["id"]:
+        if (
+            kind == "asked"
+            and facts["key"]
+            and keys.setdefault(facts["key"], facts["id"]) != facts["id"]
+        ):
             continue
         if kind == "asked" and begin_us <= at_us < begin_us + for_us and not facts["resume"]:
             asked.add(facts["id"])
@@ -318,10 +365,21 @@
 
 
 CHECKERS = (
-    one_time_work_runs_once, a_refusal_means_not_done, every_caller_hears_back, streams_are_whole, memory_is_never_shared,
-    plans_are_in_force, marks_never_go_back, acknowledged_plans_survive, leaving_runners_get_no_work,
-    extra_shots_keep_to_the_budget, one_holder_orders, work_is_served_again, shares_stay_within_the_allowance,
-    refusals_come_in_time, answers_fit_their_mark,
+    one_time_work_runs_once,
+    a_refusal_means_not_done,
+    every_caller_hears_back,
+    streams_are_whole,
+    memory_is_never_shared,
+    plans_are_in_force,
+    marks_never_go_back,
+    acknowledged_plans_survive,
+    leaving_runners_get_no_work,
+    extra_shots_keep_to_the_budget,
+    one_holder_orders,
+    work_is_served_again,
+    shares_stay_within_the_allowance,
+    refusals_come_in_time,
+    answers_fit_their_mark,
 )
 
 
--- a/packages/stage/src/linkhaven/stage/core.py
+++ b/packages/stage/src/linkhaven/stage/core.py
@@ -18,7 +18,13 @@
         self.machines = {}
         self.terms = {"seats": seats, "alone_us": 1_000_000, **terms}
         self.contacts = []
-        self.platform = Host(self.world, "platform", "z", PLATFORM, lambda host, ports: StandInPlatform(host.name, host.address, ports, 0))
+        self.platform = Host(
+            self.world,
+            "platform",
+            "z",
+            PLATFORM,
+            lambda host, ports: StandInPlatform(host.name, host.address, ports, 0),
+        )
         self.platform.start()
 
     def add(self, name, address=None, bootstrap=False):
@@ -28,13 +34,27 @@
         def build(host, ports):
             terms = Terms(**self.terms, bootstrap=is_first[0])
             is_first[0] = False
-            seeds = [other.address for other in self.machines.values() if other is not host and other.node][:3]
+            seeds = [
+                other.address
+                for other in self.machines.values()
+                if other is not host and other.node
+            ][:3]
             return RegistryNode(
-                host.name, host.address, ports, host.zone, seeds or list(self.contacts), host.wall_us() + host.starts,
-                None, PLATFORM, terms, contacts=self.contacts if terms.bootstrap else (),
+                host.name,
+                host.address,
+                ports,
+                host.zone,
+                seeds or list(self.contacts),
+                host.wall_us() + host.starts,
+                None,
+                PLATFORM,
+                terms,
+                contacts=self.contacts if terms.bootstrap else (),
             )
 
-        host = self.machines[name] = Host(self.world, name, "z", address, build, SimDisk(self.world))
+        host = self.machines[name] = Host(
+            self.world, name, "z", address, build, SimDisk(self.world)
+        )
         return host
 
     def bootstrap(self, count=3, more=0):
@@ -47,7 +67,8 @@
 
     def voting(self):
         return {
-            host.node.seat.seat: name for name, host in self.machines.items()
+            host.node.seat.seat: name
+            for name, host in self.machines.items()
             if host.node and not host.is_frozen and host.node.seat.is_voting
         }
 
@@ -57,7 +78,9 @@
     def put(self, base, revision, document, plan, name=None, wait=True):
         host = self.machines[name] if name else self.machines[next(iter(self.voting().values()))]
         told = []
-        host.node.plan_desk.put_document(base, revision, document, plan, lambda trouble, value: told.append((trouble, value)))
+        host.node.plan_desk.put_document(
+            base, revision, document, plan, lambda trouble, value: told.append((trouble, value))
+        )
         if wait:
             self.world.wait_for(lambda: told, 5_000_000, 10_000)
         return told
--- a/packages/stage/src/linkhaven/stage/faults/__init__.py
+++ b/packages/stage/src/linkhaven/stage/faults/__init__.py
@@ -15,4 +15,14 @@
 
 
 ALL = _named(EdgeFaults) + _named(CoreFaults) + _named(RunnerFaults) + _named(PeopleFaults)
-CORE_FAULTS = {*_named(CoreFaults), "kill_many", "restart_fleet", "kill_zone", "freeze_zone", "cut_zone", "jump_clock", "jump_clocks", "slow_nodes"}
+CORE_FAULTS = {
+    *_named(CoreFaults),
+    "kill_many",
+    "restart_fleet",
+    "kill_zone",
+    "freeze_zone",
+    "cut_zone",
+    "jump_clock",
+    "jump_clocks",
+    "slow_nodes",
+}
--- a/packages/stage/src/linkhaven/stage/faults/base.py
+++ b/packages/stage/src/linkhaven/stage/faults/base.py
@@ -31,15 +31,24 @@
     def _hosts(self):
         fleet = self.fleet
         return {
-            host.name: host for host in
-            [*fleet.registries.values(), *fleet.routers.values(), *fleet.runners.values(), fleet.platform]
+            host.name: host
+            for host in [
+                *fleet.registries.values(),
+                *fleet.routers.values(),
+                *fleet.runners.values(),
+                fleet.platform,
+            ]
         }
 
     def _inside(self):
         return list(self._hosts())
 
     def _in_zone(self, zone):
-        return [host for host in self._hosts().values() if host.zone == zone and host is not self.fleet.platform]
+        return [
+            host
+            for host in self._hosts().values()
+            if host.zone == zone and host is not self.fleet.platform
+        ]
 
     def pick(self, hosts):
         names = sorted(hosts)
@@ -79,8 +88,12 @@
         fleet = self.fleet
         fleet.moved += 1
         new = Host(
-            self.world, f"core-{seat}-{fleet.moved}", zone, f"10.0.1.{fleet.moved}:7000",
-            fleet._build_registry(seat, fleet.live_seeds()), SimDisk(self.world),
+            self.world,
+            f"core-{seat}-{fleet.moved}",
+            zone,
+            f"10.0.1.{fleet.moved}:7000",
+            fleet._build_registry(seat, fleet.live_seeds()),
+            SimDisk(self.world),
         )
         fleet.registries[seat] = new
         new.start()
--- a/packages/stage/src/linkhaven/stage/faults/core.py
+++ b/packages/stage/src/linkhaven/stage/faults/core.py
@@ -43,6 +43,7 @@
 
     def exchange_seeds(self, pause_s=REJOINED_S):
         """The seed machines, which are the core's, are exchanged one after another; settings follow."""
+
         def exchange(seat):
             fleet = self.fleet
             old = fleet.registries[seat]
@@ -135,7 +136,9 @@
 
     def cut_seat_from_seats(self, seat=None):
         lone = self._seat(seat).name
-        self.world.cut([lone], [host.name for host in self.fleet.registries.values() if host.name != lone])
+        self.world.cut(
+            [lone], [host.name for host in self.fleet.registries.values() if host.name != lone]
+        )
         return self.world.heal
 
     def cut_seat_from_edge(self, seat=None):
--- a/packages/stage/src/linkhaven/stage/faults/edge.py
+++ b/packages/stage/src/linkhaven/stage/faults/edge.py
@@ -21,16 +21,23 @@
         """Half the routers, a core seat and a runner at once."""
         fleet = self.fleet
         routers = self.pick_some(fleet.routers, len(fleet.routers) // 2)
-        return self._kill_all([
-            *[fleet.routers[name] for name in routers], fleet.registries[self.pick(fleet.registries)], fleet.runners[self.pick(fleet.runners)],
-        ])
+        return self._kill_all(
+            [
+                *[fleet.routers[name] for name in routers],
+                fleet.registries[self.pick(fleet.registries)],
+                fleet.runners[self.pick(fleet.runners)],
+            ]
+        )
 
     def restart_fleet(self):
         """Every process of ours and every runner at once."""
-        return self._kill_all([host for host in self._hosts().values() if host is not self.fleet.platform])
+        return self._kill_all(
+            [host for host in self._hosts().values() if host is not self.fleet.platform]
+        )
 
     def roll_routers(self, pause_s=2):
         """Every router restarted, one after another."""
+
         def restart(name):
             host = self.fleet.routers[name]
             host.kill()
@@ -63,7 +70,10 @@
 
     def jump_clock(self, name=None, jump_us=5 * SECOND):
         """A machine's clock leaps forward, as if time had passed for nobody else."""
-        nodes = {**self.fleet.routers, **{host.name: host for host in self.fleet.registries.values()}}
+        nodes = {
+            **self.fleet.routers,
+            **{host.name: host for host in self.fleet.registries.values()},
+        }
         host = nodes[name or self.pick(nodes)]
         host.skew_us += jump_us
 
@@ -72,10 +82,17 @@
         off, on nodes, runners and the platform; and a router and a runner start again by those clocks."""
         hosts, dice = self._hosts(), self.world.dice
         for name in self.pick_some(hosts, len(hosts) // 2):
-            hosts[name].wall_skew_us += dice.choice((30 * SECOND, -30 * SECOND, YEAR_US, -self.world.now_us // 2))
-        for name in self.pick_some([*self.fleet.routers, *[host.name for host in self.fleet.registries.values()]], 4):
+            hosts[name].wall_skew_us += dice.choice(
+                (30 * SECOND, -30 * SECOND, YEAR_US, -self.world.now_us // 2)
+            )
+        for name in self.pick_some(
+            [*self.fleet.routers, *[host.name for host in self.fleet.registries.values()]], 4
+        ):
             hosts[name].skew_us += dice.choice((SECOND // 2, 2 * SECOND, 7 * SECOND, 40 * SECOND))
-        router, runner = self.fleet.routers[self.pick(self.fleet.routers)], self.fleet.runners[self.pick(self.fleet.runners)]
+        router, runner = (
+            self.fleet.routers[self.pick(self.fleet.routers)],
+            self.fleet.runners[self.pick(self.fleet.runners)],
+        )
         router.wall_skew_us = runner.wall_skew_us = -3_600 * SECOND
         return self._kill_all([router, runner])
 
--- a/packages/stage/src/linkhaven/stage/faults/people.py
+++ b/packages/stage/src/linkhaven/stage/faults/people.py
@@ -25,9 +25,14 @@
     def swing_mix(self):
         """Long prompts, then long answers, then the usual mix."""
         fleet, usual = self.fleet, dict(self.fleet.mix)
-        longest, commonest = max(usual, key=lambda kind: usual[kind][1]), max(usual, key=lambda kind: usual[kind][0])
+        longest, commonest = (
+            max(usual, key=lambda kind: usual[kind][1]),
+            max(usual, key=lambda kind: usual[kind][0]),
+        )
         mix = fleet.mix = {**usual, longest: (0.5, usual[longest][1], 40)}
-        self.world.after(4_000_000, lambda: mix.update({longest: usual[longest], commonest: (0.9, 200, 400)}))
+        self.world.after(
+            4_000_000, lambda: mix.update({longest: usual[longest], commonest: (0.9, 200, 400)})
+        )
 
         def calm():
             fleet.mix = usual
@@ -37,18 +42,28 @@
     def collide_plans(self):
         """Two operators put at once, through two seats."""
         mark = self.fleet.acked_mark()
-        live = [seat for seat, host in self.fleet.registries.items() if host.node and not host.is_still] or ["a"]
+        live = [
+            seat for seat, host in self.fleet.registries.items() if host.node and not host.is_still
+        ] or ["a"]
         for operator in (0, 1):
-            self.fleet.put_plan(self._other_plan(operator), mark, live[operator % len(live)], operator)
+            self.fleet.put_plan(
+                self._other_plan(operator), mark, live[operator % len(live)], operator
+            )
         return self._restore
 
     def burst_plans(self, count=4):
         """One operator puts plan after plan, all of them different, each as soon as the one before is answered."""
+
         def put(left, mark):
             if left:
                 self.fleet.put_plan(
-                    self._other_plan(left), mark, None, 0,
-                    lambda status, document: put(left - 1, document["mark"]) if status == 200 else None,
+                    self._other_plan(left),
+                    mark,
+                    None,
+                    0,
+                    lambda status, document: (
+                        put(left - 1, document["mark"]) if status == 200 else None
+                    ),
                 )
 
         put(count, self.fleet.acked_mark())
@@ -58,10 +73,18 @@
         """A plan without one group and its kinds, while its work is queued."""
         plan = self.fleet.plan
         name = name or self.pick(plan["groups"])
-        self.fleet.put_plan({
-            **plan, "groups": {group: terms for group, terms in plan["groups"].items() if group != name},
-            "kinds": {kind: terms for kind, terms in plan["kinds"].items() if terms["group"] != name},
-        }, self.fleet.acked_mark())
+        self.fleet.put_plan(
+            {
+                **plan,
+                "groups": {
+                    group: terms for group, terms in plan["groups"].items() if group != name
+                },
+                "kinds": {
+                    kind: terms for kind, terms in plan["kinds"].items() if terms["group"] != name
+                },
+            },
+            self.fleet.acked_mark(),
+        )
         return self._restore
 
     def _other_plan(self, turn):
@@ -70,11 +93,22 @@
         return {
             **plan,
             "groups": {
-                name: {**terms, "weight": 1.0 + turn, "credit": {**terms["credit"], "tokens": int(terms["credit"]["tokens"] * (0.6 + 0.1 * turn))}}
+                name: {
+                    **terms,
+                    "weight": 1.0 + turn,
+                    "credit": {
+                        **terms["credit"],
+                        "tokens": int(terms["credit"]["tokens"] * (0.6 + 0.1 * turn)),
+                    },
+                }
                 for name, terms in plan["groups"].items()
             },
             "kinds": {
-                name: {**terms, "ttft_us": int(terms["ttft_us"] * (0.8 + 0.1 * turn)), "answer_tokens": terms["answer_tokens"] + turn}
+                name: {
+                    **terms,
+                    "ttft_us": int(terms["ttft_us"] * (0.8 + 0.1 * turn)),
+                    "answer_tokens": terms["answer_tokens"] + turn,
+                }
                 for name, terms in plan["kinds"].items()
             },
         }
