--- a/packages/stage/src/linkhaven/stage/faults/runners.py
+++ b/packages/stage/src/linkhaven/stage/faults/runners.py
@@ -60,7 +60,11 @@
 
     def roll_runners(self, pause_s=4):
         """Every runner replaced, one after another."""
-        self._each_in_turn(sorted(self.fleet.runners), pause_s * SECOND, lambda name: self.replace_runner(name, leave_s=pause_s - 1))
+        self._each_in_turn(
+            sorted(self.fleet.runners),
+            pause_s * SECOND,
+            lambda name: self.replace_runner(name, leave_s=pause_s - 1),
+        )
 
     def rename_runner(self, name=None):
         """A runner is gone from one moment to the next, and another stands under its name at a new address."""
@@ -118,7 +122,9 @@
     def slow_pair(self, slowness=400.0):
         """The link from one reading runner to one decoding runner."""
         decoding = [node for node in self._nodes() if node.phase == "decode"]
-        return self._set(self._reading()[:1], slow_to={node.name: slowness for node in decoding[:1]})
+        return self._set(
+            self._reading()[:1], slow_to={node.name: slowness for node in decoding[:1]}
+        )
 
     def garble_streams(self, how="skip"):
         return self._set(self._nodes(), garble=how)
--- a/packages/stage/src/linkhaven/stage/fleet.py
+++ b/packages/stage/src/linkhaven/stage/fleet.py
@@ -21,7 +21,17 @@
 
 
 class Deployment:
-    __slots__ = ("name", "zones", "routers", "runners", "prefills", "kinds", "groups", "mix", "rate")
+    __slots__ = (
+        "name",
+        "zones",
+        "routers",
+        "runners",
+        "prefills",
+        "kinds",
+        "groups",
+        "mix",
+        "rate",
+    )
 
     def __init__(self, name, zones, routers, runners, prefills, groups, kinds, mix, rate):
         self.name = name
@@ -36,8 +46,10 @@
 
     def plan(self, **changed):
         plan = {
-            "groups": self.groups, "kinds": self.kinds,
-            "fleet": {"routers": self.routers}, "extra": {"share": 0.2, "margin": self.routers},
+            "groups": self.groups,
+            "kinds": self.kinds,
+            "fleet": {"routers": self.routers},
+            "extra": {"share": 0.2, "margin": self.routers},
         }
         plan.update(changed)
         return plan
@@ -45,8 +57,13 @@
 
 def _kind(group, ttft_s, tpot_ms, deadline_s, prompt, answer, **more):
     return {
-        "group": group, "ttft_us": int(ttft_s * SECOND), "tpot_us": tpot_ms * 1000, "deadline_us": deadline_s * SECOND,
-        "prompt_tokens": prompt, "answer_tokens": answer, **more,
+        "group": group,
+        "ttft_us": int(ttft_s * SECOND),
+        "tpot_us": tpot_ms * 1000,
+        "deadline_us": deadline_s * SECOND,
+        "prompt_tokens": prompt,
+        "answer_tokens": answer,
+        **more,
     }
 
 
@@ -55,26 +72,42 @@
 
 
 LICENSING = Deployment(
-    "licensing", ("ba-dinh", "cau-giay", "long-bien"), 7, 5, 2,
+    "licensing",
+    ("ba-dinh", "cau-giay", "long-bien"),
+    7,
+    5,
+    2,
     {"audit": _group(300_000), "seats": _group(200_000), "entitlement": _group(100_000)},
     {
         "audit-digest": _kind("audit", 4, 60, 60, 16_000, 800, resumable=True),
         "seat-question": _kind("seats", 1.5, 60, 30, 4_000, 400, resumable=True),
         "entitlement-check": _kind("entitlement", 1, 80, 10, 2_000, 8, repeatable=False),
     },
-    {"seat-question": (0.6, 400, 120), "entitlement-check": (0.3, 300, 4), "audit-digest": (0.1, 6_000, 400)},
+    {
+        "seat-question": (0.6, 400, 120),
+        "entitlement-check": (0.3, 300, 4),
+        "audit-digest": (0.1, 6_000, 400),
+    },
     6.0,
 )
 
 ARCHIVE = Deployment(
-    "archive", ("north-quay", "harbour", "east-shore", "island"), 9, 9, 3,
+    "archive",
+    ("north-quay", "harbour", "east-shore", "island"),
+    9,
+    9,
+    3,
     {"faculty": _group(600_000), "editors": _group(400_000), "voices": _group(200_000)},
     {
         "lecture-summary": _kind("faculty", 5, 60, 60, 16_000, 800, resumable=True),
         "chapter-heading": _kind("editors", 1.5, 60, 30, 4_000, 400, resumable=True),
         "voice-flag": _kind("voices", 1, 80, 10, 2_000, 8, repeatable=False),
     },
-    {"chapter-heading": (0.6, 400, 120), "voice-flag": (0.3, 300, 4), "lecture-summary": (0.1, 6_000, 400)},
+    {
+        "chapter-heading": (0.6, 400, 120),
+        "voice-flag": (0.3, 300, 4),
+        "lecture-summary": (0.1, 6_000, 400),
+    },
     12.0,
 )
 
@@ -85,12 +118,43 @@
     """A whole deployment in a simulated world: core, edge, runners, platform, callers and operators."""
 
     __slots__ = (
-        "world", "deployment", "registries", "routers", "runners", "platform", "caller", "operators", "seeds",
-        "is_loading", "load_dice", "runner_given", "prompts", "moved", "rate", "mix", "speeds", "plan", "former", "phases",
-        "keyed", "crowded", "gone", "returned", "comes_back",
+        "world",
+        "deployment",
+        "registries",
+        "routers",
+        "runners",
+        "platform",
+        "caller",
+        "operators",
+        "seeds",
+        "is_loading",
+        "load_dice",
+        "runner_given",
+        "prompts",
+        "moved",
+        "rate",
+        "mix",
+        "speeds",
+        "plan",
+        "former",
+        "phases",
+        "keyed",
+        "crowded",
+        "gone",
+        "returned",
+        "comes_back",
     )
 
-    def __init__(self, deployment, seed, speeds=None, runner_given=None, plan=None, routers=None, platform_lag_us=500_000):
+    def __init__(
+        self,
+        deployment,
+        seed,
+        speeds=None,
+        runner_given=None,
+        plan=None,
+        routers=None,
+        platform_lag_us=500_000,
+    ):
         self.world = World(seed)
         self.load_dice = random.Random(seed)
         self.deployment = deployment
@@ -114,18 +178,31 @@
         self.routers = {}
         self.runners = {}
         self.seeds = [f"10.0.0.{place + 1}:7000" for place in range(3)]
-        self.platform = self._host("platform", zones[0], "10.9.0.1:80", self._build_platform(platform_lag_us))
+        self.platform = self._host(
+            "platform", zones[0], "10.9.0.1:80", self._build_platform(platform_lag_us)
+        )
         for place, seat in enumerate("abc"):
             self.registries[seat] = self._host(
-                f"core-{seat}", zones[place % len(zones)], self.seeds[place], self._build_registry(seat), SimDisk(self.world)
+                f"core-{seat}",
+                zones[place % len(zones)],
+                self.seeds[place],
+                self._build_registry(seat),
+                SimDisk(self.world),
             )
         for place in range(routers or deployment.routers):
             name = f"edge-{place + 1}"
-            self.routers[name] = self._host(name, zones[place % len(zones)], f"10.1.0.{place + 1}:7000", self._build_router)
+            self.routers[name] = self._host(
+                name, zones[place % len(zones)], f"10.1.0.{place + 1}:7000", self._build_router
+            )
         for place in range(deployment.runners):
-            self._add_runner(f"runner-{place + 1}", zones[place % len(zones)], f"10.2.0.{place + 1}:80")
+            self._add_runner(
+                f"runner-{place + 1}", zones[place % len(zones)], f"10.2.0.{place + 1}:80"
+            )
         self.caller = self._host("callers", "outside", "10.8.0.1:1", self._build_caller)
-        self.operators = [self._host(f"operator-{n}", zones[0], f"10.8.1.{n}:1", self._build_operator) for n in (1, 2)]
+        self.operators = [
+            self._host(f"operator-{n}", zones[0], f"10.8.1.{n}:1", self._build_operator)
+            for n in (1, 2)
+        ]
 
     def _host(self, name, zone, address, build, disk=None):
         return Host(self.world, name, zone, address, build, disk)
@@ -133,8 +210,16 @@
     def _build_registry(self, seat, seeds=None):
         def build(host, ports):
             return RegistryNode(
-                host.name, host.address, ports, host.zone, seeds or self.seeds, host.wall_us() + host.starts, seat, self.platform.address,
+                host.name,
+                host.address,
+                ports,
+                host.zone,
+                seeds or self.seeds,
+                host.wall_us() + host.starts,
+                seat,
+                self.platform.address,
             )
+
         return build
 
     def live_seeds(self):
@@ -143,7 +228,9 @@
         return [host.address for host in hosts if host.node][:3]
 
     def _build_router(self, host, ports):
-        return RouterNode(host.name, host.address, ports, host.zone, self.seeds, host.wall_us() + host.starts)
+        return RouterNode(
+            host.name, host.address, ports, host.zone, self.seeds, host.wall_us() + host.starts
+        )
 
     def _build_platform(self, lag_us):
         return lambda host, ports: StandInPlatform(host.name, host.address, ports, lag_us)
@@ -155,14 +242,30 @@
 
     def _build_runner(self, host, ports):
         place = int(host.name.rpartition("-")[2])
-        phase = self.phases.get(host.name) or ("prefill" if place <= self.deployment.prefills else "decode")
+        phase = self.phases.get(host.name) or (
+            "prefill" if place <= self.deployment.prefills else "decode"
+        )
         return StandInRunner(
-            host.name, host.address, ports, host.wall_us() + host.starts, phase, record=self.world.note, speeds=self.speeds,
-            die=host.kill, **self.runner_given
+            host.name,
+            host.address,
+            ports,
+            host.wall_us() + host.starts,
+            phase,
+            record=self.world.note,
+            speeds=self.speeds,
+            die=host.kill,
+            **self.runner_given,
         )
 
     def _build_caller(self, host, ports):
-        return Caller(host.name, host.address, ports, self.world.note, self.deployment.kinds, on_end=self._hear_end)
+        return Caller(
+            host.name,
+            host.address,
+            ports,
+            self.world.note,
+            self.deployment.kinds,
+            on_end=self._hear_end,
+        )
 
     def _build_operator(self, host, ports):
         return Operator(host.name, host.address, ports, self.world.note)
@@ -176,22 +279,38 @@
                 continue
             before = self.platform.node.now().get(name)
             listed[name] = {
-                "name": name, "address": host.address, "zone": host.zone,
+                "name": name,
+                "address": host.address,
+                "zone": host.zone,
                 "incarnation": host.node.incarnation if host.node else before["incarnation"],
-                "state": states.get(name.replace("-", "_"), "leaving" if host.node and host.node.is_leaving else "serving"),
+                "state": states.get(
+                    name.replace("-", "_"),
+                    "leaving" if host.node and host.node.is_leaving else "serving",
+                ),
             }
         self.world.note(
-            "listed", runners={name: record["state"] for name, record in listed.items()}, lag_us=self.platform.node.lag_us,
+            "listed",
+            runners={name: record["state"] for name, record in listed.items()},
+            lag_us=self.platform.node.lag_us,
         )
         self.platform.node.set(listed, at_once)
 
     def start(self, ready=True):
-        for host in [self.platform, *self.runners.values(), *self.registries.values(), *self.routers.values(), self.caller, *self.operators]:
+        for host in [
+            self.platform,
+            *self.runners.values(),
+            *self.registries.values(),
+            *self.routers.values(),
+            self.caller,
+            *self.operators,
+        ]:
             host.start()
         self.list_runners(at_once=True)
         if not ready:
             return self
-        if not self.world.wait_for(lambda: any(host.node.seat.is_voting for host in self.registries.values())):
+        if not self.world.wait_for(
+            lambda: any(host.node.seat.is_voting for host in self.registries.values())
+        ):
             raise AssertionError("no seat votes")
         self.world.run_for(SECOND)
         self.put_plan(self.plan, 0)
@@ -204,7 +323,11 @@
         return all(any(node.duties[duty].is_held() for node in nodes) for duty in DUTIES)
 
     def is_ready(self):
-        return all(host.node.may_start() for host in self.routers.values() if host.node and not host.is_frozen)
+        return all(
+            host.node.may_start()
+            for host in self.routers.values()
+            if host.node and not host.is_frozen
+        )
 
     def live_registry(self):
         for host in self.registries.values():
@@ -213,7 +336,9 @@
         return self.registries["a"]
 
     def acked_mark(self):
-        return max([facts["mark"] for _, kind, facts in self.world.record if kind == "acked"], default=0)
+        return max(
+            [facts["mark"] for _, kind, facts in self.world.record if kind == "acked"], default=0
+        )
 
     def put_plan(self, plan, expect, seat=None, operator=0, done=None):
         registry = self.registries[seat] if seat else self.live_registry()
@@ -224,15 +349,21 @@
         if host.node is not None:
             self.gone.pop(host.name, None)
             return True
-        return self.world.now_us - self.gone.setdefault(host.name, self.world.now_us) < LISTED_LATE_US
+        return (
+            self.world.now_us - self.gone.setdefault(host.name, self.world.now_us) < LISTED_LATE_US
+        )
 
     def pick_routers(self):
         """Callers are sent to the nearest routers: those of their own zone while they stand, then the next zone's."""
         zones = list(self.deployment.zones)
-        home = self.load_dice.choices(range(len(zones)), [1 + self.crowded.get(zone, 0) for zone in zones])[0]
+        home = self.load_dice.choices(
+            range(len(zones)), [1 + self.crowded.get(zone, 0) for zone in zones]
+        )[0]
         near = []
         for zone in zones[home:] + zones[:home]:
-            hosts = [host for host in self.routers.values() if host.zone == zone and self._stands(host)]
+            hosts = [
+                host for host in self.routers.values() if host.zone == zone and self._stands(host)
+            ]
             self.load_dice.shuffle(hosts)
             near += hosts
         near = near or list(self.routers.values())
@@ -240,13 +371,23 @@
 
     def _hear_end(self, asked):
         """A caller that was refused comes back when it was told to, once."""
-        if not self.comes_back or asked.how != "refused" or not asked.retry_s or asked.id in self.returned or not self.is_loading:
+        if (
+            not self.comes_back
+            or asked.how != "refused"
+            or not asked.retry_s
+            or asked.id in self.returned
+            or not self.is_loading
+        ):
             return
 
         def come_back():
             if not self.is_loading:
                 return
-            again = self.ask(asked.kind, tokens=len(read_json(asked.body)["prompt"]) // 4, key=asked.headers.get("idempotency-key"))
+            again = self.ask(
+                asked.kind,
+                tokens=len(read_json(asked.body)["prompt"]) // 4,
+                key=asked.headers.get("idempotency-key"),
+            )
             self.returned.add(again.id)
 
         if asked.retry_s <= COME_BACK_MOST_S:
@@ -260,7 +401,11 @@
     def ask(self, kind, routers=None, key=None, tokens=None, answer=None):
         _, prompt_tokens, answer_tokens = self.mix.get(kind) or self.deployment.mix[kind]
         return self.caller.node.ask(
-            kind, self.prompt(tokens or prompt_tokens, kind), answer or answer_tokens, routers or self.pick_routers(), key,
+            kind,
+            self.prompt(tokens or prompt_tokens, kind),
+            answer or answer_tokens,
+            routers or self.pick_routers(),
+            key,
         )
 
     def _pick_kind(self):
@@ -302,11 +447,17 @@
     def settle(self, most_s=75):
         self.stop_load()
         asked = self.caller.node.asked
-        return self.world.wait_for(lambda: all(one.ended_us is not None for one in asked.values()), most_s * SECOND)
+        return self.world.wait_for(
+            lambda: all(one.ended_us is not None for one in asked.values()), most_s * SECOND
+        )
 
     def summary(self, since_us=0, until_us=None):
         return summarise(
-            [one for one in self.caller.node.asked.values() if since_us <= one.asked_us < (until_us or self.world.now_us + 1)],
+            [
+                one
+                for one in self.caller.node.asked.values()
+                if since_us <= one.asked_us < (until_us or self.world.now_us + 1)
+            ],
             self.deployment.kinds,
         )
 
@@ -321,9 +472,24 @@
 def summarise(asked, kinds):
     """A call with a key that was used before is told so, and counts for nothing else."""
     asked = [one for one in asked if one.code != "key_used"]
-    counts = {"asked": len(asked), "served": 0, "refused": 0, "troubled": 0, "cut": 0, "waiting": 0, "good": 0}
+    counts = {
+        "asked": len(asked),
+        "served": 0,
+        "refused": 0,
+        "troubled": 0,
+        "cut": 0,
+        "waiting": 0,
+        "good": 0,
+    }
     ttfts, tpots, codes = [], [], {}
-    places = {"done": "served", "refused": "refused", "trouble": "troubled", "cut": "cut", "unmade": "refused", None: "waiting"}
+    places = {
+        "done": "served",
+        "refused": "refused",
+        "trouble": "troubled",
+        "cut": "cut",
+        "unmade": "refused",
+        None: "waiting",
+    }
     for one in asked:
         place = places.get(one.how if one.ended_us is not None else None, "troubled")
         counts[place] += 1
@@ -333,13 +499,23 @@
             continue
         kind = kinds[one.kind]
         ttft_us = one.first_us - one.asked_us
-        tpot_us = (one.ended_us - one.first_us) / max(1, one.tokens - one.tokens // max(1, one.pieces))
+        tpot_us = (one.ended_us - one.first_us) / max(
+            1, one.tokens - one.tokens // max(1, one.pieces)
+        )
         ttfts.append(ttft_us)
         tpots.append(tpot_us)
         if ttft_us <= kind["ttft_us"] and tpot_us <= kind["tpot_us"]:
             counts["good"] += 1
     return {
-        **counts, "codes": codes, "goodput_share": round(counts["good"] / len(asked), 4) if asked else None,
-        "ttft_ms": {f"p{int(share * 100)}": ttfts and int(percentile(ttfts, share) / 1000) for share in (0.5, 0.9, 0.99)},
-        "tpot_ms": {f"p{int(share * 100)}": tpots and int(percentile(tpots, share) / 1000) for share in (0.5, 0.9, 0.99)},
+        **counts,
+        "codes": codes,
+        "goodput_share": round(counts["good"] / len(asked), 4) if asked else None,
+        "ttft_ms": {
+            f"p{int(share * 100)}": ttfts and int(percentile(ttfts, share) / 1000)
+            for share in (0.5, 0.9, 0.99)
+        },
+        "tpot_ms": {
+            f"p{int(share * 100)}": tpots and int(percentile(tpots, share) / 1000)
+            for share in (0.5, 0.9, 0.99)
+        },
     }
--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -30,7 +30,13 @@
         self.name = name
         self.lines = []
         self.seen = threading.Condition()
-        self.process = subprocess.Popen(command, stdin=subprocess.DEVNULL, stdout=subprocess.DEVNULL, stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            command,
+            stdin=subprocess.DEVNULL,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         self.thread = threading.Thread(target=self._read, args=(log_path,), daemon=True)
         self.thread.start()
 
@@ -51,9 +57,13 @@
 
     def wait_event(self, number, seconds=READY_S, times=1):
         with self.seen:
-            is_seen = self.seen.wait_for(lambda: self.count(number) >= times or self.process.poll() is not None, seconds)
+            is_seen = self.seen.wait_for(
+                lambda: self.count(number) >= times or self.process.poll() is not None, seconds
+            )
         if not is_seen or self.count(number) < times:
-            raise RuntimeError(f"{self.name} did not report event {number}: {''.join(self.lines[-5:])}")
+            raise RuntimeError(
+                f"{self.name} did not report event {number}: {''.join(self.lines[-5:])}"
+            )
 
     def stop(self):
         if self.process.poll() is None:
@@ -70,7 +80,20 @@
 class LoopbackFleet:
     """A whole deployment as processes on loopback. A test tool: the one thing here that starts processes."""
 
-    __slots__ = ("deployment", "folder", "port", "processes", "registries", "routers", "runners", "platform", "seeds", "runner_words", "given", "core_settings")
+    __slots__ = (
+        "deployment",
+        "folder",
+        "port",
+        "processes",
+        "registries",
+        "routers",
+        "runners",
+        "platform",
+        "seeds",
+        "runner_words",
+        "given",
+        "core_settings",
+    )
 
     def __init__(self, deployment, folder, port, runner_words=(), core_settings=None):
         self.core_settings = core_settings or {}
@@ -112,24 +135,52 @@
             phase = "prefill" if place < self.deployment.prefills else "decode"
             self.runners[name] = address
             zone = zones[place % len(zones)]
-            self._run(name, "linkhaven-stage", "runner", "--name", name, "--http", address, "--phase", phase, *self.runner_words)
+            self._run(
+                name,
+                "linkhaven-stage",
+                "runner",
+                "--name",
+                name,
+                "--http",
+                address,
+                "--phase",
+                phase,
+                *self.runner_words,
+            )
             listed += ["--runner", f"{name}={address}={zone}"]
         self._run("platform", "linkhaven-stage", "platform", "--http", self.platform, *listed)
         for place, seat in enumerate("abc"):
             name = f"core-{seat}"
             self.registries[name] = self._address(11 + place)
-            self._serve(name, "linkhaven-registry", {
-                "name": name, "zone": zones[place % len(zones)], "lines": self.seeds[place], "http": self.registries[name],
-                "seeds": self.seeds, "seat": seat, "platform": self.platform, "data": os.path.join(self.folder, f"{name}-data"),
-                **self.core_settings.get(name, {}),
-            })
+            self._serve(
+                name,
+                "linkhaven-registry",
+                {
+                    "name": name,
+                    "zone": zones[place % len(zones)],
+                    "lines": self.seeds[place],
+                    "http": self.registries[name],
+                    "seeds": self.seeds,
+                    "seat": seat,
+                    "platform": self.platform,
+                    "data": os.path.join(self.folder, f"{name}-data"),
+                    **self.core_settings.get(name, {}),
+                },
+            )
         for place in range(self.deployment.routers):
             name = f"edge-{place + 1}"
             self.routers[name] = self._address(41 + place)
-            self._serve(name, "linkhaven-router", {
-                "name": name, "zone": zones[place % len(zones)], "lines": self._address(21 + place), "http": self.routers[name],
-                "seeds": self.seeds,
-            })
+            self._serve(
+                name,
+                "linkhaven-router",
+                {
+                    "name": name,
+                    "zone": zones[place % len(zones)],
+                    "lines": self._address(21 + place),
+                    "http": self.routers[name],
+                    "seeds": self.seeds,
+                },
+            )
         for name in self.registries:
             self.processes[name].wait_event(1202)
         return self
@@ -137,7 +188,12 @@
     def put_plan(self, plan, expect):
         for address in [*self.registries.values()] * 3:
             try:
-                return call_json(address, "PUT", "/v1/plan", {"expect": expect, "put_id": f"fleet-{expect}", "plan": plan})
+                return call_json(
+                    address,
+                    "PUT",
+                    "/v1/plan",
+                    {"expect": expect, "put_id": f"fleet-{expect}", "plan": plan},
+                )
             except Trouble as trouble:
                 if trouble.done != "no" or trouble.code == "mark_conflict":
                     raise
@@ -171,7 +227,22 @@
 class LoadRun:
     """A bounded load of callers on one loop, against routers on real sockets."""
 
-    __slots__ = ("deployment", "routers", "rate", "seconds", "dice", "caller", "shell", "prompts", "end_us", "stop_us", "left", "record", "only", "keyed")
+    __slots__ = (
+        "deployment",
+        "routers",
+        "rate",
+        "seconds",
+        "dice",
+        "caller",
+        "shell",
+        "prompts",
+        "end_us",
+        "stop_us",
+        "left",
+        "record",
+        "only",
+        "keyed",
+    )
 
     def __init__(self, deployment, routers, rate, seconds, seed, record=None, only=None):
         self.deployment = deployment
@@ -187,7 +258,9 @@
         self.shell = Shell("callers", None, None, self._build, level="warning")
 
     def _build(self, ports, incarnation):
-        self.caller = Caller("callers", "", ports, self.record, self.deployment.kinds, on_end=self._note_end)
+        self.caller = Caller(
+            "callers", "", ports, self.record, self.deployment.kinds, on_end=self._note_end
+        )
         self.caller.systems.append(self._watch)
         return self.caller
 
@@ -248,7 +321,9 @@
 
 def measure_overhead(folder, port, count):
     """Pairs of calls, straight to a runner and through a router, in turn, on an otherwise idle fleet."""
-    mini = Deployment("mini", ("one",), 1, 1, 0, LICENSING.groups, LICENSING.kinds, LICENSING.mix, 1.0)
+    mini = Deployment(
+        "mini", ("one",), 1, 1, 0, LICENSING.groups, LICENSING.kinds, LICENSING.mix, 1.0
+    )
     fleet = LoopbackFleet(mini, folder, port, ("--fast",))
     prompt, pairs = make_prompt(400), []
     try:
@@ -257,9 +332,20 @@
         fleet.wait_ready()
         router, runner = fleet.routers["edge-1"], fleet.runners["runner-1"]
         for number in range(count + 10):
-            ask = {"request": f"direct-{number}", "shot": 1, "mark": 1, "one_time": False, "prompt": prompt, "answer_tokens": 40}
+            ask = {
+                "request": f"direct-{number}",
+                "shot": 1,
+                "mark": 1,
+                "one_time": False,
+                "prompt": prompt,
+                "answer_tokens": 40,
+            }
             straight = time_call(runner, "/v1/decode", ask)
-            routed = time_call(router, "/v1/requests", {"kind": "seat-question", "prompt": prompt, "answer_tokens": 40})
+            routed = time_call(
+                router,
+                "/v1/requests",
+                {"kind": "seat-question", "prompt": prompt, "answer_tokens": 40},
+            )
             if number >= 10:
                 pairs.append((straight, routed))
     finally:
@@ -270,7 +356,8 @@
         row[name] = {
             "straight_us_median": percentile([straight[place] for straight, _ in pairs], 0.5),
             "routed_us_median": percentile([routed[place] for _, routed in pairs], 0.5),
-            "added_us_median": percentile(gaps, 0.5), "added_us_p90": percentile(gaps, 0.9),
+            "added_us_median": percentile(gaps, 0.5),
+            "added_us_p90": percentile(gaps, 0.9),
         }
     return row
 
@@ -294,7 +381,9 @@
             run.record(kinds[deed], node=name, address=fleet.routers.get(name))
 
     for second, deed, name in steps:
-        run.shell.ticker.call_in(int(second * 1_000_000), lambda deed=deed, name=name: take(deed, name))
+        run.shell.ticker.call_in(
+            int(second * 1_000_000), lambda deed=deed, name=name: take(deed, name)
+        )
 
 
 def judge_callers(record, kinds):
@@ -319,7 +408,11 @@
         fleet.wait_ready()
         ready_s = time.monotonic() - begun
         run = LoadRun(
-            deployment, fleet.routers.values(), rate, seconds, seed,
+            deployment,
+            fleet.routers.values(),
+            rate,
+            seconds,
+            seed,
             lambda kind, /, **facts: record.append((run.shell.ticker.now_us(), kind, facts)),
         )
         if has_faults:
@@ -328,4 +421,12 @@
     finally:
         codes = fleet.stop()
     told["broken_rules"] = judge_callers(record, deployment.kinds)
-    return {"deployment": deployment.name, "seed": seed, "rate": rate, "seconds": seconds, "ready_s": round(ready_s, 1), **told, "exit_codes": sorted(set(codes.values()))}
+    return {
+        "deployment": deployment.name,
+        "seed": seed,
+        "rate": rate,
+        "seconds": seconds,
+        "ready_s": round(ready_s, 1),
+        **told,
+        "exit_codes": sorted(set(codes.values())),
+    }
--- a/packages/stage/src/linkhaven/stage/measure.py
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -20,7 +20,11 @@
         return Decision(candidates, candidates[self.node.ports.dice.randrange(len(candidates))])
 
     def choose_decode(self, without=(), source=None, tokens=0, pool=None):
-        runners = [runner for runner in self.roster.open_runners() if runner.phase != PREFILL and runner.name not in without]
+        runners = [
+            runner
+            for runner in self.roster.open_runners()
+            if runner.phase != PREFILL and runner.name not in without
+        ]
         return runners[self.node.ports.dice.randrange(len(runners))] if runners else None
 
 
@@ -31,7 +35,9 @@
 
     def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
         candidates = super().weigh(work, ttft_us, without, room_us, is_overdue)
-        return [candidate for candidate in candidates if candidate.runner.phase == PREFILL] or candidates
+        return [
+            candidate for candidate in candidates if candidate.runner.phase == PREFILL
+        ] or candidates
 
 
 POLICIES = {"taichi": Pairing, "random": RandomPairing, "strict": StrictPairing}
@@ -65,7 +71,9 @@
         for policy in POLICIES:
             shares = []
             for seed in range(1, seeds + 1):
-                fleet = make_fleet(deployment, seed, policy, plan=fixed_plan(deployment, search=False))
+                fleet = make_fleet(
+                    deployment, seed, policy, plan=fixed_plan(deployment, search=False)
+                )
                 shares.append(run_load(fleet, base * factor, 20)["goodput_share"])
             row[policy] = round(sum(shares) / len(shares), 4)
         tell(row)
@@ -80,8 +88,17 @@
             shares = []
             for seed in range(1, seeds + 1):
                 plan = fixed_plan(deployment, search=False)
-                plan["fleet"], plan["extra"] = {"routers": routers}, {"share": 0.2, "margin": routers}
-                fleet = make_fleet(deployment, seed, plan=plan, routers=routers, runner_given={"report_every_us": every_ms * 1000})
+                plan["fleet"], plan["extra"] = (
+                    {"routers": routers},
+                    {"share": 0.2, "margin": routers},
+                )
+                fleet = make_fleet(
+                    deployment,
+                    seed,
+                    plan=plan,
+                    routers=routers,
+                    runner_given={"report_every_us": every_ms * 1000},
+                )
                 shares.append(run_load(fleet, rate, 20)["goodput_share"])
             row[f"report_{every_ms}ms"] = round(sum(shares) / len(shares), 4)
         tell(row)
@@ -116,7 +133,10 @@
 
 
 def _spread_ms(delays):
-    return {f"p{int(share * 100)}_ms": round(percentile(delays, share) / 1000, 1) for share in (0.5, 0.9, 0.99)} | {"max_ms": round(max(delays) / 1000, 1)}
+    return {
+        f"p{int(share * 100)}_ms": round(percentile(delays, share) / 1000, 1)
+        for share in (0.5, 0.9, 0.99)
+    } | {"max_ms": round(max(delays) / 1000, 1)}
 
 
 def measure_membership(deployment, seeds, tell):
@@ -141,7 +161,15 @@
                     delays.append(at_us - killed_us)
                 elif number == 1102:
                     false_alarms += 1
-        tell({"killed": kill, "samples": len(delays), **_spread_ms(delays), "false_alarms": false_alarms, "seconds_watched": 26 * seeds})
+        tell(
+            {
+                "killed": kill,
+                "samples": len(delays),
+                **_spread_ms(delays),
+                "false_alarms": false_alarms,
+                "seconds_watched": 26 * seeds,
+            }
+        )
 
 
 def measure_duties(deployment, seeds, tell):
@@ -168,8 +196,6 @@
     return None
 
 
-
-
 def measure_recovery(deployment, seeds, tell):
     """Per fault: served share while it lasts, and time from its close until 90 percent of each second's requests are served."""
     for fault in ALL:
@@ -184,7 +210,15 @@
             during.append(seen["served"] / max(1, seen["asked"]))
             good.append(seen["good"] / max(1, seen["asked"]))
             times.append(_recovered_s(scenario.fleet, closed_us))
-        tell({"fault": fault, "served_during": round(sum(during) / len(during), 3), "goodput_during": round(sum(good) / len(good), 3), "recovered_s_median": percentile(times, 0.5), "recovered_s_max": max(times)})
+        tell(
+            {
+                "fault": fault,
+                "served_during": round(sum(during) / len(during), 3),
+                "goodput_during": round(sum(good) / len(good), 3),
+                "recovered_s_median": percentile(times, 0.5),
+                "recovered_s_max": max(times),
+            }
+        )
 
 
 def _without_credit(deployment):
@@ -195,19 +229,25 @@
 
 
 REFUSALS = {
-    "a crowd": (["crowd", "crowd"], {}, 5), "a group short of credit": ([], {"poor": True}, 20),
-    "cut-off routers": (["cut_router", "cut_router"], {}, 8), "a lost runner": (["crash_runner"], {}, 8),
+    "a crowd": (["crowd", "crowd"], {}, 5),
+    "a group short of credit": ([], {"poor": True}, 20),
+    "cut-off routers": (["cut_router", "cut_router"], {}, 8),
+    "a lost runner": (["crash_runner"], {}, 8),
     "most runners dark": (["dark_runner"] * 4, {}, 25),
 }
 
 
 def measure_refusals(deployment, seeds, tell):
     """How long refused calls were kept, and how many of them until their deadline, by code and cause."""
-    deadlines = {kind: terms["deadline_us"] for kind, terms in DEPLOYMENTS[deployment].kinds.items()}
+    deadlines = {
+        kind: terms["deadline_us"] for kind, terms in DEPLOYMENTS[deployment].kinds.items()
+    }
     for name, (faults, given, seconds) in REFUSALS.items():
         waits, codes, late, asked = [], {}, 0, 0
         for seed in range(1, seeds + 1):
-            scenario = Scenario(deployment, seed, **(_without_credit(deployment) if given else {})).load(2)
+            scenario = Scenario(
+                deployment, seed, **(_without_credit(deployment) if given else {})
+            ).load(2)
             for fault in faults:
                 scenario.fault(fault)
             scenario.load(seconds).close().end(calm_s=5)
@@ -219,13 +259,26 @@
                 waits.append(one.ended_us - one.asked_us)
                 codes[one.code] = codes.get(one.code, 0) + 1
                 late += one.ended_us - one.asked_us >= 0.95 * deadlines[one.kind]
-        tell({
-            "case": name, "asked": asked, "refused": len(waits), "at_the_deadline": late, "codes": codes,
-            "kept_s": {f"p{int(share * 100)}": round((percentile(waits, share) or 0) / SECOND, 2) for share in (0.5, 0.9, 0.99)},
-        })
+        tell(
+            {
+                "case": name,
+                "asked": asked,
+                "refused": len(waits),
+                "at_the_deadline": late,
+                "codes": codes,
+                "kept_s": {
+                    f"p{int(share * 100)}": round((percentile(waits, share) or 0) / SECOND, 2)
+                    for share in (0.5, 0.9, 0.99)
+                },
+            }
+        )
 
 
-SLOW_LINKS = {"no link slow": None, "one slow pair": ("slow_pair", 60.0), "all slow": ("slow_links", 30.0)}
+SLOW_LINKS = {
+    "no link slow": None,
+    "one slow pair": ("slow_pair", 60.0),
+    "all slow": ("slow_links", 30.0),
+}
 
 
 def measure_links(deployment, seeds, tell):
@@ -240,8 +293,19 @@
             scenario.load(20).close()
             scenario.fleet.settle()
             seen = scenario.fleet.summary(begun_us)
-            asked, served, good = asked + seen["asked"], served + seen["served"], good + seen["good"]
-        tell({"links": name, "asked": asked, "served_share": round(served / asked, 4), "goodput_share": round(good / asked, 4)})
+            asked, served, good = (
+                asked + seen["asked"],
+                served + seen["served"],
+                good + seen["good"],
+            )
+        tell(
+            {
+                "links": name,
+                "asked": asked,
+                "served_share": round(served / asked, 4),
+                "goodput_share": round(good / asked, 4),
+            }
+        )
 
 
 def _recovered_s(fleet, closed_us):
@@ -254,8 +318,18 @@
 
 
 SWING = {
-    "licensing": ({"audit-digest": (1.0, 9_000, 60)}, 3.2, {"seat-question": (1.0, 200, 400)}, 34.0),
-    "archive": ({"lecture-summary": (1.0, 9_000, 60)}, 6.0, {"chapter-heading": (1.0, 200, 400)}, 62.0),
+    "licensing": (
+        {"audit-digest": (1.0, 9_000, 60)},
+        3.2,
+        {"seat-question": (1.0, 200, 400)},
+        34.0,
+    ),
+    "archive": (
+        {"lecture-summary": (1.0, 9_000, 60)},
+        6.0,
+        {"chapter-heading": (1.0, 200, 400)},
+        62.0,
+    ),
 }
 
 
@@ -269,22 +343,34 @@
         for seed in range(1, seeds + 1):
             plan = fixed_plan(deployment, search=search)
             plan["groups"] = {
-                name: {**terms, "credit": {**terms["credit"], "tokens": terms["credit"]["tokens"] * 10}} for name, terms in plan["groups"].items()
+                name: {
+                    **terms,
+                    "credit": {**terms["credit"], "tokens": terms["credit"]["tokens"] * 10},
+                }
+                for name, terms in plan["groups"].items()
             }
             fleet = make_fleet(deployment, seed, plan=plan)
             fleet.load()
             for part, mix, rate in (
-                ("usual", usual.mix, usual.rate), ("prompts", prompts, prompt_rate), ("answers", answers, answer_rate), ("usual_again", usual.mix, usual.rate),
+                ("usual", usual.mix, usual.rate),
+                ("prompts", prompts, prompt_rate),
+                ("answers", answers, answer_rate),
+                ("usual_again", usual.mix, usual.rate),
             ):
                 fleet.mix, fleet.rate = dict(mix), rate
                 begun_us = fleet.world.now_us
                 fleet.world.run_for(40 * SECOND)
                 parts.setdefault(part, []).append((begun_us, fleet.world.now_us, fleet))
             fleet.settle(120)
-            orders += sum(1 for _, kind, facts in fleet.world.record if kind == "order" and facts["is_taken"])
+            orders += sum(
+                1 for _, kind, facts in fleet.world.record if kind == "order" and facts["is_taken"]
+            )
         row = {"ratio": name, "orders": orders}
         for part, spans in parts.items():
-            shares = [fleet.summary(begun_us, ended_us)["goodput_share"] for begun_us, ended_us, fleet in spans]
+            shares = [
+                fleet.summary(begun_us, ended_us)["goodput_share"]
+                for begun_us, ended_us, fleet in spans
+            ]
             row[part] = round(sum(shares) / len(shares), 4)
         tell(row)
 
@@ -304,12 +390,22 @@
             served.append(seen["served"] / seen["asked"])
             shed += sum(host.node.flow.moves["shed"] for host in fleet.routers.values())
             back += sum(host.node.flow.moves["back"] for host in fleet.routers.values())
-        tell({"moves": moves, "goodput_share": round(sum(shares) / len(shares), 4), "served_share": round(sum(served) / len(served), 4), "shed": shed, "back": back})
+        tell(
+            {
+                "moves": moves,
+                "goodput_share": round(sum(shares) / len(shares), 4),
+                "served_share": round(sum(served) / len(served), 4),
+                "shed": shed,
+                "back": back,
+            }
+        )
 
 
 def measure_fairness(deployment, seeds, tell):
     """Wait for the first piece of each kind, with and without one group flooding for 8 s."""
-    flooding = min(DEPLOYMENTS[deployment].mix, key=lambda kind: DEPLOYMENTS[deployment].mix[kind][0])
+    flooding = min(
+        DEPLOYMENTS[deployment].mix, key=lambda kind: DEPLOYMENTS[deployment].mix[kind][0]
+    )
     for is_flooded in (False, True):
         waits = {}
         for seed in range(1, seeds + 1):
@@ -320,13 +416,32 @@
             fleet.world.run_for(12 * SECOND)
             fleet.settle(120)
             for one in fleet.caller.node.asked.values():
-                waits.setdefault(one.kind, []).append(((one.first_us or one.ended_us) - one.asked_us, one.how == "done"))
+                waits.setdefault(one.kind, []).append(
+                    ((one.first_us or one.ended_us) - one.asked_us, one.how == "done")
+                )
         for kind, seen in waits.items():
             spans = [span for span, _ in seen]
-            tell({"flooded": is_flooded, "kind": kind, "asked": len(seen), "served": sum(done for _, done in seen), **_spread_ms(spans)})
+            tell(
+                {
+                    "flooded": is_flooded,
+                    "kind": kind,
+                    "asked": len(seen),
+                    "served": sum(done for _, done in seen),
+                    **_spread_ms(spans),
+                }
+            )
 
 
 MEASURES = {
-    "placement": measure_placement, "herding": measure_herding, "news": measure_news, "membership": measure_membership,
-    "duties": measure_duties, "recovery": measure_recovery, "refusals": measure_refusals, "links": measure_links, "ratio": measure_ratio, "moves": measure_moves, "fairness": measure_fairness,
+    "placement": measure_placement,
+    "herding": measure_herding,
+    "news": measure_news,
+    "membership": measure_membership,
+    "duties": measure_duties,
+    "recovery": measure_recovery,
+    "refusals": measure_refusals,
+    "links": measure_links,
+    "ratio": measure_ratio,
+    "moves": measure_moves,
+    "fairness": measure_fairness,
 }
--- a/packages/stage/src/linkhaven/stage/people.py
+++ b/packages/stage/src/linkhaven/stage/people.py
@@ -11,8 +11,33 @@
     """One request as its caller sees it, over all the conns it took."""
 
     __slots__ = (
-        "id", "kind", "body", "headers", "router", "outing", "status", "error", "reader", "asked_us", "first_us",
-        "ended_us", "run", "last", "pieces", "tokens", "how", "code", "done", "request", "resumes", "is_clean", "count", "own", "cause", "mark", "retry_s",
+        "id",
+        "kind",
+        "body",
+        "headers",
+        "router",
+        "outing",
+        "status",
+        "error",
+        "reader",
+        "asked_us",
+        "first_us",
+        "ended_us",
+        "run",
+        "last",
+        "pieces",
+        "tokens",
+        "how",
+        "code",
+        "done",
+        "request",
+        "resumes",
+        "is_clean",
+        "count",
+        "own",
+        "cause",
+        "mark",
+        "retry_s",
     )
 
     def __init__(self, id, kind, body, headers, asked_us):
@@ -57,7 +82,9 @@
     def ask(self, kind, prompt, answer_tokens, routers, key=None, last_event_id=None):
         self.serial += 1
         id = f"{self.name}-{self.serial}"
-        body = write_json({"kind": kind, "prompt": f"{prompt} {id}", "answer_tokens": answer_tokens})
+        body = write_json(
+            {"kind": kind, "prompt": f"{prompt} {id}", "answer_tokens": answer_tokens}
+        )
         headers = dict(JSON)
         if key:
             headers["idempotency-key"] = key
@@ -72,8 +99,13 @@
         asked.reset()
         asked.router = routers[0]
         self.record(
-            "asked", id=asked.id, kind=asked.kind, router=asked.router, resume=asked.headers.get("last-event-id"),
-            key=asked.headers.get("idempotency-key"), answer_tokens=read_json(asked.body)["answer_tokens"],
+            "asked",
+            id=asked.id,
+            kind=asked.kind,
+            router=asked.router,
+            resume=asked.headers.get("last-event-id"),
+            key=asked.headers.get("idempotency-key"),
+            answer_tokens=read_json(asked.body)["answer_tokens"],
         )
         hearer = Hearer(
             lambda status, headers: self._head(asked, status, headers),
@@ -81,7 +113,9 @@
             lambda: self._end(asked, routers),
             lambda has_begun: self._lost(asked, routers, has_begun),
         )
-        asked.outing = self.ports.wire.open(asked.router, "POST", "/v1/requests", asked.headers, asked.body, hearer)
+        asked.outing = self.ports.wire.open(
+            asked.router, "POST", "/v1/requests", asked.headers, asked.body, hearer
+        )
 
     def hang_up(self, asked):
         if asked.ended_us is None:
@@ -102,7 +136,14 @@
             if piece.event == "piece":
                 if asked.first_us is None:
                     asked.first_us = self.now_us()
-                self.record("piece", id=asked.id, own=asked.own, run=piece.run, number=piece.number, text=piece.document.get("text"))
+                self.record(
+                    "piece",
+                    id=asked.id,
+                    own=asked.own,
+                    run=piece.run,
+                    number=piece.number,
+                    text=piece.document.get("text"),
+                )
                 asked.run, asked.last = piece.run, piece.number
                 asked.pieces += 1
                 asked.tokens += piece.document.get("tokens", 0)
@@ -111,7 +152,11 @@
                 asked.how, asked.count = "done", piece.document.get("count")
             else:
                 asked.is_clean = True
-                asked.how, asked.code, asked.done = "trouble", piece.document.get("code"), piece.document.get("done")
+                asked.how, asked.code, asked.done = (
+                    "trouble",
+                    piece.document.get("code"),
+                    piece.document.get("done"),
+                )
 
     def _end(self, asked, routers):
         if asked.status != 200:
@@ -137,7 +182,13 @@
             asked.resumes += 1
             self.record("unmade", id=asked.id, router=asked.router)
             return self._send(asked, routers[1:])
-        if how in ("cut", "trouble") and may_go_on and asked.last and self.kinds[asked.kind].get("resumable") and asked.code not in ("run_unknown", "stream_broken"):
+        if (
+            how in ("cut", "trouble")
+            and may_go_on
+            and asked.last
+            and self.kinds[asked.kind].get("resumable")
+            and asked.code not in ("run_unknown", "stream_broken")
+        ):
             asked.resumes += 1
             self.record("broken", id=asked.id, how=how, code=asked.code, done=asked.done)
             asked.headers["last-event-id"] = f"{asked.run}:{asked.last}"
@@ -148,7 +199,17 @@
     def _close(self, asked, how, code, done):
         asked.how = how
         asked.ended_us = self.now_us()
-        self.record("ended", id=asked.id, how=how, code=code, done=done, count=asked.count, status=asked.status, cause=asked.cause, mark=asked.mark)
+        self.record(
+            "ended",
+            id=asked.id,
+            how=how,
+            code=code,
+            done=done,
+            count=asked.count,
+            status=asked.status,
+            cause=asked.cause,
+            mark=asked.mark,
+        )
         if self.on_end:
             self.on_end(asked)
 
@@ -174,9 +235,19 @@
             told["body"] += data
 
         body = write_json(document) if document is not None else b""
-        return self.ports.wire.open(address, method, path, JSON, body, Hearer(
-            on_head, on_data, lambda: done(told["status"], read_json(told["body"])), lambda has_begun: done(0, None),
-        ))
+        return self.ports.wire.open(
+            address,
+            method,
+            path,
+            JSON,
+            body,
+            Hearer(
+                on_head,
+                on_data,
+                lambda: done(told["status"], read_json(told["body"])),
+                lambda has_begun: done(0, None),
+            ),
+        )
 
     def put(self, registry, plan, expect, done=None):
         self.serial += 1
@@ -189,11 +260,19 @@
             if status == 200:
                 self.record("acked", put_id=put_id, mark=document["mark"])
             else:
-                self.record("unacked", put_id=put_id, status=status, code=(document or {}).get("code"), done=(document or {}).get("done"))
+                self.record(
+                    "unacked",
+                    put_id=put_id,
+                    status=status,
+                    code=(document or {}).get("code"),
+                    done=(document or {}).get("done"),
+                )
             if done:
                 done(status, document)
 
-        self._call(registry, "PUT", "/v1/plan", {"expect": expect, "put_id": put_id, "plan": plan}, hear)
+        self._call(
+            registry, "PUT", "/v1/plan", {"expect": expect, "put_id": put_id, "plan": plan}, hear
+        )
 
     def show(self, registry, done):
         def hear(status, document):
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -14,7 +14,9 @@
 from .standins import Speeds, StandInPlatform, StandInRunner
 from .sweep import sweep
 
-DEPLOYMENT_OPTION = option("deployment", "d", "licensing or archive", flag=False, default="licensing")
+DEPLOYMENT_OPTION = option(
+    "deployment", "d", "licensing or archive", flag=False, default="licensing"
+)
 
 LOAD_OPTIONS = [
     DEPLOYMENT_OPTION,
@@ -32,7 +34,11 @@
 
 
 def load_of(command):
-    return whole(command, "rate", 1, 500), whole(command, "seconds", 1, 600), whole(command, "seed", 0, 10**9)
+    return (
+        whole(command, "rate", 1, 500),
+        whole(command, "seconds", 1, 600),
+        whole(command, "seed", 0, 10**9),
+    )
 
 
 def deployment_of(command):
@@ -57,8 +63,19 @@
             raise misfit("--phase", "is neither prefill nor decode")
 
         def build(ports, incarnation):
-            speeds = Speeds(prefill_rate=100_000_000, read_base_us=0, step_us=100, step_each_us=0) if self.option("fast") else Speeds()
-            return StandInRunner(self.option("name"), self.option("http"), ports, incarnation, self.option("phase"), speeds=speeds)
+            speeds = (
+                Speeds(prefill_rate=100_000_000, read_base_us=0, step_us=100, step_each_us=0)
+                if self.option("fast")
+                else Speeds()
+            )
+            return StandInRunner(
+                self.option("name"),
+                self.option("http"),
+                ports,
+                incarnation,
+                self.option("phase"),
+                speeds=speeds,
+            )
 
         return Shell(self.option("name"), None, self.option("http"), build).run_to_end()
 
@@ -68,7 +85,9 @@
     description = "Run a stand-in platform that lists runners, behind reality."
     options = [
         option("http", None, "IP number and port", flag=False, default="127.0.0.1:9000"),
-        option("runner", None, "name=address=zone, once for each runner", flag=False, multiple=True),
+        option(
+            "runner", None, "name=address=zone, once for each runner", flag=False, multiple=True
+        ),
     ]
 
     def act(self):
@@ -78,7 +97,13 @@
             if len(parts) != 3:
                 raise misfit("--runner", f"{text} is not name=address=zone")
             name, address, zone = parts
-            listed[name] = {"name": name, "address": address, "zone": zone, "incarnation": 0, "state": "serving"}
+            listed[name] = {
+                "name": name,
+                "address": address,
+                "zone": zone,
+                "incarnation": 0,
+                "state": "serving",
+            }
 
         def build(ports, incarnation):
             platform = StandInPlatform("platform", self.option("http"), ports)
@@ -108,11 +133,20 @@
         *LOAD_OPTIONS,
         option("port", None, "first of a hundred ports on 127.0.0.1", flag=False, default="17000"),
         option("faults", None, "kill and restart a core seat, a router and a runner on the way"),
-        option("folder", None, "where settings, data and logs go (default: a new temporary folder)", flag=False),
+        option(
+            "folder",
+            None,
+            "where settings, data and logs go (default: a new temporary folder)",
+            flag=False,
+        ),
     ]
 
     def act(self):
-        deployment, port, load = deployment_of(self), whole(self, "port", 1024, 65_000), load_of(self)
+        deployment, port, load = (
+            deployment_of(self),
+            whole(self, "port", 1024, 65_000),
+            load_of(self),
+        )
         folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-")
         self.line_error(f"settings, data and logs in {folder}")
         self.show(run_fleet(deployment, folder, port, *load, self.option("faults")))
@@ -120,7 +154,9 @@
 
 class SweepCommand(CodedCommand):
     name = "sweep"
-    description = "Run many seeds of mixed faults in the simulated world and judge each on every rule."
+    description = (
+        "Run many seeds of mixed faults in the simulated world and judge each on every rule."
+    )
     options = [
         DEPLOYMENT_OPTION,
         option("first", None, "first seed", flag=False, default="1"),
@@ -129,7 +165,9 @@
 
     def act(self):
         told = sweep(
-            deployment_of(self).name, whole(self, "first", 0, 10**9), whole(self, "count", 1, 100_000),
+            deployment_of(self).name,
+            whole(self, "first", 0, 10**9),
+            whole(self, "count", 1, 100_000),
             lambda breach: self.line(json.dumps(breach)),
         )
         self.show(told)
@@ -140,13 +178,20 @@
     name = "measure"
     description = f"Measure in simulated time: {', '.join(MEASURES)}."
     arguments = [argument("what", "what to measure")]
-    options = [DEPLOYMENT_OPTION, option("seeds", None, "how many seeds, from 1", flag=False, default="3")]
+    options = [
+        DEPLOYMENT_OPTION,
+        option("seeds", None, "how many seeds, from 1", flag=False, default="3"),
+    ]
 
     def act(self):
         measure = MEASURES.get(self.argument("what"))
         if measure is None:
             raise misfit("what", f"is not one of {', '.join(MEASURES)}")
-        measure(deployment_of(self).name, whole(self, "seeds", 1, 1000), lambda row: self.line(json.dumps(row)))
+        measure(
+            deployment_of(self).name,
+            whole(self, "seeds", 1, 1000),
+            lambda row: self.line(json.dumps(row)),
+        )
 
 
 class OverheadCommand(CodedCommand):
@@ -159,11 +204,24 @@
 
     def act(self):
         folder = tempfile.mkdtemp(prefix="linkhaven-")
-        self.show(measure_overhead(folder, whole(self, "port", 1024, 65_000), whole(self, "count", 10, 5_000)))
+        self.show(
+            measure_overhead(
+                folder, whole(self, "port", 1024, 65_000), whole(self, "count", 10, 5_000)
+            )
+        )
 
 
 def main():
-    run_application("linkhaven-stage", [
-        RunnerCommand(), PlatformCommand(), LoadCommand(), FleetCommand(), SweepCommand(), MeasureCommand(),
-        OverheadCommand(), SlopesCommand(),
-    ])
+    run_application(
+        "linkhaven-stage",
+        [
+            RunnerCommand(),
+            PlatformCommand(),
+            LoadCommand(),
+            FleetCommand(),
+            SweepCommand(),
+            MeasureCommand(),
+            OverheadCommand(),
+            SlopesCommand(),
+        ],
+    )
--- a/packages/stage/src/linkhaven/stage/scenario.py
+++ b/packages/stage/src/linkhaven/stage/scenario.py
@@ -25,13 +25,19 @@
             allowance = terms["credit"]["tokens"] * SECOND / terms["credit"]["period_us"]
             held = sum(
                 host.node.credit.groups[name].bucket.rate
-                for host in fleet.routers.values() if host.node and name in host.node.credit.groups
-                and not host.is_frozen
+                for host in fleet.routers.values()
+                if host.node and name in host.node.credit.groups and not host.is_frozen
             )
             groups[name] = (held, allowance)
         fleet.world.note("shares", groups=groups)
         nodes = [host.node for host in [*fleet.registries.values(), *fleet.former] if host.node]
-        fleet.world.note("held", duties={duty: [node.name for node in nodes if node.duties[duty].is_held()] for duty in DUTIES})
+        fleet.world.note(
+            "held",
+            duties={
+                duty: [node.name for node in nodes if node.duties[duty].is_held()]
+                for duty in DUTIES
+            },
+        )
         fleet.world.after(250_000, self._probe)
 
     def load(self, seconds, rate=None):
@@ -50,14 +56,18 @@
     def end(self, calm_s=21):
         self.load(calm_s)
         self.fleet.settle()
-        self.fleet.operators[0].node.show(self.fleet.live_registry().address, lambda status, document: None)
+        self.fleet.operators[0].node.show(
+            self.fleet.live_registry().address, lambda status, document: None
+        )
         self.fleet.world.run_for(3 * SECOND)
         return self
 
     def breaches(self):
         kinds = self.fleet.deployment.kinds
         return judge(
-            self.fleet.world.record, margin=self.fleet.plan["extra"]["margin"], share=self.fleet.plan["extra"]["share"],
+            self.fleet.world.record,
+            margin=self.fleet.plan["extra"]["margin"],
+            share=self.fleet.plan["extra"]["share"],
             deadlines={kind: terms["deadline_us"] for kind, terms in kinds.items()},
         )
 
--- a/packages/stage/src/linkhaven/stage/slopes/fit.py
+++ b/packages/stage/src/linkhaven/stage/slopes/fit.py
@@ -23,7 +23,11 @@
         return self.start + self.slope * x ** ORDERS.index(self.order)
 
     def as_record(self):
-        return {name: value if isinstance(value, str) else float(f"{value:.4g}") for name in self.__slots__ if (value := getattr(self, name)) is not None}
+        return {
+            name: value if isinstance(value, str) else float(f"{value:.4g}")
+            for name in self.__slots__
+            if (value := getattr(self, name)) is not None
+        }
 
 
 def _solve(columns, y):
@@ -34,7 +38,7 @@
     free = max(1, len(y) - rank)
     variance = float(left @ left) / free
     errors = numpy.sqrt(numpy.diag(numpy.linalg.pinv(matrix.T @ matrix)) * variance)
-    return found, errors, variance ** 0.5
+    return found, errors, variance**0.5
 
 
 def fit(points):
@@ -46,21 +50,38 @@
     most = float(abs(y).max())
     if most == 0.0:
         return Fit(CONSTANT, 0.0, 0.0, 0.0, 0.0)
-    found, errors, _ = _solve([ones, unit, unit ** 2], y)
+    found, errors, _ = _solve([ones, unit, unit**2], y)
     if found[2] > SQUARE_WORTH * most and found[2] > TELLING * errors[2]:
-        found, errors, spread = _solve([ones, unit ** 2], y)
+        found, errors, spread = _solve([ones, unit**2], y)
         if found[1] > TELLING * errors[1]:
-            return Fit(SQUARE, float(found[0]), float(found[1]) / scale ** 2, float(errors[1]) / scale ** 2, spread)
+            return Fit(
+                SQUARE,
+                float(found[0]),
+                float(found[1]) / scale**2,
+                float(errors[1]) / scale**2,
+                spread,
+            )
     found, errors, spread = _solve([ones, unit], y)
     if abs(found[1]) > WORTH * most and abs(found[1]) > TELLING * errors[1]:
-        return Fit(LINEAR, float(found[0]), float(found[1]) / scale, float(errors[1]) / scale, spread)
+        return Fit(
+            LINEAR, float(found[0]), float(found[1]) / scale, float(errors[1]) / scale, spread
+        )
     return Fit(CONSTANT, float(y.mean()), 0.0, 0.0, float(y.std()))
 
 
 def fit_plane(points, names):
     """y = start + a slope for each of several numbers that vary together, each slope with its standard error."""
     y = numpy.array([point[-1] for point in points], dtype=float)
-    columns = [numpy.ones_like(y), *(numpy.array([point[place] for point in points], dtype=float) for place in range(len(names)))]
+    columns = [
+        numpy.ones_like(y),
+        *(
+            numpy.array([point[place] for point in points], dtype=float)
+            for place in range(len(names))
+        ),
+    ]
     found, errors, spread = _solve(columns, y)
-    told = {name: [float(f"{slope:.4g}"), float(f"{error:.2g}")] for name, slope, error in zip(names, found[1:], errors[1:])}
+    told = {
+        name: [float(f"{slope:.4g}"), float(f"{error:.2g}")]
+        for name, slope, error in zip(names, found[1:], errors[1:])
+    }
     return {"start": float(f"{found[0]:.4g}"), "slopes": told, "spread": float(f"{spread:.4g}")}
--- a/packages/stage/src/linkhaven/stage/slopes/hollow.py
+++ b/packages/stage/src/linkhaven/stage/slopes/hollow.py
@@ -17,10 +17,26 @@
 class Shape:
     """How many of everything a hollow fleet has; rate is requests a second, configurations come a minute."""
 
-    __slots__ = ("routers", "runners", "groups", "kinds", "rate", "configurations", "zones", "answer_tokens")
+    __slots__ = (
+        "routers",
+        "runners",
+        "groups",
+        "kinds",
+        "rate",
+        "configurations",
+        "zones",
+        "answer_tokens",
+    )
 
     BASE = {
-        "routers": 8, "runners": 16, "groups": 8, "kinds": 8, "rate": 8, "configurations": 0, "zones": 2, "answer_tokens": 40,
+        "routers": 8,
+        "runners": 16,
+        "groups": 8,
+        "kinds": 8,
+        "rate": 8,
+        "configurations": 0,
+        "zones": 2,
+        "answer_tokens": 40,
     }
 
     def __init__(self, **given):
@@ -34,17 +50,38 @@
         return {name: getattr(self, name) for name in self.__slots__}
 
     def deployment(self):
-        groups = {f"group-{place}": {"credit": {"tokens": HOUR_TOKENS, "period_us": 10 * SECOND}, "weight": 1.0} for place in range(self.groups)}
+        groups = {
+            f"group-{place}": {
+                "credit": {"tokens": HOUR_TOKENS, "period_us": 10 * SECOND},
+                "weight": 1.0,
+            }
+            for place in range(self.groups)
+        }
         kinds = {
             f"kind-{place}": {
-                "group": f"group-{place % self.groups}", "ttft_us": 2 * SECOND, "tpot_us": 60_000, "deadline_us": 30 * SECOND,
-                "prompt_tokens": 4_000, "answer_tokens": 400, "resumable": True,
+                "group": f"group-{place % self.groups}",
+                "ttft_us": 2 * SECOND,
+                "tpot_us": 60_000,
+                "deadline_us": 30 * SECOND,
+                "prompt_tokens": 4_000,
+                "answer_tokens": 400,
+                "resumable": True,
             }
             for place in range(self.kinds)
         }
         mix = {kind: (1 / self.kinds, 200, self.answer_tokens) for kind in kinds}
         zones = tuple(f"zone-{place}" for place in range(self.zones))
-        return Deployment("hollow", zones, self.routers, self.runners, max(1, self.runners // 3), groups, kinds, mix, float(self.rate or 1))
+        return Deployment(
+            "hollow",
+            zones,
+            self.routers,
+            self.runners,
+            max(1, self.runners // 3),
+            groups,
+            kinds,
+            mix,
+            float(self.rate or 1),
+        )
 
 
 class Hushed(list):
@@ -72,13 +109,18 @@
         self.world.record = Hushed()
 
     def _host(self, name, zone, address, build, disk=None):
-        return super()._host(name, zone, address, lambda host, ports: self.meter.wrap(host, ports, build), disk)
+        return super()._host(
+            name, zone, address, lambda host, ports: self.meter.wrap(host, ports, build), disk
+        )
 
     def change_configuration(self):
         """The next whole configuration: the first group's weight is another one."""
         self.puts += 1
         first, begun_us = next(iter(self.plan["groups"])), self.world.now_us
-        groups = {**self.plan["groups"], first: {**self.plan["groups"][first], "weight": 1.0 + self.puts / 1000}}
+        groups = {
+            **self.plan["groups"],
+            first: {**self.plan["groups"][first], "weight": 1.0 + self.puts / 1000},
+        }
         self.plan = {**self.plan, "groups": groups}
 
         def done(status, document):
@@ -90,12 +132,18 @@
     def plan_changes(self, seconds):
         count = int(self.shape.configurations * seconds / 60)
         for place in range(count):
-            self.world.after((2 * place + 1) * seconds * SECOND // (2 * count), self.change_configuration)
+            self.world.after(
+                (2 * place + 1) * seconds * SECOND // (2 * count), self.change_configuration
+            )
 
     def roles(self):
         roles = {"router": [host for host in self.routers.values() if host.node is not None]}
         for duty in DUTIES:
-            roles[duty] = [host for host in self.registries.values() if host.node is not None and host.node.duties[duty].is_held()]
+            roles[duty] = [
+                host
+                for host in self.registries.values()
+                if host.node is not None and host.node.duties[duty].is_held()
+            ]
         roles["runner"] = [host for host in self.runners.values() if host.node is not None]
         return roles
 
@@ -108,7 +156,11 @@
         self.meter.reset()
         self.plan_changes(seconds)
         self.world.run_for(seconds * SECOND)
-        told = {role: self._figures(role, hosts, seconds) for role, hosts in self.roles().items() if hosts}
+        told = {
+            role: self._figures(role, hosts, seconds)
+            for role, hosts in self.roles().items()
+            if hosts
+        }
         gc.unfreeze()
         return told
 
@@ -116,7 +168,11 @@
         rows = [self._figures_of(self.meter.tally_of(host), seconds) for host in hosts]
         figures = {name: sum(row[name] for row in rows) / len(rows) for name in rows[0]}
         if role == "runner":
-            return {name: value for name, value in figures.items() if not name.startswith(("cpu", "data_cpu", "written", "turn"))}
+            return {
+                name: value
+                for name, value in figures.items()
+                if not name.startswith(("cpu", "data_cpu", "written", "turn"))
+            }
         sampled = hosts[:SAMPLED]
         figures["heap_bytes"] = sum(self.heap_of(host) for host in sampled) / len(sampled)
         if hosts[0].disk is not None:
@@ -131,11 +187,15 @@
                 figures[f"{prefix}{name}_messages"] = sum(row[0] for row in rows) / seconds
                 figures[f"{prefix}{name}_bytes"] = sum(row[1] for row in rows) / seconds
         for prefix, wanted in (("", False), ("data_", True)):
-            spent_ns = sum(spent for channel, spent in tally.spent_ns.items() if is_data(channel) == wanted)
+            spent_ns = sum(
+                spent for channel, spent in tally.spent_ns.items() if is_data(channel) == wanted
+            )
             figures[f"{prefix}cpu_us"] = spent_ns / 1_000 / seconds
         turns = sorted(tally.turns_ns)
         figures["turn_p99_us"] = turns[int(len(turns) * 0.99)] / 1_000 if turns else 0.0
-        figures["written_messages"], figures["written_bytes"] = (amount / seconds for amount in tally.written)
+        figures["written_messages"], figures["written_bytes"] = (
+            amount / seconds for amount in tally.written
+        )
         return figures
 
     def channels(self, role):
@@ -145,7 +205,8 @@
         names = {*tally.sent, *tally.heard, *tally.spent_ns}
         rows = {
             name: {
-                "sent": tally.sent.get(name, [0, 0]), "heard": tally.heard.get(name, [0, 0]),
+                "sent": tally.sent.get(name, [0, 0]),
+                "heard": tally.heard.get(name, [0, 0]),
                 "cpu_us": tally.spent_ns.get(name, 0) // 1_000,
             }
             for name in names
--- a/packages/stage/src/linkhaven/stage/slopes/large.py
+++ b/packages/stage/src/linkhaven/stage/slopes/large.py
@@ -33,10 +33,15 @@
     def _note(self, step, **facts):
         now = time.monotonic()
         world_us = self.fleet.world.now_us
-        self.tell({
-            "step": step, "simulated_s": round((world_us - self.at_us) / SECOND, 1), "real_s": round(now - self.begun, 1),
-            "rss_mb": rss_mb(), **facts,
-        })
+        self.tell(
+            {
+                "step": step,
+                "simulated_s": round((world_us - self.at_us) / SECOND, 1),
+                "real_s": round(now - self.begun, 1),
+                "rss_mb": rss_mb(),
+                **facts,
+            }
+        )
         self.begun, self.at_us = now, world_us
 
     def run(self, seconds, is_losing):
@@ -51,7 +56,9 @@
             fleet.world.run_for(2 * SECOND)
         told = fleet.measure(seconds)
         for role, figures in told.items():
-            self._note("measured", role=role, **{name: round(value, 1) for name, value in figures.items()})
+            self._note(
+                "measured", role=role, **{name: round(value, 1) for name, value in figures.items()}
+            )
         for role in told:
             if role != "runner":
                 self._note("channels", role=role, **dict(list(fleet.channels(role).items())[:6]))
@@ -62,31 +69,47 @@
         self._lose("machine", routers[-1:])
         self._lose("rack", [*routers[1 : 1 + RACK], *runners[1 : 1 + 2 * RACK]])
         zone = fleet.deployment.zones[-1]
-        self._lose("zone", [host for host in [*routers, *runners] if host.zone == zone and host.node is not None])
+        self._lose(
+            "zone",
+            [host for host in [*routers, *runners] if host.zone == zone and host.node is not None],
+        )
 
     def _count_views(self):
         hosts = [host for host in self.fleet.routers.values() if host.node is not None]
         counts = [len(host.node.ring.live("router")) + 1 for host in hosts]
         seen = [len(host.node.roster.open_runners()) for host in hosts]
         return {
-            "routers_up": len(hosts), "open_routers": sum(host.node.may_start() for host in hosts),
-            "live_seen": [min(counts), max(counts)], "open_runners_seen": [min(seen), max(seen)],
+            "routers_up": len(hosts),
+            "open_routers": sum(host.node.may_start() for host in hosts),
+            "live_seen": [min(counts), max(counts)],
+            "open_runners_seen": [min(seen), max(seen)],
         }
 
     def _change(self):
         """From an operator's put until each router takes the new configuration."""
         fleet, world = self.fleet, self.fleet.world
-        held = {host.name: host.node.image.value for host in fleet.routers.values() if host.node is not None}
+        held = {
+            host.name: host.node.image.value
+            for host in fleet.routers.values()
+            if host.node is not None
+        }
         begun_us, delays = world.now_us, []
         fleet.change_configuration()
         while held and world.now_us < begun_us + DOWN_MOST_US:
             world.run_for(10_000)
-            for name in [name for name, value in held.items() if fleet.routers[name].node.image.value is not value]:
+            for name in [
+                name
+                for name, value in held.items()
+                if fleet.routers[name].node.image.value is not value
+            ]:
                 del held[name]
                 delays.append((world.now_us - begun_us) / 1_000)
         self._note(
-            "configuration", without_it=len(held), acked=len(fleet.acked),
-            **{f"p{int(share * 100)}_ms": percentile(delays, share) for share in (0.5, 0.99)}, max_ms=max(delays, default=None),
+            "configuration",
+            without_it=len(held),
+            acked=len(fleet.acked),
+            **{f"p{int(share * 100)}_ms": percentile(delays, share) for share in (0.5, 0.99)},
+            max_ms=max(delays, default=None),
         )
 
     def _lose(self, what, hosts):
@@ -105,7 +128,9 @@
                 told["routers"] = now_ms
             if told["runners"] is None and not any(self._sees_runner(host, dead) for host in left):
                 told["runners"] = now_ms
-        self._note(f"lost a {what}", machines=len(hosts), gone_everywhere_ms=told, **self._count_views())
+        self._note(
+            f"lost a {what}", machines=len(hosts), gone_everywhere_ms=told, **self._count_views()
+        )
 
     def _sees_router(self, host, dead):
         return any(other.name in dead for other in host.node.ring.live("router"))
--- a/packages/stage/src/linkhaven/stage/slopes/meter.py
+++ b/packages/stage/src/linkhaven/stage/slopes/meter.py
@@ -136,7 +136,12 @@
         world, meter = self.host.world, self.meter
         target, channel = world.hosts.get(address), path.partition("?")[0]
         other = meter.tally_of(target) if target is not None else Tally()
-        meter.carry(self.tally, other, channel, len(method) + len(path) + 12 + head_bytes(headers) + len(body or b""))
+        meter.carry(
+            self.tally,
+            other,
+            channel,
+            len(method) + len(path) + 12 + head_bytes(headers) + len(body or b""),
+        )
         watch, own = meter.watch, self.tally
 
         def on_head(status, headers):
@@ -148,10 +153,14 @@
             watch.run(own, channel, hearer.on_data, data)
 
         heard = Hearer(
-            on_head, on_data, lambda: watch.run(own, channel, hearer.on_end),
+            on_head,
+            on_data,
+            lambda: watch.run(own, channel, hearer.on_end),
             lambda *given: watch.run(own, channel, hearer.on_trouble, *given),
         )
-        return watch.step_out(lambda: self.wire.open(address, method, path, headers, body, heard, *more, **named))
+        return watch.step_out(
+            lambda: self.wire.open(address, method, path, headers, body, heard, *more, **named)
+        )
 
 
 class MeteredClock:
@@ -184,7 +193,9 @@
         self.tally.written[0] += 1
         self.tally.written[1] += len(write_json(items))
         watch = self.meter.watch
-        watch.step_out(self.disk.write, items, lambda *given: watch.run(self.tally, DISK, done, *given))
+        watch.step_out(
+            self.disk.write, items, lambda *given: watch.run(self.tally, DISK, done, *given)
+        )
 
 
 class Meter:
--- a/packages/stage/src/linkhaven/stage/slopes/program.py
+++ b/packages/stage/src/linkhaven/stage/slopes/program.py
@@ -7,7 +7,13 @@
 from linkhaven.wire.settings import misfit
 
 NUMBERS = {
-    "routers": 1000, "runners": 5000, "groups": 5000, "kinds": 5000, "rate": 500, "configurations": 600, "zones": 16,
+    "routers": 1000,
+    "runners": 5000,
+    "groups": 5000,
+    "kinds": 5000,
+    "rate": 500,
+    "configurations": 600,
+    "zones": 16,
     "answer_tokens": 400,
 }
 
@@ -34,14 +40,30 @@
     )
     arguments = [argument("what", f"{', '.join(NUMBERS)}, all, fleet, target or request")]
     options = [
-        *(option(name.replace("_", "-"), None, f"how many {name.replace('_', ' ')}, all else held there", flag=False) for name in NUMBERS),
-        option("values", None, "values of the number that is varied, with commas between", flag=False),
+        *(
+            option(
+                name.replace("_", "-"),
+                None,
+                f"how many {name.replace('_', ' ')}, all else held there",
+                flag=False,
+            )
+            for name in NUMBERS
+        ),
+        option(
+            "values", None, "values of the number that is varied, with commas between", flag=False
+        ),
         option("seeds", None, "how many seeds, from 1", flag=False, default="3"),
         option("seconds", None, "how long each window is", flag=False, default="5"),
         option("processes", None, "how many shapes to measure at once", flag=False, default="1"),
         option("lose", None, "fleet: then lose a machine, a rack and a zone"),
         option("rows", None, "target: a file of what slopes all told", flag=False),
-        option("port", None, "request: first of a hundred ports on 127.0.0.1", flag=False, default="19000"),
+        option(
+            "port",
+            None,
+            "request: first of a hundred ports on 127.0.0.1",
+            flag=False,
+            default="19000",
+        ),
     ]
 
     def act(self):
@@ -55,11 +77,20 @@
         if what == "request":
             return self._measure_requests(seconds)
         if what != "all" and what not in NUMBERS:
-            raise misfit("what", f"is not one of {', '.join(NUMBERS)}, all, fleet, target or request")
+            raise misfit(
+                "what", f"is not one of {', '.join(NUMBERS)}, all, fleet, target or request"
+            )
         from .vary import tell_slopes, vary
 
         for axis in NUMBERS if what == "all" else (what,):
-            points = vary(axis, self._whole("seeds", 1, 100), seconds, self._given(), self._values(axis), self._whole("processes", 1, 64))
+            points = vary(
+                axis,
+                self._whole("seeds", 1, 100),
+                seconds,
+                self._given(),
+                self._values(axis),
+                self._whole("processes", 1, 64),
+            )
             tell_slopes(axis, points, self._tell)
 
     def _whole(self, name, least, most):
@@ -70,7 +101,11 @@
 
     def _given(self):
         texts = {name: self.option(name.replace("_", "-")) for name in NUMBERS}
-        return {name: check_number(f"--{name.replace('_', '-')}", name, text) for name, text in texts.items() if text is not None}
+        return {
+            name: check_number(f"--{name.replace('_', '-')}", name, text)
+            for name, text in texts.items()
+            if text is not None
+        }
 
     def _shape(self):
         from .hollow import Shape
@@ -79,7 +114,11 @@
 
     def _values(self, axis):
         text = self.option("values")
-        return None if text is None else [check_number("--values", axis, part) for part in text.split(",")]
+        return (
+            None
+            if text is None
+            else [check_number("--values", axis, part) for part in text.split(",")]
+        )
 
     def _work_out_target(self):
         from .target import TARGET, read_rows, tell_target
@@ -93,5 +132,14 @@
         from .request import measure_requests
 
         folder = tempfile.mkdtemp(prefix="linkhaven-")
-        for role, points in measure_requests(folder, self._whole("port", 1024, 65_000), seconds, self._tell).items():
-            self._tell({"axis": "requests on sockets", "role": role, "figure": "cpu_us", **fit_plane(points, ("requests", "pieces"))})
+        for role, points in measure_requests(
+            folder, self._whole("port", 1024, 65_000), seconds, self._tell
+        ).items():
+            self._tell(
+                {
+                    "axis": "requests on sockets",
+                    "role": role,
+                    "figure": "cpu_us",
+                    **fit_plane(points, ("requests", "pieces")),
+                }
+            )
--- a/packages/stage/src/linkhaven/stage/slopes/request.py
+++ b/packages/stage/src/linkhaven/stage/slopes/request.py
@@ -35,12 +35,21 @@
             for role, names in (("router", fleet.routers), ("registry", fleet.registries))
         }
         time.sleep(SETTLE_S)
-        steps = [(rate, ANSWERS[0]) for rate in (0, *RATES)] + [(LONG_RATE, answer) for answer in ANSWERS[1:]]
+        steps = [(rate, ANSWERS[0]) for rate in (0, *RATES)] + [
+            (LONG_RATE, answer) for answer in ANSWERS[1:]
+        ]
         for rate, answer in steps:
-            deployment.mix = {kind: (share, prompt, answer) for kind, (share, prompt, _) in deployment.mix.items()}
-            row = {"answer_tokens": answer, **_measure_rate(deployment, fleet, watched, rate, seconds)}
+            deployment.mix = {
+                kind: (share, prompt, answer) for kind, (share, prompt, _) in deployment.mix.items()
+            }
+            row = {
+                "answer_tokens": answer,
+                **_measure_rate(deployment, fleet, watched, rate, seconds),
+            }
             for role, found in points.items():
-                found.append((row["served_a_second"], row["pieces_a_second"], row[f"{role}_cpu_us"]))
+                found.append(
+                    (row["served_a_second"], row["pieces_a_second"], row[f"{role}_cpu_us"])
+                )
             tell(row)
     finally:
         fleet.stop()
@@ -57,9 +66,17 @@
     else:
         time.sleep(IDLE_S)
     passed = time.monotonic() - begun
-    row = {"rate": rate, "served_a_second": round(served / passed, 2), "pieces_a_second": round(pieces / passed, 2), "seconds": round(passed, 1), "codes": told.get("codes", {})}
+    row = {
+        "rate": rate,
+        "served_a_second": round(served / passed, 2),
+        "pieces_a_second": round(pieces / passed, 2),
+        "seconds": round(passed, 1),
+        "codes": told.get("codes", {}),
+    }
     for role, held in watched.items():
         spent_us = [_spent_us(process) - was for process, was in zip(held, before[role])]
         row[f"{role}_cpu_us"] = int(sum(spent_us) / len(held) / passed)
-        row[f"{role}_rss_mb"] = round(max(process.memory_info().rss for process in held) / 1_048_576, 1)
+        row[f"{role}_rss_mb"] = round(
+            max(process.memory_info().rss for process in held) / 1_048_576, 1
+        )
     return row
--- a/packages/stage/src/linkhaven/stage/slopes/target.py
+++ b/packages/stage/src/linkhaven/stage/slopes/target.py
@@ -3,10 +3,25 @@
 from .fit import CONSTANT, LINEAR, SQUARE
 from .hollow import Shape
 
-TARGET = {"routers": 340, "runners": 600, "groups": 1400, "kinds": 9, "rate": 9500, "configurations": 0.32, "zones": 4}
+TARGET = {
+    "routers": 340,
+    "runners": 600,
+    "groups": 1400,
+    "kinds": 9,
+    "rate": 9500,
+    "configurations": 0.32,
+    "zones": 4,
+}
 BUDGET = {"bytes": 3_000, "cpu_us": 49_000, "heap_bytes": 256_000_000}
 
-PLAIN, EACH, OTHERS, OWN, PAIRS, FOR_EACH = "plain", "each router", "other routers", "own requests", "pairs of routers", "runners to each router"
+PLAIN, EACH, OTHERS, OWN, PAIRS, FOR_EACH = (
+    "plain",
+    "each router",
+    "other routers",
+    "own requests",
+    "pairs of routers",
+    "runners to each router",
+)
 
 WAYS = {
     PLAIN: lambda base, target: 1,
@@ -21,20 +36,51 @@
 BESIDE = {PAIRS: EACH, FOR_EACH: PLAIN}
 
 SEAT = {"routers": PLAIN, "runners": PLAIN, "groups": EACH, "kinds": PLAIN, "configurations": EACH}
-ROUTER = {"routers": PLAIN, "runners": PLAIN, "groups": PLAIN, "kinds": PLAIN, "rate": OTHERS, "configurations": PLAIN}
+ROUTER = {
+    "routers": PLAIN,
+    "runners": PLAIN,
+    "groups": PLAIN,
+    "kinds": PLAIN,
+    "rate": OTHERS,
+    "configurations": PLAIN,
+}
 NEEDS = {
     "router": {
-        "sent_messages": ROUTER, "sent_bytes": ROUTER, "heard_messages": ROUTER, "heard_bytes": ROUTER, "cpu_us": ROUTER,
+        "sent_messages": ROUTER,
+        "sent_bytes": ROUTER,
+        "heard_messages": ROUTER,
+        "heard_bytes": ROUTER,
+        "cpu_us": ROUTER,
         "heap_bytes": {**ROUTER, "rate": OWN},
     },
-    "steward": {name: SEAT for name in ("sent_messages", "sent_bytes", "heard_messages", "heard_bytes", "cpu_us", "heap_bytes")},
+    "steward": {
+        name: SEAT
+        for name in (
+            "sent_messages",
+            "sent_bytes",
+            "heard_messages",
+            "heard_bytes",
+            "cpu_us",
+            "heap_bytes",
+        )
+    },
     "bursar": {
-        **{name: SEAT for name in ("sent_messages", "sent_bytes", "heard_messages", "heard_bytes", "heap_bytes")},
+        **{
+            name: SEAT
+            for name in (
+                "sent_messages",
+                "sent_bytes",
+                "heard_messages",
+                "heard_bytes",
+                "heap_bytes",
+            )
+        },
         "cpu_us": {**SEAT, "groups": PAIRS},
     },
     "roster": {
         **{name: SEAT for name in ("sent_messages", "heard_messages", "heard_bytes", "heap_bytes")},
-        "sent_bytes": {**SEAT, "routers": FOR_EACH, "runners": PLAIN}, "cpu_us": {**SEAT, "routers": FOR_EACH},
+        "sent_bytes": {**SEAT, "routers": FOR_EACH, "runners": PLAIN},
+        "cpu_us": {**SEAT, "routers": FOR_EACH},
     },
 }
 
@@ -73,7 +119,9 @@
             times = WAYS[taken](base, target)
             total += slope * grown * times
             factor = f" × {_shorten(times)}" if taken != PLAIN else ""
-            parts.append(f"{_shorten(slope)} × {_shorten(grown)} {axis}{'²' if power == 2 else ''}{factor}")
+            parts.append(
+                f"{_shorten(slope)} × {_shorten(grown)} {axis}{'²' if power == 2 else ''}{factor}"
+            )
     return " + ".join(parts), total
 
 
@@ -82,7 +130,15 @@
         for figure in figures:
             text, total = work_out(rows, role, figure, base, target)
             kind = figure if figure in BUDGET else figure.rpartition("_")[2]
-            row = {"role": role, "figure": figure, "formula": text, "at_target": float(f"{total:.3g}")}
+            row = {
+                "role": role,
+                "figure": figure,
+                "formula": text,
+                "at_target": float(f"{total:.3g}"),
+            }
             if kind in BUDGET:
-                row |= {"budget": BUDGET[kind], "times_budget": float(f"{total / BUDGET[kind]:.3g}")}
+                row |= {
+                    "budget": BUDGET[kind],
+                    "times_budget": float(f"{total / BUDGET[kind]:.3g}"),
+                }
             tell(row)
--- a/packages/stage/src/linkhaven/stage/slopes/vary.py
+++ b/packages/stage/src/linkhaven/stage/slopes/vary.py
@@ -35,7 +35,9 @@
 def vary(axis, seeds, seconds, base=None, values=None, processes=1, warm_us=WARM_US):
     """Points of each role and figure over the values of one number, all others held: {(role, figure): [(value, y)]}."""
     tasks = [
-        ({**(base or {}), axis: value}, seed, seconds, warm_us) for value in values or VALUES[axis] for seed in range(1, seeds + 1)
+        ({**(base or {}), axis: value}, seed, seconds, warm_us)
+        for value in values or VALUES[axis]
+        for seed in range(1, seeds + 1)
     ]
     points = {}
     for (given, *_), told in _run(tasks, processes):
@@ -62,5 +64,10 @@
     for (role, name), found in sorted(points.items()):
         if not any(amount for _, amount in found):
             continue
-        row = {"axis": axis, "role": role, "figure": name, "values": {str(x): float(f"{y:.4g}") for x, y in mean_rows(found).items()}}
+        row = {
+            "axis": axis,
+            "role": role,
+            "figure": name,
+            "values": {str(x): float(f"{y:.4g}") for x, y in mean_rows(found).items()},
+        }
         tell(row if name in UNSCORED else {**row, **fit(found).as_record()})
--- a/packages/stage/src/linkhaven/stage/standins.py
+++ b/packages/stage/src/linkhaven/stage/standins.py
@@ -21,7 +21,16 @@
 
 
 class Speeds:
-    __slots__ = ("prefill_rate", "read_share", "read_base_us", "step_us", "step_each_us", "kv_bytes", "link_rate", "piece_tokens")
+    __slots__ = (
+        "prefill_rate",
+        "read_share",
+        "read_base_us",
+        "step_us",
+        "step_each_us",
+        "kv_bytes",
+        "link_rate",
+        "piece_tokens",
+    )
 
     def __init__(self, **given):
         self.prefill_rate = 8_000
@@ -54,10 +63,38 @@
     """Plays a model runner: the protocol of the schema file over made-up work that takes the time real work would."""
 
     __slots__ = (
-        "incarnation", "phase", "speeds", "kv_total", "hold_us", "report_every_us", "queue_most", "reads", "is_reading",
-        "streams", "waiting", "handles", "mark", "fence", "is_leaving", "report", "reported_us", "is_stepping",
-        "record", "can_resume", "link_slowness", "serial", "kv_fails", "started_us", "is_mute", "garble", "is_trusting",
-        "die", "dies", "lapses", "is_silent", "slow_to",
+        "incarnation",
+        "phase",
+        "speeds",
+        "kv_total",
+        "hold_us",
+        "report_every_us",
+        "queue_most",
+        "reads",
+        "is_reading",
+        "streams",
+        "waiting",
+        "handles",
+        "mark",
+        "fence",
+        "is_leaving",
+        "report",
+        "reported_us",
+        "is_stepping",
+        "record",
+        "can_resume",
+        "link_slowness",
+        "serial",
+        "kv_fails",
+        "started_us",
+        "is_mute",
+        "garble",
+        "is_trusting",
+        "die",
+        "dies",
+        "lapses",
+        "is_silent",
+        "slow_to",
     )
 
     def __init__(self, name, address, ports, incarnation, phase, record=None, **given):
@@ -108,9 +145,16 @@
 
     def _look(self):
         return {
-            "name": self.name, "incarnation": self.incarnation, "phase": self.phase, "fence": self.fence, "mark": self.mark,
-            "queued": len(self.reads), "running": len(self.streams), "kv_used": self.kv_used,
-            "kv_total": self.kv_total, "is_leaving": self.is_leaving,
+            "name": self.name,
+            "incarnation": self.incarnation,
+            "phase": self.phase,
+            "fence": self.fence,
+            "mark": self.mark,
+            "queued": len(self.reads),
+            "running": len(self.streams),
+            "kv_used": self.kv_used,
+            "kv_total": self.kv_total,
+            "is_leaving": self.is_leaving,
         }
 
     def _make_report(self, now_us):
@@ -126,8 +170,16 @@
     def _admit(self, call, name):
         ask = check_document(name, read_json(call.body))
         self.record(
-            "offered", runner=self.name, incarnation=self.incarnation, request=ask["request"], shot=ask["shot"], mark=ask["mark"],
-            asked=ask["prompt"].rpartition(" ")[2], handle=ask.get("handle"), resume=ask.get("resume"), sent_us=self._sent_us(call),
+            "offered",
+            runner=self.name,
+            incarnation=self.incarnation,
+            request=ask["request"],
+            shot=ask["shot"],
+            mark=ask["mark"],
+            asked=ask["prompt"].rpartition(" ")[2],
+            handle=ask.get("handle"),
+            resume=ask.get("resume"),
+            sent_us=self._sent_us(call),
         )
         if not self.is_trusting:
             self._check_ask(ask)
@@ -139,11 +191,22 @@
             raise Trouble("mark_old", mark=self.mark)
         self.mark = ask["mark"]
         if self.is_leaving:
-            self.record("said_leaving", runner=self.name, incarnation=self.incarnation, router=ask["request"].rsplit("-", 2)[0])
+            self.record(
+                "said_leaving",
+                runner=self.name,
+                incarnation=self.incarnation,
+                router=ask["request"].rsplit("-", 2)[0],
+            )
             raise Trouble("runner_leaving")
         if len(self.reads) + len(self.waiting) >= self.queue_most:
             raise Trouble("runner_full")
-        self.record("taken", runner=self.name, incarnation=self.incarnation, request=ask["request"], mark=ask["mark"])
+        self.record(
+            "taken",
+            runner=self.name,
+            incarnation=self.incarnation,
+            request=ask["request"],
+            mark=ask["mark"],
+        )
 
     def _sent_us(self, call):
         return getattr(call, "sent_us", self.now_us())
@@ -151,9 +214,18 @@
     def _begin(self, what, job):
         ask = job.ask
         self.record(
-            "begin", what=what, runner=self.name, incarnation=self.incarnation, request=ask["request"], shot=ask["shot"],
-            mark=ask["mark"], one_time=ask["one_time"], asked=ask["prompt"].rpartition(" ")[2],
-            resume=ask.get("resume"), handle=ask.get("handle"), sent_us=self._sent_us(job.call),
+            "begin",
+            what=what,
+            runner=self.name,
+            incarnation=self.incarnation,
+            request=ask["request"],
+            shot=ask["shot"],
+            mark=ask["mark"],
+            one_time=ask["one_time"],
+            asked=ask["prompt"].rpartition(" ")[2],
+            resume=ask.get("resume"),
+            handle=ask.get("handle"),
+            sent_us=self._sent_us(job.call),
         )
 
     def serve_prefill(self, call):
@@ -203,16 +275,33 @@
     def _finish_prefill(self, job):
         self.serial += 1
         handle = f"{self.name}/{self.incarnation}/{self.serial}"
-        self.handles[handle] = (job.ask["request"], job.ask["shot"], job.tokens, self.now_us() + self.hold_us)
-        self.record("issued", runner=self.name, handle=handle, request=job.ask["request"], shot=job.ask["shot"])
+        self.handles[handle] = (
+            job.ask["request"],
+            job.ask["shot"],
+            job.tokens,
+            self.now_us() + self.hold_us,
+        )
+        self.record(
+            "issued",
+            runner=self.name,
+            handle=handle,
+            request=job.ask["request"],
+            shot=job.ask["shot"],
+        )
         told, shot = job.ask["request"], job.ask["shot"]
         if self.garble in ("request", "shot"):
             handle = f"{self.name}/{self.incarnation}/{self.serial - 1}"
             told, shot = ("edge-0-0-0", shot) if self.garble == "request" else (told, shot + 1)
-        job.call.answer_json(200, {
-            "request": told, "shot": shot, "handle": handle,
-            "incarnation": self.incarnation, "prompt_tokens": job.tokens,
-        })
+        job.call.answer_json(
+            200,
+            {
+                "request": told,
+                "shot": shot,
+                "handle": handle,
+                "incarnation": self.incarnation,
+                "prompt_tokens": job.tokens,
+            },
+        )
         if self.dies == "hand-over":
             self.ports.clock.call_in(1, self.die)
 
@@ -229,7 +318,9 @@
         if not self.is_trusting and (held[0] != ask["request"] or held[1] != ask["shot"]):
             raise Trouble("handle_foreign")
         del self.handles[ask["handle"]]
-        cost_us = int(held[2] * self.speeds.kv_bytes * 1_000_000 / self.speeds.link_rate * self.link_slowness)
+        cost_us = int(
+            held[2] * self.speeds.kv_bytes * 1_000_000 / self.speeds.link_rate * self.link_slowness
+        )
         cost_us = int(cost_us * self.slow_to.get(ask.get("target"), 1))
 
         def send_half():
@@ -254,7 +345,11 @@
         resume = ask.get("resume")
         job = self._job(call, ask)
         own = digest(ask["prompt"], 6)
-        if resume and not self.is_trusting and (not self.can_resume or not resume["run"].startswith(own + "-")):
+        if (
+            resume
+            and not self.is_trusting
+            and (not self.can_resume or not resume["run"].startswith(own + "-"))
+        ):
             raise Trouble("run_unknown")
         fresh = digest("/".join((ask["request"], str(ask["shot"]), self.name)))
         job.run = resume["run"] if resume else f"{own}-{fresh}"
@@ -282,9 +377,22 @@
             document = read_json(told["body"] or b"null")
             if told["status"] != 200:
                 code = document.get("code") if isinstance(document, dict) else None
-                return job.call.answer_trouble(Trouble(code if code in ("handle_lapsed", "handle_foreign") else "hand_over_failed"))
-            self.record("kv", runner=self.name, wanted=ask["request"], shot=ask["shot"], got=document["request"], got_shot=document["shot"])
-            if not self.is_trusting and (document["request"] != ask["request"] or document["shot"] != ask["shot"]):
+                return job.call.answer_trouble(
+                    Trouble(
+                        code if code in ("handle_lapsed", "handle_foreign") else "hand_over_failed"
+                    )
+                )
+            self.record(
+                "kv",
+                runner=self.name,
+                wanted=ask["request"],
+                shot=ask["shot"],
+                got=document["request"],
+                got_shot=document["shot"],
+            )
+            if not self.is_trusting and (
+                document["request"] != ask["request"] or document["shot"] != ask["shot"]
+            ):
                 return job.call.answer_trouble(Trouble("handle_foreign"))
             self._wait_for_memory(job)
 
@@ -292,9 +400,20 @@
             if not job.is_gone:
                 job.call.answer_trouble(Trouble("hand_over_failed"))
 
-        body = write_json({"handle": ask["handle"], "request": ask["request"], "shot": ask["shot"], "target": self.name})
+        body = write_json(
+            {
+                "handle": ask["handle"],
+                "request": ask["request"],
+                "shot": ask["shot"],
+                "target": self.name,
+            }
+        )
         self.ports.wire.open(
-            ask["source"], "POST", "/v1/kv", {"content-type": "application/json"}, body,
+            ask["source"],
+            "POST",
+            "/v1/kv",
+            {"content-type": "application/json"},
+            body,
             Hearer(on_head, on_data, on_end, on_trouble),
         )
 
@@ -315,9 +434,15 @@
                 self._begin("decode", job)
             job.kv = job.tokens + job.number * self.speeds.piece_tokens
             self.streams.append(job)
-            job.call.begin(200, {
-                "content-type": "text/event-stream", "request-id": job.ask["request"], "run": job.run, "after": str(job.number),
-            })
+            job.call.begin(
+                200,
+                {
+                    "content-type": "text/event-stream",
+                    "request-id": job.ask["request"],
+                    "run": job.run,
+                    "after": str(job.number),
+                },
+            )
         self._step()
 
     def _step(self):
@@ -348,7 +473,13 @@
         if job.number >= job.count and not job.is_gone:
             self.streams.remove(job)
             job.is_gone = True
-            self.record("finished", runner=self.name, request=job.ask["request"], shot=job.ask["shot"], asked=job.ask["prompt"].rpartition(" ")[2])
+            self.record(
+                "finished",
+                runner=self.name,
+                request=job.ask["request"],
+                shot=job.ask["shot"],
+                asked=job.ask["prompt"].rpartition(" ")[2],
+            )
             job.call.write(write_event("done", {"count": job.number}))
             job.call.finish()
 
@@ -375,8 +506,15 @@
         order = check_document("PhaseOrder", read_json(call.body))
         trouble = None if self.is_trusting else self._find_fault(order)
         self.record(
-            "order", runner=self.name, incarnation=self.incarnation, named=order["incarnation"], fence=order["fence"], mark=order["mark"],
-            holder=order["holder"], is_taken=trouble is None, sent_us=self._sent_us(call),
+            "order",
+            runner=self.name,
+            incarnation=self.incarnation,
+            named=order["incarnation"],
+            fence=order["fence"],
+            mark=order["mark"],
+            holder=order["holder"],
+            is_taken=trouble is None,
+            sent_us=self._sent_us(call),
         )
         if trouble is not None:
             raise trouble
@@ -398,7 +536,7 @@
 
     def _refuse_reads(self):
         kept = deque(list(self.reads)[:1] if self.is_reading else [])
-        for job, then in list(self.reads)[len(kept):]:
+        for job, then in list(self.reads)[len(kept) :]:
             if then != self._finish_prefill:
                 kept.append((job, then))
             elif not job.is_gone:
@@ -415,7 +553,10 @@
         super().__init__(name, address, ports)
         self.lag_us = lag_us
         self.history = [(self.now_us() - lag_us, {})]
-        self.paths = {("GET", "/v1/runners"): self.serve_runners, ("PUT", "/v1/runners"): self.serve_put}
+        self.paths = {
+            ("GET", "/v1/runners"): self.serve_runners,
+            ("PUT", "/v1/runners"): self.serve_put,
+        }
 
     def set(self, runners, at_once=False):
         self.history.append((self.now_us() - (self.lag_us if at_once else 0), runners))
@@ -433,5 +574,8 @@
 
     def serve_put(self, call):
         document = check_document("RunnerList", read_json(call.body))
-        self.set({record["name"]: record for record in document["runners"]}, at_once=not self.history[-1][1])
+        self.set(
+            {record["name"]: record for record in document["runners"]},
+            at_once=not self.history[-1][1],
+        )
         call.answer_json(200, {"runners": document["runners"]})
--- a/packages/stage/src/linkhaven/stage/sweep.py
+++ b/packages/stage/src/linkhaven/stage/sweep.py
@@ -19,8 +19,11 @@
         puts = dice.choice(("collide_plans", "burst_plans")) if dice.random() < 0.4 else None
         faults.append((name, dice.choice((0.0, 0.3, 1.0, 2.0, 4.0)), puts))
     return {
-        "lag_us": dice.choice((300_000, 800_000)), "warm_s": round(2 + dice.random(), 2), "rate": dice.choice(RATES[deployment]),
-        "faults": faults, "hold_s": dice.choice((1.0, 3.0, 6.0, 10.0)),
+        "lag_us": dice.choice((300_000, 800_000)),
+        "warm_s": round(2 + dice.random(), 2),
+        "rate": dice.choice(RATES[deployment]),
+        "faults": faults,
+        "hold_s": dice.choice((1.0, 3.0, 6.0, 10.0)),
     }
 
 
@@ -38,7 +41,17 @@
 
 def sweep(deployment, first, count, tell):
     """Runs seeds first to first + count - 1; tells each that breached; answers the totals."""
-    totals = {"runs": 0, "breached": [], "asked": 0, "served": 0, "refused": 0, "troubled": 0, "cut": 0, "waiting": 0, "faults": {}}
+    totals = {
+        "runs": 0,
+        "breached": [],
+        "asked": 0,
+        "served": 0,
+        "refused": 0,
+        "troubled": 0,
+        "cut": 0,
+        "waiting": 0,
+        "faults": {},
+    }
     for seed in range(first, first + count):
         course = draw_course(deployment, seed)
         try:
@@ -55,5 +68,13 @@
             totals[key] += seen[key]
         if breaches:
             totals["breached"].append(seed)
-            tell({"seed": seed, "course": course, "breaches": {name: [len(found), *found[:2]] for name, found in breaches.items()}})
+            tell(
+                {
+                    "seed": seed,
+                    "course": course,
+                    "breaches": {
+                        name: [len(found), *found[:2]] for name, found in breaches.items()
+                    },
+                }
+            )
     return totals
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -18,7 +18,20 @@
 class World:
     """A simulated network and clock. A run is a function of its seed and of what the stage does in it."""
 
-    __slots__ = ("now_us", "dice", "agenda", "serial", "hosts", "cuts", "slow", "links", "record", "conns", "is_tracing", "events")
+    __slots__ = (
+        "now_us",
+        "dice",
+        "agenda",
+        "serial",
+        "hosts",
+        "cuts",
+        "slow",
+        "links",
+        "record",
+        "conns",
+        "is_tracing",
+        "events",
+    )
 
     def __init__(self, seed):
         self.now_us = 0
@@ -129,8 +142,20 @@
     """One machine of the world and the process on it."""
 
     __slots__ = (
-        "world", "name", "zone", "address", "build", "node", "epoch", "is_frozen", "is_held", "backlog", "disk",
-        "starts", "skew_us", "wall_skew_us",
+        "world",
+        "name",
+        "zone",
+        "address",
+        "build",
+        "node",
+        "epoch",
+        "is_frozen",
+        "is_held",
+        "backlog",
+        "disk",
+        "starts",
+        "skew_us",
+        "wall_skew_us",
     )
 
     def __init__(self, world, name, zone, address, build, disk=None):
@@ -159,7 +184,13 @@
         self.backlog.clear()
         epoch = self.epoch
         clock = SimClock(self)
-        ports = Ports(clock, SimWire(self), self.disk, random.Random(self.world.dice.getrandbits(64)), self._log)
+        ports = Ports(
+            clock,
+            SimWire(self),
+            self.disk,
+            random.Random(self.world.dice.getrandbits(64)),
+            self._log,
+        )
         self.node = self.build(self, ports)
         self.world.after(self.world.dice.randrange(TICK_US), lambda: self._tick(epoch))
         return self.node
@@ -286,8 +317,19 @@
     """One HTTP exchange between two hosts."""
 
     __slots__ = (
-        "world", "client", "server", "hearer", "call", "is_over", "is_held", "held", "held_bytes",
-        "client_epoch", "server_epoch", "is_connected", "sent_us",
+        "world",
+        "client",
+        "server",
+        "hearer",
+        "call",
+        "is_over",
+        "is_held",
+        "held",
+        "held_bytes",
+        "client_epoch",
+        "server_epoch",
+        "is_connected",
+        "sent_us",
     )
 
     def __init__(self, client, server, hearer):
@@ -443,7 +485,19 @@
     """Keeps what was synced, and holds its node's whole turn while it syncs, as lmdb does. Faults: full, stalled,
     slow, lossy (the last acknowledged writes are gone after a crash)."""
 
-    __slots__ = ("world", "host", "synced", "recent", "is_full", "is_stalled", "sync_us", "loses", "epoch", "waiting", "stalled")
+    __slots__ = (
+        "world",
+        "host",
+        "synced",
+        "recent",
+        "is_full",
+        "is_stalled",
+        "sync_us",
+        "loses",
+        "epoch",
+        "waiting",
+        "stalled",
+    )
 
     def __init__(self, world, sync_us=SYNC_US):
         self.world = world
--- a/packages/traces/src/linkhaven/traces/writer.py
+++ b/packages/traces/src/linkhaven/traces/writer.py
@@ -24,7 +24,10 @@
         try:
             self._open()
         except OSError as fault:
-            raise Trouble("settings_invalid", places=[{"place": "traces", "fault": f"{path}: {fault.strerror}"}]) from None
+            raise Trouble(
+                "settings_invalid",
+                places=[{"place": "traces", "fault": f"{path}: {fault.strerror}"}],
+            ) from None
 
     def _open(self):
         exporter = FileSpanExporter(self.path)
@@ -47,14 +50,31 @@
             self._open()
         ended_ns = self.wall_ns()
         begun_ns = ended_ns - (ended_us - request.arrived_us) * 1_000
-        span = self.tracer.start_span("request", start_time=begun_ns, attributes={
-            "linkhaven.request": request.id, "linkhaven.kind": request.kind_name or "", "linkhaven.group": request.group or "",
-            "linkhaven.outcome": request.outcome, "linkhaven.attempts": request.attempts, "linkhaven.tokens": request.tokens,
-        })
+        span = self.tracer.start_span(
+            "request",
+            start_time=begun_ns,
+            attributes={
+                "linkhaven.request": request.id,
+                "linkhaven.kind": request.kind_name or "",
+                "linkhaven.group": request.group or "",
+                "linkhaven.outcome": request.outcome,
+                "linkhaven.attempts": request.attempts,
+                "linkhaven.tokens": request.tokens,
+            },
+        )
         context = set_span_in_context(span)
         for step, following in zip(request.steps, request.steps[1:]):
-            facts = {f"linkhaven.{key}": value for key, value in step.items() if key not in ("at_us", "step")}
-            part = self.tracer.start_span(step["step"], context=context, start_time=begun_ns + step["at_us"] * 1_000, attributes=facts)
+            facts = {
+                f"linkhaven.{key}": value
+                for key, value in step.items()
+                if key not in ("at_us", "step")
+            }
+            part = self.tracer.start_span(
+                step["step"],
+                context=context,
+                start_time=begun_ns + step["at_us"] * 1_000,
+                attributes=facts,
+            )
             part.end(begun_ns + following["at_us"] * 1_000)
         span.end(ended_ns)
 
--- a/packages/wire/src/linkhaven/wire/console.py
+++ b/packages/wire/src/linkhaven/wire/console.py
@@ -20,7 +20,13 @@
     option("zone", None, "the zone it stands in", flag=False),
     option("lines", None, "IP number and port for its fellows", flag=False),
     option("http", None, "IP number and port for HTTP", flag=False),
-    option("seed", None, "a seed: the lines address of another process (give three)", flag=False, multiple=True),
+    option(
+        "seed",
+        None,
+        "a seed: the lines address of another process (give three)",
+        flag=False,
+        multiple=True,
+    ),
     option("log-level", None, "debug, info, warning or error", flag=False),
     option("log-file", None, "write the log there instead of to standard error", flag=False),
 ]
@@ -60,7 +66,9 @@
         try:
             return self.act() or DONE
         except Trouble as trouble:
-            self.line_error(f"<error>{trouble.code}</error> (done: {trouble.done}): {trouble.remedy}")
+            self.line_error(
+                f"<error>{trouble.code}</error> (done: {trouble.done}): {trouble.remedy}"
+            )
             self.tell_detail(trouble.detail)
             return code_of(trouble)
 
@@ -104,7 +112,9 @@
     try:
         return json.loads(text)
     except ValueError as fault:
-        raise Trouble("bad_request", places=[{"place": path, "fault": f"not JSON: {fault}"}]) from None
+        raise Trouble(
+            "bad_request", places=[{"place": path, "fault": f"not JSON: {fault}"}]
+        ) from None
 
 
 def run_application(name, commands):
--- a/packages/wire/src/linkhaven/wire/door.py
+++ b/packages/wire/src/linkhaven/wire/door.py
@@ -29,7 +29,14 @@
 class DoorLimits:
     __slots__ = ("head_bytes", "body_bytes", "head_us", "idle_us", "connections")
 
-    def __init__(self, head_bytes=16_384, body_bytes=4_194_304, head_us=3_000_000, idle_us=15_000_000, connections=2_000):
+    def __init__(
+        self,
+        head_bytes=16_384,
+        body_bytes=4_194_304,
+        head_us=3_000_000,
+        idle_us=15_000_000,
+        connections=2_000,
+    ):
         self.head_bytes = head_bytes
         self.body_bytes = body_bytes
         self.head_us = head_us
@@ -154,8 +161,22 @@
     """One caller's connection: a request is read whole, answered, and only then is the next one read."""
 
     __slots__ = (
-        "door", "plug", "http", "head", "request", "parts", "body_bytes", "call", "rest",
-        "since_us", "is_idle", "is_last", "is_old", "is_closing", "is_lingering", "is_continued",
+        "door",
+        "plug",
+        "http",
+        "head",
+        "request",
+        "parts",
+        "body_bytes",
+        "call",
+        "rest",
+        "since_us",
+        "is_idle",
+        "is_last",
+        "is_old",
+        "is_closing",
+        "is_lingering",
+        "is_continued",
     )
 
     def __init__(self, door, sock):
@@ -263,18 +284,32 @@
         return True
 
     def _continue(self):
-        if self.is_continued or self.request is None or not self.http.they_are_waiting_for_100_continue:
+        if (
+            self.is_continued
+            or self.request is None
+            or not self.http.they_are_waiting_for_100_continue
+        ):
             return
         self.is_continued = True
         self.plug.send(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _open_call(self):
         headers, request = self.request
-        fields = [(name.decode("latin-1"), value.decode("latin-1")) for name, value in request.headers.raw_items()]
+        fields = [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in request.headers.raw_items()
+        ]
         self.rest = self.http.trailing_data[0]
         self.http = self.request = None
         body, self.parts = b"".join(self.parts), []
-        call = self.call = DoorCall(self, request.method.decode("latin-1"), request.target.decode("latin-1"), headers, fields, body)
+        call = self.call = DoorCall(
+            self,
+            request.method.decode("latin-1"),
+            request.target.decode("latin-1"),
+            headers,
+            fields,
+            body,
+        )
         try:
             self.door.on_call(call)
         except Exception:
@@ -304,7 +339,11 @@
     def refuse(self, status):
         """Answers a request that was not read whole, and closes once the caller has had time to read the answer."""
         body = write_json({"code": FAULTS[status], "done": "no", "message": REMEDIES[status]})
-        fields = [("content-type", "application/json"), ("content-length", len(body)), ("connection", "close")]
+        fields = [
+            ("content-type", "application/json"),
+            ("content-length", len(body)),
+            ("connection", "close"),
+        ]
         head = write_status(status, fields)
         is_bare = self.request is not None and self.request[1].method == b"HEAD"
         self.http = self.request = None
@@ -377,7 +416,11 @@
         self.connections.add(DoorConnection(self, sock))
 
     def _close_longest_idle(self):
-        idle = [connection for connection in self.connections if connection.call is None and connection.is_idle]
+        idle = [
+            connection
+            for connection in self.connections
+            if connection.call is None and connection.is_idle
+        ]
         if not idle:
             return False
         min(idle, key=lambda connection: connection.since_us).close()
--- a/packages/wire/src/linkhaven/wire/heads.py
+++ b/packages/wire/src/linkhaven/wire/heads.py
@@ -12,7 +12,9 @@
 
 def write_head(first_line, fields):
     """The bytes of a head; a line end inside a line would let one message look like two, so it is refused."""
-    head = "".join([first_line, "\r\n", *[f"{name}: {value}\r\n" for name, value in fields], "\r\n"])
+    head = "".join(
+        [first_line, "\r\n", *[f"{name}: {value}\r\n" for name, value in fields], "\r\n"]
+    )
     lines = len(fields) + 2
     if head.count("\n") != lines or head.count("\r") != lines or "\0" in head:
         raise ValueError("a line of the head holds a line end")
--- a/packages/wire/src/linkhaven/wire/inlet.py
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -146,7 +146,9 @@
         self.calls = {}
         self.taken = {}
         self.idle = {}
-        self.server = TCPServer(split_address(address), channel="web", bufsize=READ_BYTES).register(self)
+        self.server = TCPServer(split_address(address), channel="web", bufsize=READ_BYTES).register(
+            self
+        )
         self.http = HTTP(self, channel="web").register(self)
 
     @property
--- a/packages/wire/src/linkhaven/wire/log.py
+++ b/packages/wire/src/linkhaven/wire/log.py
@@ -6,7 +6,12 @@
 from linkhaven.clockwork import write_json
 from linkhaven.schema import EVENTS
 
-LEVELS = {"debug": picologging.DEBUG, "info": picologging.INFO, "warning": picologging.WARNING, "error": picologging.ERROR}
+LEVELS = {
+    "debug": picologging.DEBUG,
+    "info": picologging.INFO,
+    "warning": picologging.WARNING,
+    "error": picologging.ERROR,
+}
 
 
 def stamp():
@@ -20,7 +25,10 @@
     handler.setFormatter(picologging.Formatter("%(message)s"))
     logger.addHandler(handler)
     writers = {
-        "debug": logger.debug, "info": logger.info, "warning": logger.warning, "error": logger.error,
+        "debug": logger.debug,
+        "info": logger.info,
+        "warning": logger.warning,
+        "error": logger.error,
     }
 
     def log(number, **facts):
--- a/packages/wire/src/linkhaven/wire/plug.py
+++ b/packages/wire/src/linkhaven/wire/plug.py
@@ -16,8 +16,21 @@
     """One stream socket, called by the poller; what is sent in a turn goes out in one write at its end."""
 
     __slots__ = (
-        "poller", "sock", "fileno", "mask", "is_open", "is_over", "is_eof", "is_held", "is_put_off", "has_begun",
-        "out", "out_bytes", "on_data", "on_close", "on_sent",
+        "poller",
+        "sock",
+        "fileno",
+        "mask",
+        "is_open",
+        "is_over",
+        "is_eof",
+        "is_held",
+        "is_put_off",
+        "has_begun",
+        "out",
+        "out_bytes",
+        "on_data",
+        "on_close",
+        "on_sent",
     )
 
     def __init__(self, poller, on_data, on_close, on_sent=None):
@@ -42,7 +55,9 @@
             self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
             self._prepare()
             if user_timeout_us is not None:
-                self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_us // 1_000)
+                self.sock.setsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_us // 1_000
+                )
             code = self.sock.connect_ex(split_address(address))
         except OSError:
             code = errno.EMFILE
--- a/packages/wire/src/linkhaven/wire/pool.py
+++ b/packages/wire/src/linkhaven/wire/pool.py
@@ -14,7 +14,6 @@
 ASKED_ALL = h11.EndOfMessage()
 
 
-
 def write_request(method, path, fields, body):
     if not path or " " in path or "\t" in path:
         raise ValueError("a request's path holds a blank")
@@ -118,7 +117,19 @@
 class Exchange:
     """One HTTP call to another process, read by h11 from a pooled connection."""
 
-    __slots__ = ("outlet", "address", "connection", "http", "hearer", "data", "keep", "life_us", "is_over", "is_reused", "is_answered")
+    __slots__ = (
+        "outlet",
+        "address",
+        "connection",
+        "http",
+        "hearer",
+        "data",
+        "keep",
+        "life_us",
+        "is_over",
+        "is_reused",
+        "is_answered",
+    )
 
     def __init__(self, outlet, address, method, path, headers, body, hearer, keep=False, host=None):
         self.outlet = outlet
@@ -180,7 +191,14 @@
         self.is_over = True
         connection, plug = self.connection, self.connection.plug
         whole = self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
-        if self.keep and whole and not plug.is_over and not plug.out_bytes and self.http.trailing_data == (b"", False) and self.life_us:
+        if (
+            self.keep
+            and whole
+            and not plug.is_over
+            and not plug.out_bytes
+            and self.http.trailing_data == (b"", False)
+            and self.life_us
+        ):
             connection.rest(self.life_us)
         else:
             connection.exchange = None
--- a/packages/wire/src/linkhaven/wire/settings.py
+++ b/packages/wire/src/linkhaven/wire/settings.py
@@ -56,22 +56,32 @@
     t.Key("lines"): ADDRESS,
     t.Key("http"): ADDRESS,
     t.Key("seeds"): t.Call(_seeds),
-    t.Key("log", default=dict): t.Dict({
-        t.Key("level", default="info"): t.Enum("debug", "info", "warning", "error"),
-        t.Key("file", optional=True): t.String(),
-    }),
+    t.Key("log", default=dict): t.Dict(
+        {
+            t.Key("level", default="info"): t.Enum("debug", "info", "warning", "error"),
+            t.Key("file", optional=True): t.String(),
+        }
+    ),
     t.Key("body_bytes", default=2_000_000): whole(1_000, 100_000_000),
     t.Key("conns", default=4_000): whole(1, 100_000),
 }
 SETTINGS = {
-    "router": t.Dict({**COMMON, t.Key("requests", default=2_000): whole(1, 100_000), t.Key("traces", optional=True): t.String()}),
-    "registry": t.Dict({
-        **COMMON,
-        t.Key("data"): t.Call(_folder),
-        t.Key("data_bytes", default=1 << 30): whole(65_536, 1 << 40),
-        t.Key("seat"): t.Enum("a", "b", "c"),
-        t.Key("platform"): ADDRESS,
-    }),
+    "router": t.Dict(
+        {
+            **COMMON,
+            t.Key("requests", default=2_000): whole(1, 100_000),
+            t.Key("traces", optional=True): t.String(),
+        }
+    ),
+    "registry": t.Dict(
+        {
+            **COMMON,
+            t.Key("data"): t.Call(_folder),
+            t.Key("data_bytes", default=1 << 30): whole(65_536, 1 << 40),
+            t.Key("seat"): t.Enum("a", "b", "c"),
+            t.Key("platform"): ADDRESS,
+        }
+    ),
 }
 
 
@@ -83,7 +93,9 @@
     try:
         settings = SETTINGS[program].check(document)
     except t.DataError as fault:
-        raise Trouble("settings_invalid", places=sorted(list_places(fault), key=lambda place: place["place"])) from None
+        raise Trouble(
+            "settings_invalid", places=sorted(list_places(fault), key=lambda place: place["place"])
+        ) from None
     if settings["lines"] == settings["http"]:
         raise misfit("http", "is the same address as lines")
     return settings
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -28,8 +28,18 @@
     channel = "shell"
 
     def __init__(
-        self, name, lines, http, build, disk=None, level="info", log_path=None, body_bytes=2_000_000, conns=4_000,
-        tick_us=TICK_US, on_hangup=None,
+        self,
+        name,
+        lines,
+        http,
+        build,
+        disk=None,
+        level="info",
+        log_path=None,
+        body_bytes=2_000_000,
+        conns=4_000,
+        tick_us=TICK_US,
+        on_hangup=None,
     ):
         super().__init__()
         self.code = 0
@@ -51,7 +61,9 @@
             self.add_lines(lines)
         if http:
             try:
-                self.web = WebInlet(http, lambda call: self.node.serve(call), body_bytes, conns).register(self)
+                self.web = WebInlet(
+                    http, lambda call: self.node.serve(call), body_bytes, conns
+                ).register(self)
             except OSError as fault:
                 raise Trouble("address_taken", http=http, why=fault.strerror) from None
 
@@ -102,7 +114,11 @@
         self.poller.turn(0 if self._queue else time_left)
 
     def run_to_end(self):
-        facts = {"http": f"{self.web.host}:{self.web.port}"} if self.web else {"http": self.doors[0].address if self.doors else None}
+        facts = (
+            {"http": f"{self.web.host}:{self.web.port}"}
+            if self.web
+            else {"http": self.doors[0].address if self.doors else None}
+        )
         self.log(1001, **facts)
         signals.signal(signals.SIGPIPE, signals.SIG_IGN)
         if threading.current_thread() is threading.main_thread():
--- a/tests/test_budget_by_pool.py
+++ b/tests/test_budget_by_pool.py
@@ -21,7 +21,11 @@
     for _ in range(11):
         extra.earn("one")
     assert not extra.spend("retry", pool="two")
-    assert extra.spend("retry", pool="one") and extra.spend("retry", pool="one") and not extra.spend("retry", pool="one")
+    assert (
+        extra.spend("retry", pool="one")
+        and extra.spend("retry", pool="one")
+        and not extra.spend("retry", pool="one")
+    )
 
 
 def test_earnings_of_each_pool_are_bounded_by_the_part_and_lapse_with_it():
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -16,7 +16,11 @@
 
 
 def read_rows(page):
-    rows = [line.strip("|").split("|") for line in (ROOT / "docs" / page).read_text().splitlines() if line.startswith("|")]
+    rows = [
+        line.strip("|").split("|")
+        for line in (ROOT / "docs" / page).read_text().splitlines()
+        if line.startswith("|")
+    ]
     return [tuple(cell.strip() for cell in row) for row in rows[2:]]
 
 
@@ -29,7 +33,9 @@
                 continue
             called = getattr(node.func, "id", getattr(node.func, "attr", None))
             if called == name and node.args:
-                found |= {leaf.value for leaf in ast.walk(node.args[0]) if isinstance(leaf, ast.Constant)}
+                found |= {
+                    leaf.value for leaf in ast.walk(node.args[0]) if isinstance(leaf, ast.Constant)
+                }
     return found
 
 
@@ -39,8 +45,15 @@
 
 
 def test_the_troubles_page_is_the_catalogue_and_the_code_uses_all_of_it():
-    assert read_rows("troubles.md") == [(code, str(status), done, remedy) for code, (status, done, remedy) in CATALOGUE.items()]
-    told = {word for name in ("Trouble", "_fence") for word in first_words(name) if isinstance(word, str)}
+    assert read_rows("troubles.md") == [
+        (code, str(status), done, remedy) for code, (status, done, remedy) in CATALOGUE.items()
+    ]
+    told = {
+        word
+        for name in ("Trouble", "_fence")
+        for word in first_words(name)
+        if isinstance(word, str)
+    }
     assert set(CATALOGUE) - told == set()
 
 
@@ -53,10 +66,20 @@
 def test_every_path_a_node_serves_is_in_the_schema_file():
     served = set()
     for path in SOURCES:
-        for method, place in re.findall(r'\("(GET|PUT|POST|DELETE)", "(/v1/[a-z/]*)"\)', path.read_text()):
-            named = "{request}" if place.endswith("explain/") else "{name}" if place.endswith("/") else ""
+        for method, place in re.findall(
+            r'\("(GET|PUT|POST|DELETE)", "(/v1/[a-z/]*)"\)', path.read_text()
+        ):
+            named = (
+                "{request}"
+                if place.endswith("explain/")
+                else "{name}"
+                if place.endswith("/")
+                else ""
+            )
             served.add((method.lower(), place + named))
-    described = {(method, place) for place, calls in read_schema()["paths"].items() for method in calls}
+    described = {
+        (method, place) for place, calls in read_schema()["paths"].items() for method in calls
+    }
     assert served - described == {("put", "/v1/runners")}
     assert described - served == set()
 
@@ -65,20 +88,38 @@
     for deployment in DEPLOYMENTS.values():
         assert check_plan(deployment.plan()) == []
     bad = {
-        "groups": {"a": {"credit": {"tokens": -1, "period_us": 1}}}, "fleet": {"routers": 1}, "zzz": 1,
-        "kinds": {"k": {"group": "b", "ttft_us": 9, "tpot_us": 1, "deadline_us": 5, "repeatable": False, "resumable": True}},
+        "groups": {"a": {"credit": {"tokens": -1, "period_us": 1}}},
+        "fleet": {"routers": 1},
+        "zzz": 1,
+        "kinds": {
+            "k": {
+                "group": "b",
+                "ttft_us": 9,
+                "tpot_us": 1,
+                "deadline_us": 5,
+                "repeatable": False,
+                "resumable": True,
+            }
+        },
     }
     assert {place["place"] for place in check_plan(bad)} == {
-        "groups/a/credit/tokens", "zzz", "kinds/k/group", "kinds/k/ttft_us", "kinds/k/resumable",
+        "groups/a/credit/tokens",
+        "zzz",
+        "kinds/k/group",
+        "kinds/k/ttft_us",
+        "kinds/k/resumable",
     }
 
 
-@pytest.mark.parametrize("name, document, place", [
-    ("Ask", {"kind": "k"}, "."),
-    ("Ask", {"kind": "k", "prompt": ""}, "prompt"),
-    ("Ask", {"kind": "k", "prompt": "x", "answer_tokens": 0}, "answer_tokens"),
-    ("PlanPut", {"expect": -1, "put_id": "x", "plan": {}}, "expect"),
-])
+@pytest.mark.parametrize(
+    "name, document, place",
+    [
+        ("Ask", {"kind": "k"}, "."),
+        ("Ask", {"kind": "k", "prompt": ""}, "prompt"),
+        ("Ask", {"kind": "k", "prompt": "x", "answer_tokens": 0}, "answer_tokens"),
+        ("PlanPut", {"expect": -1, "put_id": "x", "plan": {}}, "expect"),
+    ],
+)
 def test_a_document_that_does_not_fit_the_schema_is_told_where(name, document, place):
     with pytest.raises(Trouble) as caught:
         check_document(name, document)
@@ -87,16 +128,27 @@
 
 
 SETTINGS = {
-    "name": "edge-1", "zone": "z", "lines": "10.0.0.1:7000", "http": "10.0.0.1:80",
+    "name": "edge-1",
+    "zone": "z",
+    "lines": "10.0.0.1:7000",
+    "http": "10.0.0.1:80",
     "seeds": ["10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000"],
 }
 
 
-@pytest.mark.parametrize("changed, place", [
-    ({"lines": "localhost:7000"}, "lines"), ({"http": "10.0.0.1:0"}, "http"), ({"seeds": ["10.0.0.2:7000"]}, "seeds"),
-    ({"seeds": ["10.0.0.2:7000", "x", "10.0.0.4:7000"]}, "seeds/1"), ({"log": {"level": "loud"}}, "log/level"),
-    ({"requests": 0}, "requests"), ({"colour": "red"}, "colour"), ({"http": "10.0.0.1:7000"}, "http"),
-])
+@pytest.mark.parametrize(
+    "changed, place",
+    [
+        ({"lines": "localhost:7000"}, "lines"),
+        ({"http": "10.0.0.1:0"}, "http"),
+        ({"seeds": ["10.0.0.2:7000"]}, "seeds"),
+        ({"seeds": ["10.0.0.2:7000", "x", "10.0.0.4:7000"]}, "seeds/1"),
+        ({"log": {"level": "loud"}}, "log/level"),
+        ({"requests": 0}, "requests"),
+        ({"colour": "red"}, "colour"),
+        ({"http": "10.0.0.1:7000"}, "http"),
+    ],
+)
 def test_a_bad_setting_is_told_with_its_key(changed, place):
     assert check_settings("router", SETTINGS)["requests"] == 2_000
     with pytest.raises(Trouble) as caught:
@@ -111,4 +163,7 @@
         assert read_question(read_settings(ROOT / f"examples/what-if-{deployment}.json"))["what_if"]
     for path in sorted((ROOT / "examples/loopback").glob("*.yaml")):
         document = read_settings(path)
-        assert check_settings("registry" if "seat" in document else "router", {**document, **({"data": "."} if "seat" in document else {})})
+        assert check_settings(
+            "registry" if "seat" in document else "router",
+            {**document, **({"data": "."} if "seat" in document else {})},
+        )
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -7,11 +7,35 @@
 
 
 def asked(id, at=0, kind="check", router="r", resume=None, key=None, tokens=4):
-    return (at, "asked", {"id": id, "kind": kind, "router": router, "resume": resume, "key": key, "answer_tokens": tokens})
+    return (
+        at,
+        "asked",
+        {
+            "id": id,
+            "kind": kind,
+            "router": router,
+            "resume": resume,
+            "key": key,
+            "answer_tokens": tokens,
+        },
+    )
 
 
 def ended(id, how, at=S, count=None, code=None, cause=None, mark=0):
-    return (at, "ended", {"id": id, "how": how, "code": code, "done": None, "count": count, "status": 200, "cause": cause, "mark": mark})
+    return (
+        at,
+        "ended",
+        {
+            "id": id,
+            "how": how,
+            "code": code,
+            "done": None,
+            "count": count,
+            "status": 200,
+            "cause": cause,
+            "mark": mark,
+        },
+    )
 
 
 def put(put_id, kinds):
@@ -19,7 +43,10 @@
 
 
 def offered_leaving(at, router="edge-1"):
-    return [(0, "said_leaving", {"runner": "runner-1", "incarnation": 1, "router": router}), offered(at=at)]
+    return [
+        (0, "said_leaving", {"runner": "runner-1", "incarnation": 1, "router": router}),
+        offered(at=at),
+    ]
 
 
 def still(address, from_us, until_us=None):
@@ -32,13 +59,35 @@
 
 
 def begin(id, shot=1, at=10, what="decode", one_time=True, mark=1, request=None):
-    return (at, "begin", {"asked": id, "request": request or f"edge-1-9-{id}", "shot": shot, "what": what, "one_time": one_time, "mark": mark, "sent_us": at})
+    return (
+        at,
+        "begin",
+        {
+            "asked": id,
+            "request": request or f"edge-1-9-{id}",
+            "shot": shot,
+            "what": what,
+            "one_time": one_time,
+            "mark": mark,
+            "sent_us": at,
+        },
+    )
 
 
 def offered(shot=1, at=10, runner="runner-1", mark=1, request="edge-1-9-1", handle=None):
-    return (at, "offered", {
-        "runner": runner, "incarnation": 1, "request": request, "shot": shot, "mark": mark, "sent_us": at, "handle": handle,
-    })
+    return (
+        at,
+        "offered",
+        {
+            "runner": runner,
+            "incarnation": 1,
+            "request": request,
+            "shot": shot,
+            "mark": mark,
+            "sent_us": at,
+            "handle": handle,
+        },
+    )
 
 
 def taken(mark, request="edge-1-9-1"):
@@ -50,14 +99,28 @@
 
 
 def piece(id, number, run="run-abcd", text=None):
-    return (5, "piece", {"id": id, "run": run, "number": number, "text": text or piece_text(run, number)})
+    return (
+        5,
+        "piece",
+        {"id": id, "run": run, "number": number, "text": text or piece_text(run, number)},
+    )
 
 
 def order(fence, holder, at, runner="runner-1", is_taken=True, incarnation=1, named=None, mark=1):
-    return (at, "order", {
-        "runner": runner, "incarnation": incarnation, "named": named or incarnation, "fence": fence, "holder": holder,
-        "is_taken": is_taken, "mark": mark, "sent_us": at,
-    })
+    return (
+        at,
+        "order",
+        {
+            "runner": runner,
+            "incarnation": incarnation,
+            "named": named or incarnation,
+            "fence": fence,
+            "holder": holder,
+            "is_taken": is_taken,
+            "mark": mark,
+            "sent_us": at,
+        },
+    )
 
 
 def acked(mark, put_id, at=0):
@@ -72,38 +135,98 @@
 STREAM = [asked("a"), *[piece("a", number + 1) for number in range(WHOLE)]]
 LONG = [asked("a", tokens=400), piece("a", 1)]
 RECORDS = [
-    (checkers.one_time_work_runs_once, [asked("a"), begin("a", what="prefill"), begin("a")], [begin("a"), begin("a", shot=2)]),
-    (checkers.one_time_work_runs_once, [asked("a", key="k"), begin("a")], [asked("a", key="k"), asked("b", key="k"), begin("a"), begin("b")]),
+    (
+        checkers.one_time_work_runs_once,
+        [asked("a"), begin("a", what="prefill"), begin("a")],
+        [begin("a"), begin("a", shot=2)],
+    ),
+    (
+        checkers.one_time_work_runs_once,
+        [asked("a", key="k"), begin("a")],
+        [asked("a", key="k"), asked("b", key="k"), begin("a"), begin("b")],
+    ),
     (checkers.one_time_work_runs_once, [begin("a")], [begin("a"), begin("a")]),
-    (checkers.a_refusal_means_not_done, [asked("a"), ended("a", "refused")], [asked("a"), ended("a", "refused"), begin("a", at=2 * S)]),
+    (
+        checkers.a_refusal_means_not_done,
+        [asked("a"), ended("a", "refused")],
+        [asked("a"), ended("a", "refused"), begin("a", at=2 * S)],
+    ),
     (checkers.every_caller_hears_back, [asked("a"), ended("a", "done")], [asked("a")]),
-    (checkers.every_caller_hears_back, [asked("a"), ended("a", "done", at=2 * S)], [asked("a"), ended("a", "done", at=9 * S)]),
+    (
+        checkers.every_caller_hears_back,
+        [asked("a"), ended("a", "done", at=2 * S)],
+        [asked("a"), ended("a", "done", at=9 * S)],
+    ),
     (
         checkers.every_caller_hears_back,
         [asked("a"), *still("r", S, 8 * S), ended("a", "trouble", at=8 * S + 1000)],
         [asked("a"), *still("r", S, 8 * S), ended("a", "trouble", at=9 * S)],
     ),
-    (checkers.every_caller_hears_back, [asked("a"), *still("r", S)], [asked("a"), *still("other", S)]),
-    (checkers.streams_are_whole, [*STREAM, ended("a", "done", count=WHOLE)], [*STREAM[:-1], ended("a", "done", count=WHOLE)]),
+    (
+        checkers.every_caller_hears_back,
+        [asked("a"), *still("r", S)],
+        [asked("a"), *still("other", S)],
+    ),
+    (
+        checkers.streams_are_whole,
+        [*STREAM, ended("a", "done", count=WHOLE)],
+        [*STREAM[:-1], ended("a", "done", count=WHOLE)],
+    ),
     (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 3)]),
     (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 1)]),
     (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 2, run="run-other")]),
     (checkers.streams_are_whole, [*LONG, piece("a", 2)], [*LONG, piece("a", 2, text="made up")]),
-    (checkers.streams_are_whole, [asked("a", resume="run-abcd:4"), piece("a", 5)], [asked("a", resume="run-abcd:4"), piece("a", 6)]),
+    (
+        checkers.streams_are_whole,
+        [asked("a", resume="run-abcd:4"), piece("a", 5)],
+        [asked("a", resume="run-abcd:4"), piece("a", 6)],
+    ),
     (
         checkers.memory_is_never_shared,
         [(1, "kv", {"runner": "x", "wanted": "a", "got": "a", "shot": 1, "got_shot": 1})],
         [(1, "kv", {"runner": "x", "wanted": "a", "got": "b", "shot": 1, "got_shot": 1})],
     ),
-    (checkers.memory_is_never_shared, [issued("h"), offered(handle="h")], [issued("h", request="edge-1-9-2"), offered(handle="h")]),
-    (checkers.memory_is_never_shared, [issued("h", shot=2), offered(shot=2, handle="h")], [issued("h"), offered(shot=2, handle="h")]),
-    (checkers.plans_are_in_force, [acked(2, "p"), offered(at=S)], [acked(2, "p"), offered(at=3 * S)]),
-    (checkers.marks_never_go_back, [offered(mark=1), offered(mark=2, at=S)], [offered(mark=2), offered(mark=1, at=S)]),
+    (
+        checkers.memory_is_never_shared,
+        [issued("h"), offered(handle="h")],
+        [issued("h", request="edge-1-9-2"), offered(handle="h")],
+    ),
+    (
+        checkers.memory_is_never_shared,
+        [issued("h", shot=2), offered(shot=2, handle="h")],
+        [issued("h"), offered(shot=2, handle="h")],
+    ),
+    (
+        checkers.plans_are_in_force,
+        [acked(2, "p"), offered(at=S)],
+        [acked(2, "p"), offered(at=3 * S)],
+    ),
+    (
+        checkers.marks_never_go_back,
+        [offered(mark=1), offered(mark=2, at=S)],
+        [offered(mark=2), offered(mark=1, at=S)],
+    ),
     (checkers.marks_never_go_back, [taken(1), taken(2)], [taken(2), taken(1, "edge-2-9-1")]),
-    (checkers.marks_never_go_back, [order(1, "x", 0), order(1, "x", 9, mark=2)], [order(1, "x", 0, mark=2), order(1, "x", 9)]),
-    (checkers.acknowledged_plans_survive, [acked(1, "p"), shown(1, "p")], [acked(2, "p"), shown(1, "o")]),
-    (checkers.acknowledged_plans_survive, [acked(1, "p"), acked(2, "q"), shown(2, "q")], [acked(1, "p"), acked(1, "q"), shown(1, "q")]),
-    (checkers.acknowledged_plans_survive, [acked(1, "p"), shown(2, "q")], [acked(1, "p"), shown(1, "q")]),
+    (
+        checkers.marks_never_go_back,
+        [order(1, "x", 0), order(1, "x", 9, mark=2)],
+        [order(1, "x", 0, mark=2), order(1, "x", 9)],
+    ),
+    (
+        checkers.acknowledged_plans_survive,
+        [acked(1, "p"), shown(1, "p")],
+        [acked(2, "p"), shown(1, "o")],
+    ),
+    (
+        checkers.acknowledged_plans_survive,
+        [acked(1, "p"), acked(2, "q"), shown(2, "q")],
+        [acked(1, "p"), acked(1, "q"), shown(1, "q")],
+    ),
+    (
+        checkers.acknowledged_plans_survive,
+        [acked(1, "p"), shown(2, "q")],
+        [acked(1, "p"), shown(1, "q")],
+    ),
     (
         checkers.leaving_runners_get_no_work,
         [(0, "listed", {"runners": {"runner-1": "leaving"}}), offered(at=3 * S)],
@@ -115,18 +238,52 @@
         [offered(shot=2, at=n, request=f"edge-1-9-{n}") for n in range(10)],
         [offered(shot=2, at=n, request=f"edge-1-9-{n}") for n in range(11)],
     ),
-    (checkers.one_holder_orders, [order(1, "x", 0), order(2, "y", S)], [order(2, "y", 0), order(1, "x", S)]),
-    (checkers.one_holder_orders, [order(1, "x", 0), order(1, "x", S)], [order(1, "x", 0), order(1, "y", S)]),
-    (checkers.one_holder_orders, [order(1, "x", 0), order(2, "y", S)], [order(2, "y", 0), order(1, "x", 3 * S, runner="runner-2")]),
-    (checkers.one_holder_orders, [order(1, "x", 0), won(2, "y", S)], [won(2, "y", 0), order(1, "x", S, is_taken=False)]),
-    (checkers.one_holder_orders, [order(1, "x", 0, incarnation=2)], [order(1, "x", 0, incarnation=2, named=1)]),
-    (checkers.one_holder_orders, [order(2, "y", 0), order(3, "z", S, incarnation=2)], [order(2, "y", 0), order(1, "x", S, incarnation=2)]),
-    (checkers.one_holder_orders, [(0, "held", {"duties": {"bursar": ["x"]}})], [(0, "held", {"duties": {"bursar": ["x", "y"]}})]),
+    (
+        checkers.one_holder_orders,
+        [order(1, "x", 0), order(2, "y", S)],
+        [order(2, "y", 0), order(1, "x", S)],
+    ),
+    (
+        checkers.one_holder_orders,
+        [order(1, "x", 0), order(1, "x", S)],
+        [order(1, "x", 0), order(1, "y", S)],
+    ),
+    (
+        checkers.one_holder_orders,
+        [order(1, "x", 0), order(2, "y", S)],
+        [order(2, "y", 0), order(1, "x", 3 * S, runner="runner-2")],
+    ),
+    (
+        checkers.one_holder_orders,
+        [order(1, "x", 0), won(2, "y", S)],
+        [won(2, "y", 0), order(1, "x", S, is_taken=False)],
+    ),
+    (
+        checkers.one_holder_orders,
+        [order(1, "x", 0, incarnation=2)],
+        [order(1, "x", 0, incarnation=2, named=1)],
+    ),
+    (
+        checkers.one_holder_orders,
+        [order(2, "y", 0), order(3, "z", S, incarnation=2)],
+        [order(2, "y", 0), order(1, "x", S, incarnation=2)],
+    ),
+    (
+        checkers.one_holder_orders,
+        [(0, "held", {"duties": {"bursar": ["x"]}})],
+        [(0, "held", {"duties": {"bursar": ["x", "y"]}})],
+    ),
     (
         checkers.work_is_served_again,
-        [(0, "closed", {}), *[asked(f"a{n}", at=13 * S) for n in range(20)], *[ended(f"a{n}", "done", at=14 * S) for n in range(20)]],
         [
-            (0, "closed", {}), *[asked(f"a{n}", at=13 * S) for n in range(19)], asked("b", kind="rare", at=13 * S),
+            (0, "closed", {}),
+            *[asked(f"a{n}", at=13 * S) for n in range(20)],
+            *[ended(f"a{n}", "done", at=14 * S) for n in range(20)],
+        ],
+        [
+            (0, "closed", {}),
+            *[asked(f"a{n}", at=13 * S) for n in range(19)],
+            asked("b", kind="rare", at=13 * S),
             *[ended(f"a{n}", "done", at=14 * S) for n in range(19)],
         ],
     ),
@@ -135,11 +292,23 @@
         [(0, "closed", {}), asked("a", at=13 * S), ended("a", "done", at=14 * S)],
         [(0, "closed", {}), asked("a", at=13 * S), ended("a", "refused", at=14 * S)],
     ),
-    (checkers.refusals_come_in_time, [asked("a"), ended("a", "refused", at=9, code="queue_full")], [asked("a"), ended("a", "refused", code="queue_full")]),
     (
         checkers.refusals_come_in_time,
-        [asked("a"), (8 * S, "shut", {"address": "r", "node": "n"}), ended("a", "refused", at=9 * S, code="plan_stale")],
-        [asked("a"), (8 * S, "shut", {"address": "r", "node": "n"}), ended("a", "refused", at=11 * S, code="plan_stale")],
+        [asked("a"), ended("a", "refused", at=9, code="queue_full")],
+        [asked("a"), ended("a", "refused", code="queue_full")],
+    ),
+    (
+        checkers.refusals_come_in_time,
+        [
+            asked("a"),
+            (8 * S, "shut", {"address": "r", "node": "n"}),
+            ended("a", "refused", at=9 * S, code="plan_stale"),
+        ],
+        [
+            asked("a"),
+            (8 * S, "shut", {"address": "r", "node": "n"}),
+            ended("a", "refused", at=11 * S, code="plan_stale"),
+        ],
     ),
     (
         checkers.refusals_come_in_time,
@@ -153,8 +322,18 @@
     ),
     (
         checkers.answers_fit_their_mark,
-        [put("p", {"check": {"group": "g"}}), acked(1, "p"), asked("a"), ended("a", "done", mark=1)],
-        [put("p", {"other": {"group": "g"}}), acked(1, "p"), asked("a"), ended("a", "done", mark=1)],
+        [
+            put("p", {"check": {"group": "g"}}),
+            acked(1, "p"),
+            asked("a"),
+            ended("a", "done", mark=1),
+        ],
+        [
+            put("p", {"other": {"group": "g"}}),
+            acked(1, "p"),
+            asked("a"),
+            ended("a", "done", mark=1),
+        ],
     ),
     (
         checkers.shares_stay_within_the_allowance,
@@ -164,7 +343,11 @@
 ]
 
 
-@pytest.mark.parametrize("checker, good, bad", RECORDS, ids=[f"{row[0].__name__}-{place}" for place, row in enumerate(RECORDS)])
+@pytest.mark.parametrize(
+    "checker, good, bad",
+    RECORDS,
+    ids=[f"{row[0].__name__}-{place}" for place, row in enumerate(RECORDS)],
+)
 def test_a_checker_passes_a_good_record_and_fails_a_bad_one(checker, good, bad):
     assert list(checker(good, deadlines={"check": 5 * S, "rare": 5 * S})) == []
     assert list(checker(bad, deadlines={"check": 5 * S, "rare": 5 * S}))
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -23,7 +23,14 @@
 
 
 def holder_of(fleet, duty):
-    return next((host for host in fleet.registries.values() if host.node and not host.is_frozen and host.node.duties[duty].is_held()), None)
+    return next(
+        (
+            host
+            for host in fleet.registries.values()
+            if host.node and not host.is_frozen and host.node.duties[duty].is_held()
+        ),
+        None,
+    )
 
 
 def test_a_router_cut_from_the_core_stops_within_the_bound_and_says_so():
@@ -60,7 +67,9 @@
     assert router.node.image.is_behind
     assert first.ended_us is None
     assert second.code == "plan_stale"
-    assert not [facts for _, facts in noted(fleet, "begin") if facts["asked"] in (first.id, second.id)]
+    assert not [
+        facts for _, facts in noted(fleet, "begin") if facts["asked"] in (first.id, second.id)
+    ]
     faults.close()
     assert fleet.world.wait_for(lambda: first.ended_us, 10 * SECOND)
     assert first.how == "done"
@@ -73,7 +82,9 @@
     told = []
     fleet.put_plan(fleet.plan, 1, "a", 0, lambda status, document: told.append(fleet.world.now_us))
     assert fleet.world.wait_for(lambda: told, SECOND, 5_000)
-    assert fleet.world.wait_for(lambda: all(host.node.image.mark == 2 for host in fleet.routers.values()), 2 * SECOND, 5_000)
+    assert fleet.world.wait_for(
+        lambda: all(host.node.image.mark == 2 for host in fleet.routers.values()), 2 * SECOND, 5_000
+    )
     assert fleet.world.now_us - told[0] < 500_000
 
 
@@ -84,7 +95,11 @@
     killed_us = fleet.world.now_us
     fleet.routers["edge-4"].kill()
     fleet.world.run_for(4 * SECOND)
-    told = {event[1]: event[0] for event in events(fleet, 1102, killed_us) if event[3]["fellow"] == "edge-4"}
+    told = {
+        event[1]: event[0]
+        for event in events(fleet, 1102, killed_us)
+        if event[3]["fellow"] == "edge-4"
+    }
     assert len(told) == len(fleet.routers) - 1 + len(fleet.registries)
     assert max(told.values()) - killed_us < 2_500_000
     assert {event[3]["fellow"] for event in events(fleet, 1102, killed_us)} == {"edge-4"}
@@ -105,7 +120,9 @@
     since_us = fleet.world.now_us
     faults.begin("cut_router_one_way", "edge-3")
     fleet.world.run_for(6 * SECOND)
-    accused = {event[3]["fellow"] for event in events(fleet, 1102, since_us) if event[1] != "edge-3"}
+    accused = {
+        event[3]["fellow"] for event in events(fleet, 1102, since_us) if event[1] != "edge-3"
+    }
     assert accused <= {"edge-3"}
 
 
@@ -139,7 +156,9 @@
     new = holder_of(fleet, duty)
     assert new.node.duties[duty].fence > fence
     fleet.world.run_for(5 * SECOND)
-    held = [host for host in fleet.registries.values() if host.node and host.node.duties[duty].is_held()]
+    held = [
+        host for host in fleet.registries.values() if host.node and host.node.duties[duty].is_held()
+    ]
     assert held == [new]
 
 
@@ -157,7 +176,11 @@
     woke_us = fleet.world.now_us
     old.wake()
     fleet.world.run_for(4 * SECOND)
-    assert [facts for at_us, facts in noted(fleet, "order") if at_us >= woke_us and facts["fence"] < fence] == []
+    assert [
+        facts
+        for at_us, facts in noted(fleet, "order")
+        if at_us >= woke_us and facts["fence"] < fence
+    ] == []
     assert events(fleet, 1402, woke_us)
 
 
@@ -229,9 +252,12 @@
     steward = holder_of(fleet, "steward").node.steward
     steward._change(steward.keeper.runners["runner-4"], "prefill", fleet.world.now_us)
     fleet.world.run_for(2 * SECOND)
-    ordered_us = next(at_us for at_us, facts in noted(fleet, "order") if facts["runner"] == "runner-4")
+    ordered_us = next(
+        at_us for at_us, facts in noted(fleet, "order") if facts["runner"] == "runner-4"
+    )
     late = [
-        facts for at_us, facts in noted(fleet, "offered")
+        facts
+        for at_us, facts in noted(fleet, "offered")
         if facts["runner"] == "runner-4" and ordered_us - 50_000 < facts["sent_us"] < ordered_us
     ]
     assert late == []
@@ -246,7 +272,11 @@
                 fleet.world.after(step * 20_000, lambda: fleet.ask("audit-digest"))
         fleet.world.run_for(8 * SECOND)
         fleet.settle(120)
-        checks = [one for one in fleet.caller.node.asked.values() if one.kind == "entitlement-check" and one.code != "key_used"]
+        checks = [
+            one
+            for one in fleet.caller.node.asked.values()
+            if one.kind == "entitlement-check" and one.code != "key_used"
+        ]
         assert {one.how for one in checks} == {"done"}
         return [one.first_us - one.asked_us for one in checks]
 
@@ -255,13 +285,22 @@
         calm += waits(seed, False)
         flooded += waits(seed, True)
     assert sorted(flooded)[len(flooded) // 2] < 6 * sorted(calm)[len(calm) // 2]
-    assert sorted(flooded)[int(0.9 * len(flooded))] < LICENSING.kinds["entitlement-check"]["ttft_us"]
+    assert (
+        sorted(flooded)[int(0.9 * len(flooded))] < LICENSING.kinds["entitlement-check"]["ttft_us"]
+    )
     assert max(flooded) < 2 * SECOND
 
 
 def test_a_group_without_credit_waits_alone_and_its_overflow_is_refused():
     plan = LICENSING.plan()
-    plan["groups"] = {**plan["groups"], "audit": {"credit": {"tokens": 1_000, "period_us": 10 * SECOND}, "weight": 1.0, "queue": {"requests": 2, "tokens": 20_000}}}
+    plan["groups"] = {
+        **plan["groups"],
+        "audit": {
+            "credit": {"tokens": 1_000, "period_us": 10 * SECOND},
+            "weight": 1.0,
+            "queue": {"requests": 2, "tokens": 20_000},
+        },
+    }
     fleet, _ = make(LICENSING, 13, plan=plan)
     router = [fleet.routers["edge-1"].address]
     fleet.world.run_for(SECOND)
@@ -282,12 +321,19 @@
     worst = []
 
     def rates():
-        return {name: host.node.credit.groups["seats"].bucket.rate for name, host in fleet.routers.items() if host.node}
+        return {
+            name: host.node.credit.groups["seats"].bucket.rate
+            for name, host in fleet.routers.items()
+            if host.node
+        }
 
     def ask_at(names, seconds):
         for step in range(seconds * 10):
             for name in names:
-                world.after(step * 100_000, lambda name=name: fleet.ask("seat-question", [fleet.routers[name].address]))
+                world.after(
+                    step * 100_000,
+                    lambda name=name: fleet.ask("seat-question", [fleet.routers[name].address]),
+                )
         for _ in range(seconds * 10):
             world.run_for(100_000)
             worst.append(sum(rates().values()))
@@ -375,7 +421,12 @@
 
 
 def test_shedding_moves_the_longest_resumable_stream_and_keeps_it_whole():
-    fleet, _ = make(LICENSING, 21, runner_given={"kv_total": 40_000}, plan=LICENSING.plan(taichi={"moves": True}))
+    fleet, _ = make(
+        LICENSING,
+        21,
+        runner_given={"kv_total": 40_000},
+        plan=LICENSING.plan(taichi={"moves": True}),
+    )
     fleet.mix = {"audit-digest": (0.5, 6_000, 800), "seat-question": (0.5, 400, 120)}
     fleet.load(6.0)
     fleet.world.run_for(40 * SECOND)
@@ -384,6 +435,7 @@
     assert moves >= 1
     assert {one.how for one in fleet.caller.node.asked.values()} <= {"done", "refused", "trouble"}
     from linkhaven.stage.checkers import extra_shots_keep_to_the_budget, streams_are_whole
+
     assert list(streams_are_whole(fleet.world.record)) == []
     assert list(extra_shots_keep_to_the_budget(fleet.world.record, margin=7)) == []
 
@@ -416,7 +468,9 @@
         fleet.world.run_for(1_700_000)
     fleet.world.run_for(4 * SECOND)
     others = [other for name, other in fleet.routers.items() if name != "edge-2"]
-    assert all(other.node.ring.fellows["edge-2"].is_up for other in [*others, *fleet.registries.values()])
+    assert all(
+        other.node.ring.fellows["edge-2"].is_up for other in [*others, *fleet.registries.values()]
+    )
     assert {event[3]["fellow"] for event in events(fleet, 1102, since_us)} <= {"edge-2"}
 
 
@@ -450,18 +504,29 @@
     fleet.settle()
     extra = [facts for _, facts in noted(fleet, "offered") if facts["shot"] > 1]
     assert len(extra) >= 5
-    assert list(extra_shots_keep_to_the_budget(fleet.world.record, margin=fleet.plan["extra"]["margin"])) == []
+    assert (
+        list(
+            extra_shots_keep_to_the_budget(fleet.world.record, margin=fleet.plan["extra"]["margin"])
+        )
+        == []
+    )
 
 
 def test_a_platform_that_knows_no_incarnations_can_still_say_that_a_runner_leaves():
     fleet, _ = make(LICENSING, 26)
     fleet.load(10.0)
-    listed = {name: {**record, "incarnation": 0} for name, record in fleet.platform.node.now().items()}
+    listed = {
+        name: {**record, "incarnation": 0} for name, record in fleet.platform.node.now().items()
+    }
     listed["runner-4"]["state"] = "leaving"
     fleet.platform.node.set(listed)
     left_us = fleet.world.now_us
     fleet.world.run_for(8 * SECOND)
-    late = [at_us for at_us, facts in noted(fleet, "offered") if facts["runner"] == "runner-4" and at_us > left_us + 3 * SECOND]
+    late = [
+        at_us
+        for at_us, facts in noted(fleet, "offered")
+        if facts["runner"] == "runner-4" and at_us > left_us + 3 * SECOND
+    ]
     assert late == []
     assert len([facts for _, facts in noted(fleet, "offered") if facts["runner"] == "runner-5"]) > 5
 
@@ -479,7 +544,9 @@
     world.run_for(6 * SECOND)
     fleet.settle()
     assert events(fleet, 2002, begun_us) == []
-    assert {one.how for one in fleet.caller.node.asked.values() if one.code != "key_used"} == {"done"}
+    assert {one.how for one in fleet.caller.node.asked.values() if one.code != "key_used"} == {
+        "done"
+    }
     assert holder_of(fleet, "roster") is not old
     marks = {host.node.roster.place[0] for host in fleet.routers.values()}
     assert marks == {holder_of(fleet, "roster").node.duties["roster"].fence}
@@ -519,7 +586,14 @@
 
 def test_a_key_whose_request_was_refused_may_be_used_again_and_runs_once():
     plan = LICENSING.plan()
-    plan["groups"] = {**plan["groups"], "entitlement": {"credit": {"tokens": 2_000, "period_us": 10 * SECOND}, "weight": 1.0, "queue": {"requests": 1, "tokens": 20_000}}}
+    plan["groups"] = {
+        **plan["groups"],
+        "entitlement": {
+            "credit": {"tokens": 2_000, "period_us": 10 * SECOND},
+            "weight": 1.0,
+            "queue": {"requests": 1, "tokens": 20_000},
+        },
+    }
     fleet, _ = make(LICENSING, 31, plan=plan)
     router = [fleet.routers["edge-1"].address]
     asked = [fleet.ask("entitlement-check", router, key=f"form-{place}") for place in range(12)]
@@ -572,12 +646,17 @@
     router = fleet.routers["edge-1"].node
     router.roster.note_dark(router.roster.runners["runner-4"])
     world.run_for(SECOND)
-    assert {host.node.roster.runners["runner-4"].is_dark for host in fleet.routers.values()} == {True}
+    assert {host.node.roster.runners["runner-4"].is_dark for host in fleet.routers.values()} == {
+        True
+    }
 
 
 def test_what_has_no_prospect_is_refused_at_once_and_what_can_wait_waits():
     plan = LICENSING.plan()
-    plan["groups"] = {**plan["groups"], "audit": {"credit": {"tokens": 4_000, "period_us": 10 * SECOND}, "weight": 1.0}}
+    plan["groups"] = {
+        **plan["groups"],
+        "audit": {"credit": {"tokens": 4_000, "period_us": 10 * SECOND}, "weight": 1.0},
+    }
     fleet, _ = make(LICENSING, 34, plan=plan)
     router = [fleet.routers["edge-1"].address]
     first = [fleet.ask("audit-digest", router, tokens=2_000, answer=8) for _ in range(2)]
@@ -598,7 +677,9 @@
     holder_of(scenario.fleet, "bursar").kill()
     scenario.load(8).close().end(calm_s=3)
     found = scenario.breaches()
-    assert {"extra_shots_keep_to_the_budget", "shares_stay_within_the_allowance"} & set(found) == set()
+    assert {"extra_shots_keep_to_the_budget", "shares_stay_within_the_allowance"} & set(
+        found
+    ) == set()
     assert sum(sum(host.node.extra.spent.values()) for host in scenario.fleet.routers.values()) >= 5
 
 
@@ -610,7 +691,9 @@
     faults.begin(fault)
     fleet.world.run_for(8 * SECOND)
     pairing = fleet.routers["edge-1"].node.pairing
-    reading, slow, good = (pairing.roster.runners[name] for name in ("runner-1", "runner-3", "runner-4"))
+    reading, slow, good = (
+        pairing.roster.runners[name] for name in ("runner-1", "runner-3", "runner-4")
+    )
     plain_us = pairing.estimator.transfer_us(4_000)
     assert pairing.estimator.transfer_us(4_000, reading, slow) > 5 * plain_us
     if fault == "slow_pair":
@@ -630,10 +713,18 @@
     def sizes():
         router, core = fleet.routers["edge-2"].node, holder_of(fleet, "roster").node
         return {
-            "books": len(router.pairing.books), "factors": len(router.pairing.estimator.factors), "links": len(router.pairing.estimator.links.pairs),
-            "runners": len(router.roster.runners), "evidence": len(router.roster.evidence), "shunned": len(router.pairing.shunned),
-            "heard": len(core.keeper.heard_us), "leaving": len(core.keeper.leaving), "out": sum(map(len, core.bursar.out.values())),
-            "fellows": len(core.ring.fellows), "rates": len(core.steward.rates), "asks": len(core.news.asks),
+            "books": len(router.pairing.books),
+            "factors": len(router.pairing.estimator.factors),
+            "links": len(router.pairing.estimator.links.pairs),
+            "runners": len(router.roster.runners),
+            "evidence": len(router.roster.evidence),
+            "shunned": len(router.pairing.shunned),
+            "heard": len(core.keeper.heard_us),
+            "leaving": len(core.keeper.leaving),
+            "out": sum(map(len, core.bursar.out.values())),
+            "fellows": len(core.ring.fellows),
+            "rates": len(core.steward.rates),
+            "asks": len(core.news.asks),
         }
 
     seen = []
@@ -655,20 +746,36 @@
 
     def call(method, path, **document):
         told = []
-        operator._call(registry, method, path, document or None, lambda status, answer: told.append((status, answer)))
+        operator._call(
+            registry,
+            method,
+            path,
+            document or None,
+            lambda status, answer: told.append((status, answer)),
+        )
         world.wait_for(lambda: told, 5 * SECOND, 1_000)
         return told[0]
 
     router = fleet.routers["edge-1"]
     poor = {"credit": {"tokens": 100, "period_us": 10 * SECOND}}
     assert call("PUT", "/v1/groups/poor", expect=1, put_id="g1", group=poor)[1]["mark"] == 2
-    assert call("PUT", "/v1/groups/poor", expect=1, put_id="g2", group=poor)[1]["code"] == "mark_conflict"
+    assert (
+        call("PUT", "/v1/groups/poor", expect=1, put_id="g2", group=poor)[1]["code"]
+        == "mark_conflict"
+    )
     kind = {**LICENSING.kinds["audit-digest"], "group": "poor"}
-    assert call("PUT", "/v1/kinds/audit-digest", expect=2, put_id="k1", kind={**kind, "group": "nobody"})[1]["code"] == "plan_invalid"
+    assert (
+        call(
+            "PUT", "/v1/kinds/audit-digest", expect=2, put_id="k1", kind={**kind, "group": "nobody"}
+        )[1]["code"]
+        == "plan_invalid"
+    )
     assert call("PUT", "/v1/kinds/audit-digest", expect=2, put_id="k2", kind=kind)[1]["mark"] == 3
     assert call("DELETE", "/v1/groups/poor", expect=3, put_id="g3")[1]["code"] == "plan_invalid"
     world.run_for(3 * SECOND)
-    waiting = [fleet.ask("audit-digest", [router.address], tokens=tokens, answer=8) for tokens in (90, 95)]
+    waiting = [
+        fleet.ask("audit-digest", [router.address], tokens=tokens, answer=8) for tokens in (90, 95)
+    ]
     world.run_for(SECOND)
     told = call("GET", "/v1/groups")[1]
     assert told["mark"] == 3 and told["groups"]["poor"]["kinds"] == ["audit-digest"]
@@ -680,13 +787,18 @@
     assert {one.how for one in left} == {"done"}
     assert call("PUT", "/v1/kinds/audit-digest", expect=4, put_id="k4", kind=kind)[1]["mark"] == 5
     world.run_for(4 * SECOND)
-    waiting = [fleet.ask("audit-digest", [router.address], tokens=tokens, answer=8) for tokens in (90, 95, 96)]
+    waiting = [
+        fleet.ask("audit-digest", [router.address], tokens=tokens, answer=8)
+        for tokens in (90, 95, 96)
+    ]
     world.run_for(SECOND)
     left = [one for one in waiting if one.ended_us is None]
     assert left
     assert call("DELETE", "/v1/kinds/audit-digest", expect=5, put_id="k5")[1]["mark"] == 6
     world.run_for(SECOND)
-    assert {one.code or one.how for one in left} <= {"unknown_kind", "done"} and "unknown_kind" in {one.code for one in left}
+    assert {one.code or one.how for one in left} <= {"unknown_kind", "done"} and "unknown_kind" in {
+        one.code for one in left
+    }
 
 
 def test_any_router_explains_a_request_with_what_happened_around_it():
@@ -699,7 +811,11 @@
 
     def explain(router, id):
         told.clear()
-        fleet.operators[0].node.get(fleet.routers[router].address, f"/v1/explain/{id}", lambda status, document: told.append((status, document)))
+        fleet.operators[0].node.get(
+            fleet.routers[router].address,
+            f"/v1/explain/{id}",
+            lambda status, document: told.append((status, document)),
+        )
         fleet.world.wait_for(lambda: told, 5 * SECOND, 10_000)
         return told[0]
 
@@ -724,8 +840,14 @@
     fleet.list_runners()
     begun_us = world.now_us
     world.run_for(8 * SECOND)
-    assert {router.node.roster.runners["runner-4"].incarnation for router in fleet.routers.values()} == {host.node.incarnation}
-    assert [facts for at_us, facts in noted(fleet, "begin") if facts["runner"] == "runner-4" and at_us > begun_us]
+    assert {
+        router.node.roster.runners["runner-4"].incarnation for router in fleet.routers.values()
+    } == {host.node.incarnation}
+    assert [
+        facts
+        for at_us, facts in noted(fleet, "begin")
+        if facts["runner"] == "runner-4" and at_us > begun_us
+    ]
     fleet.settle()
     assert fleet.summary(begun_us + 4 * SECOND)["troubled"] == 0
 
@@ -735,7 +857,9 @@
     fleet.load(6.0)
     fleet.world.run_for(2 * SECOND)
     begun_us = fleet.world.now_us
-    lone = next(seat for seat, host in fleet.registries.items() if host.node.duties["roster"].is_held())
+    lone = next(
+        seat for seat, host in fleet.registries.items() if host.node.duties["roster"].is_held()
+    )
     faults.begin("cut_seat_from_edge", lone)
     fleet.world.run_for(12 * SECOND)
     fleet.settle()
--- a/tests/test_dark_runner.py
+++ b/tests/test_dark_runner.py
@@ -23,7 +23,14 @@
 
 def queued(id, tokens=100, **kind):
     request = Request(id, SimpleNamespace(is_begun=False), 0)
-    request.kind = {"ttft_us": 1_000_000, "deadline_us": 8_000_000, "repeatable": True, "resumable": False, "attempts": 2, **kind}
+    request.kind = {
+        "ttft_us": 1_000_000,
+        "deadline_us": 8_000_000,
+        "repeatable": True,
+        "resumable": False,
+        "attempts": 2,
+        **kind,
+    }
     request.prompt_tokens = tokens
     request.deadline_us = 8_000_000
     request.state = QUEUED
@@ -78,7 +85,9 @@
             raise KeyError("sending")
 
 
-@pytest.mark.parametrize("bad, done, is_out", [("choosing", "no", False), ("sending", "unknown", True)])
+@pytest.mark.parametrize(
+    "bad, done, is_out", [("choosing", "no", False), ("sending", "unknown", True)]
+)
 def test_a_fault_at_the_start_of_a_request_ends_that_one(bad, done, is_out):
     node = QueueNode()
     tries = Attempts(node, Reader(bad), Sender(bad), SimpleNamespace(), None)
@@ -100,7 +109,13 @@
         self.us = 10_000_000
         self.systems = []
         self.held = []
-        self.terms = SimpleNamespace(roster_stale_us=None, hold_share=None, poll_us=500_000, report_us=1_000_000, dark_us=1_200_000)
+        self.terms = SimpleNamespace(
+            roster_stale_us=None,
+            hold_share=None,
+            poll_us=500_000,
+            report_us=1_000_000,
+            dark_us=1_200_000,
+        )
         self.ports = SimpleNamespace(log=Logged())
         self.requests = SimpleNamespace(rows=lambda: list(self.held))
 
@@ -113,14 +128,33 @@
 
 def record(name, phase="decode", **more):
     return {
-        "name": name, "address": f"{name}:1", "zone": "north", "incarnation": 1, "pool": "p", "slots": 8, "phase": phase, "queued": 0,
-        "running": 0, "kv_used": 0, "kv_total": 9, "is_leaving": False, "is_listed": True, "is_dark": False, "is_switching": False,
-        "is_changing": False, "mark": 0, "fence": 0, "age_us": 0, **more,
+        "name": name,
+        "address": f"{name}:1",
+        "zone": "north",
+        "incarnation": 1,
+        "pool": "p",
+        "slots": 8,
+        "phase": phase,
+        "queued": 0,
+        "running": 0,
+        "kv_used": 0,
+        "kv_total": 9,
+        "is_leaving": False,
+        "is_listed": True,
+        "is_dark": False,
+        "is_switching": False,
+        "is_changing": False,
+        "mark": 0,
+        "fence": 0,
+        "age_us": 0,
+        **more,
     }
 
 
 def listed(roster, serial, *records):
-    roster.take({"fence": 1, "serial": serial, "age_us": 0, "runners": list(records)}, roster.node.now_us())
+    roster.take(
+        {"fence": 1, "serial": serial, "age_us": 0, "runners": list(records)}, roster.node.now_us()
+    )
 
 
 class Failing(Attempts):
@@ -140,10 +174,13 @@
         self.extra = SimpleNamespace(has=lambda cost, pool=None: cost <= self.budget)
         self.budget = 2
         pairing = SimpleNamespace(
-            estimator=SimpleNamespace(read_us=lambda tokens, runner: read_us), queued_tokens=lambda runner: 0,
+            estimator=SimpleNamespace(read_us=lambda tokens, runner: read_us),
+            queued_tokens=lambda runner: 0,
             open_runners=lambda pool=None: self.roster.open_runners(),
         )
-        self.tries = Failing(self.node, pairing, SimpleNamespace(reads_are_runs=False), self.roster, self.extra)
+        self.tries = Failing(
+            self.node, pairing, SimpleNamespace(reads_are_runs=False), self.roster, self.extra
+        )
         self.failed = self.tries.failed = []
 
     def sent(self, id, name="d-1", state=DECODING, written=3, **kind):
@@ -220,13 +257,16 @@
     assert fleet.failed == []
 
 
-@pytest.mark.parametrize("state, name, kind, is_tried", [
-    (DECODING, "d-1", {}, True),
-    (READING, "p-1", {}, True),
-    (READING, "p-1", {"repeatable": False, "resumable": False}, True),
-    (DECODING, "d-1", {"repeatable": False, "resumable": False}, False),
-    (DECODING, "d-1", {"resumable": False}, False),
-])
+@pytest.mark.parametrize(
+    "state, name, kind, is_tried",
+    [
+        (DECODING, "d-1", {}, True),
+        (READING, "p-1", {}, True),
+        (READING, "p-1", {"repeatable": False, "resumable": False}, True),
+        (DECODING, "d-1", {"repeatable": False, "resumable": False}, False),
+        (DECODING, "d-1", {"resumable": False}, False),
+    ],
+)
 def test_what_a_dark_runner_has_goes_on_elsewhere_after_a_second(state, name, kind, is_tried):
     fleet = Fleet()
     fleet.sent("r-1", name, state, written=3 if state == DECODING else 0, **{"attempts": 4, **kind})
@@ -265,13 +305,29 @@
         return SimpleNamespace(abandon=lambda: None)
 
     def list_runners(self, address, done):
-        done(None, {"runners": [
-            {"name": "d-1", "address": "d-1:1", "zone": "north", "incarnation": 1, "state": "serving", "pool": "p", "phase": "decode"},
-        ]}, True)
+        done(
+            None,
+            {
+                "runners": [
+                    {
+                        "name": "d-1",
+                        "address": "d-1:1",
+                        "zone": "north",
+                        "incarnation": 1,
+                        "state": "serving",
+                        "pool": "p",
+                        "phase": "decode",
+                    },
+                ]
+            },
+            True,
+        )
 
 
 @pytest.mark.parametrize("is_answered, is_dark", [(True, False), (False, True)])
-def test_a_runner_silent_to_a_router_is_asked_at_once_and_dark_unless_it_answers(is_answered, is_dark):
+def test_a_runner_silent_to_a_router_is_asked_at_once_and_dark_unless_it_answers(
+    is_answered, is_dark
+):
     node, desk = Router(), Reports()
     keeper = RosterKeeper(node, desk, "list", [SimpleNamespace(is_held=lambda: True)])
 
--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -9,17 +9,40 @@
 DAY_S = 34
 
 PLANNED = {
-    "release": "", "roll_term": "busy remove", "replace_core": "planned", "seed_turnover": "", "config_change": "route weights timeout idle tenant quota",
-    "config_storm": "", "config_race": "",
+    "release": "",
+    "roll_term": "busy remove",
+    "replace_core": "planned",
+    "seed_turnover": "",
+    "config_change": "route weights timeout idle tenant quota",
+    "config_storm": "",
+    "config_race": "",
     "bad_config": "cut_short unknown_service same_place no_weight no_timeout old_version stale_match shared_key",
 }
 FAULTS = {
-    "burst": "", "srv_crash": "dark gone across all", "answer_lost": "reset", "garble": "extra late",
-    "node_kill": "power leader seed race meet drain hard", "node_freeze": "leader", "herd_kill": "power race drain hard",
-    "replace_core": "leader", "after_ack_wipe": "", "disk_full": "", "disk_slow": "", "disk_stall": "", "clock_step": "back ahead",
-    "core_cut": "one_way reset refuse leader race meet drain", "node_cut": "servers reset refuse", "kv_slow": "", "handle_short": "",
+    "burst": "",
+    "srv_crash": "dark gone across all",
+    "answer_lost": "reset",
+    "garble": "extra late",
+    "node_kill": "power leader seed race meet drain hard",
+    "node_freeze": "leader",
+    "herd_kill": "power race drain hard",
+    "replace_core": "leader",
+    "after_ack_wipe": "",
+    "disk_full": "",
+    "disk_slow": "",
+    "disk_stall": "",
+    "clock_step": "back ahead",
+    "core_cut": "one_way reset refuse leader race meet drain",
+    "node_cut": "servers reset refuse",
+    "kv_slow": "",
+    "handle_short": "",
+}
+CLOSINGS = {
+    ("power_off_all", ""),
+    ("kill_all", ""),
+    ("wipe_after_ack", ""),
+    ("wipe_after_ack", "aimed"),
 }
-CLOSINGS = {("power_off_all", ""), ("kill_all", ""), ("wipe_after_ack", ""), ("wipe_after_ack", "aimed")}
 
 
 def read(path):
@@ -29,7 +52,9 @@
 
 
 def entries(day):
-    return [("plan", entry) for entry in day.get("plan", [])] + [("faults", entry) for entry in day.get("faults", [])]
+    return [("plan", entry) for entry in day.get("plan", [])] + [
+        ("faults", entry) for entry in day.get("faults", [])
+    ]
 
 
 def list_played(paths):
@@ -50,7 +75,9 @@
         assert 0 <= entry["at"] < DAY_S
         known = PLANNED if part == "plan" else FAULTS
         assert set(entry.get("how", "").split()) <= set(known[entry["kind"]].split()), entry
-        assert not {"service", "class", "zone"} & set(entry) or path.parent.name in SITES, "names of a site stand in its own folder"
+        assert not {"service", "class", "zone"} & set(entry) or path.parent.name in SITES, (
+            "names of a site stand in its own folder"
+        )
     closing = day.get("closing")
     assert closing is None or (closing["kind"], closing.get("how", "")) in CLOSINGS
 
@@ -58,7 +85,9 @@
 def test_each_trouble_and_each_variant_of_it_is_in_a_day_for_either_site():
     wanted = {
         (part, kind, how)
-        for part, known in (("plan", PLANNED), ("faults", FAULTS)) for kind, variants in known.items() for how in ["", *variants.split()]
+        for part, known in (("plan", PLANNED), ("faults", FAULTS))
+        for kind, variants in known.items()
+        for how in ["", *variants.split()]
     }
     for site in SITES:
         paths = [path for path in FILES if path.parent.name in (site, "both")]
@@ -67,16 +96,31 @@
 
 def test_each_closing_fault_is_in_a_day():
     closings = [read(path).get("closing") for path in FILES]
-    assert CLOSINGS == {(closing["kind"], closing.get("how", "")) for closing in closings if closing}
+    assert CLOSINGS == {
+        (closing["kind"], closing.get("how", "")) for closing in closings if closing
+    }
 
 
 def test_each_trouble_stands_alone_in_a_day_and_with_another_in_a_pair():
-    alone = {tuple(sorted({entry["kind"] for _, entry in entries(read(path))})) for path in FILES if not path.stem.startswith("pair-")}
+    alone = {
+        tuple(sorted({entry["kind"] for _, entry in entries(read(path))}))
+        for path in FILES
+        if not path.stem.startswith("pair-")
+    }
     stands_alone = {kinds[0] for kinds in alone if len(kinds) == 1}
-    needs_a_change = {"disk_full", "disk_slow", "disk_stall", "core_cut", "node_cut", "seed_turnover"}
+    needs_a_change = {
+        "disk_full",
+        "disk_slow",
+        "disk_stall",
+        "core_cut",
+        "node_cut",
+        "seed_turnover",
+    }
     assert {*PLANNED, *FAULTS} - needs_a_change <= stands_alone
     assert {kind for kinds in alone for kind in kinds} >= needs_a_change
     for path in FILES:
         if path.stem.startswith("pair-"):
             day = read(path)
-            assert len({entry["kind"] for _, entry in entries(day)}) + bool(day.get("closing")) >= 2, path.stem
+            assert (
+                len({entry["kind"] for _, entry in entries(day)}) + bool(day.get("closing")) >= 2
+            ), path.stem
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -85,9 +85,22 @@
     told = []
     for turn in range(1_500):
         plan = "p" * sizes.randrange(20_000, 400_000)
-        disk.write({"cell/plan": [[turn, "n"], [turn, "n"], {"mark": turn, "document": plan, "plan": plan}, 0]}, told.append)
+        disk.write(
+            {
+                "cell/plan": [
+                    [turn, "n"],
+                    [turn, "n"],
+                    {"mark": turn, "document": plan, "plan": plan},
+                    0,
+                ]
+            },
+            told.append,
+        )
         clock.run()
-        disk.write({f"cell/duty/{turn % 3}": [[turn, "n"], [turn, "n"], {"fence": 1, "renewal": turn}, 0]}, told.append)
+        disk.write(
+            {f"cell/duty/{turn % 3}": [[turn, "n"], [turn, "n"], {"fence": 1, "renewal": turn}, 0]},
+            told.append,
+        )
         clock.run()
     assert all(told)
     held = os.path.getsize(folder / "data.mdb")
@@ -114,7 +127,7 @@
     import lmdb
 
     with lmdb.open(str(file.parent)) as env, env.begin(write=True) as txn:
-        txn.put(b"cell/plan", b"[[1, \"core-a\"], [1, ")
+        txn.put(b"cell/plan", b'[[1, "core-a"], [1, ')
 
 
 @pytest.mark.parametrize("spoil", [spoil_head, spoil_tail, spoil_record])
--- a/tests/test_exchanged_address.py
+++ b/tests/test_exchanged_address.py
@@ -38,7 +38,16 @@
 
 
 def entry(name):
-    return {"name": name, "address": "10.0.0.1:8080", "zone": "a", "incarnation": 1, "state": "serving", "pool": "p", "slots": 4, "phase": "decode"}
+    return {
+        "name": name,
+        "address": "10.0.0.1:8080",
+        "zone": "a",
+        "incarnation": 1,
+        "state": "serving",
+        "pool": "p",
+        "slots": 4,
+        "phase": "decode",
+    }
 
 
 def listing(*rounds):
--- a/tests/test_gone_runner.py
+++ b/tests/test_gone_runner.py
@@ -7,17 +7,37 @@
 from linkhaven.schema import Trouble
 
 
-@pytest.mark.parametrize("code, is_closed", [("incarnation_other", True), ("runner_leaving", True), ("runner_full", False), ("phase_wrong", False)])
+@pytest.mark.parametrize(
+    "code, is_closed",
+    [
+        ("incarnation_other", True),
+        ("runner_leaving", True),
+        ("runner_full", False),
+        ("phase_wrong", False),
+    ],
+)
 def test_a_runner_of_which_another_start_answers_gets_no_more_work(code, is_closed):
     closed = []
     node = SimpleNamespace(
-        now_us=lambda: 5, may_start=lambda: False, systems=[], ports=SimpleNamespace(log=lambda *told, **facts: None),
+        now_us=lambda: 5,
+        may_start=lambda: False,
+        systems=[],
+        ports=SimpleNamespace(log=lambda *told, **facts: None),
+    )
+    pairing = SimpleNamespace(
+        end_read=lambda *told: None,
+        end_decode=lambda *told: None,
+        shun=lambda runner: None,
+        note_turned_away=lambda runner: None,
+    )
+    roster = SimpleNamespace(
+        note_leaving=closed.append, note_dark=lambda runner: None, note_alive=lambda runner: None
     )
-    pairing = SimpleNamespace(end_read=lambda *told: None, end_decode=lambda *told: None, shun=lambda runner: None, note_turned_away=lambda runner: None)
-    roster = SimpleNamespace(note_leaving=closed.append, note_dark=lambda runner: None, note_alive=lambda runner: None)
     request = Request("r-1", SimpleNamespace(is_begun=False), 0)
     request.kind = {"repeatable": True, "resumable": False}
     request.state, request.attempt = READING, "r-1/1"
     request.runner = runner = SimpleNamespace(name="runner-1")
-    Attempts(node, pairing, SimpleNamespace(reads_are_runs=False), roster, None).fail(request, runner, Trouble(code, done="no"), True)
+    Attempts(node, pairing, SimpleNamespace(reads_are_runs=False), roster, None).fail(
+        request, runner, Trouble(code, done="no"), True
+    )
     assert closed == ([runner] if is_closed else [])
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -18,11 +18,17 @@
     ((b"\xff\xfe", {}), (400, "bad_request")),
     ((b'{"kind": "seat-question", "prompt": "x", "more": 1}', {}), (400, "bad_request")),
     ((b'{"kind": "nothing", "prompt": "x"}', {}), (422, "unknown_kind")),
-    ((b'{"kind": "seat-question", "prompt": "' + b"x" * 100_000 + b'"}', {}), (422, "prompt_too_long")),
+    (
+        (b'{"kind": "seat-question", "prompt": "' + b"x" * 100_000 + b'"}', {}),
+        (422, "prompt_too_long"),
+    ),
     ((b'{"kind": "seat-question", "prompt": "' + b"x" * 3_000_000 + b'"}', {}), (413, "too_large")),
     ((QUESTION, {"last-event-id": "nonsense"}), (400, "bad_resume")),
     ((QUESTION, {"last-event-id": "no-such-run:3"}), (409, "run_unknown")),
-    ((b'{"kind": "entitlement-check", "prompt": "x"}', {"last-event-id": "run:3"}), (409, "not_resumable")),
+    (
+        (b'{"kind": "entitlement-check", "prompt": "x"}', {"last-event-id": "run:3"}),
+        (409, "not_resumable"),
+    ),
 ]
 
 
@@ -60,7 +66,11 @@
 
 def find_ports(first):
     """A hundred ports below those that the system hands out; each test has a range of its own, as they run side by side."""
-    return next(base for base in range(first, first + 5_000, 100) if all(is_free(base + place) for place in PORTS))
+    return next(
+        base
+        for base in range(first, first + 5_000, 100)
+        if all(is_free(base + place) for place in PORTS)
+    )
 
 
 def test_the_whole_fleet_serves_on_real_sockets_and_stops_cleanly(tmp_path):
@@ -71,7 +81,9 @@
         fleet.wait_ready()
         told = LoadRun(LICENSING, fleet.routers.values(), 5, 3, seed=1).run()
         codes_of_misuse = [post(fleet.routers["edge-1"], *misuse) for misuse, _ in MISUSES]
-        explained = call_json(fleet.routers["edge-1"], "GET", f"/v1/explain/{ask_once(fleet.routers['edge-1'])}")
+        explained = call_json(
+            fleet.routers["edge-1"], "GET", f"/v1/explain/{ask_once(fleet.routers['edge-1'])}"
+        )
     finally:
         codes = fleet.stop()
     assert told["asked"] > 5
@@ -98,7 +110,12 @@
             serial += 1
             document = {"expect": self.mark, "put_id": f"put-{serial}", "plan": LICENSING.plan()}
             try:
-                told = call_json(self.fleet.registries[("core-a", "core-c")[serial % 2]], "PUT", "/v1/plan", document)
+                told = call_json(
+                    self.fleet.registries[("core-a", "core-c")[serial % 2]],
+                    "PUT",
+                    "/v1/plan",
+                    document,
+                )
             except Trouble as trouble:
                 self.mark = trouble.detail.get("mark", self.mark)
                 continue
@@ -108,30 +125,63 @@
 
 def test_killed_frozen_and_full_processes_under_load_break_nothing(tmp_path):
     record = []
-    fleet = LoopbackFleet(LICENSING, str(tmp_path), find_ports(24_000), core_settings={"core-c": {"data_bytes": 262_144}})
+    fleet = LoopbackFleet(
+        LICENSING,
+        str(tmp_path),
+        find_ports(24_000),
+        core_settings={"core-c": {"data_bytes": 262_144}},
+    )
     putter = Putter(fleet, lambda kind, **facts: record.append((0, kind, facts)))
     try:
         fleet.start()
         fleet.put_plan(LICENSING.plan(), 0)
         fleet.wait_ready()
         run = LoadRun(
-            LICENSING, fleet.routers.values(), 6, 9, 2,
+            LICENSING,
+            fleet.routers.values(),
+            6,
+            9,
+            2,
             lambda kind, /, **facts: record.append((run.shell.ticker.now_us(), kind, facts)),
         )
-        plan_freezes(fleet, run, [
-            (0.5, "kill", "core-b"), (1.5, "run_again", "core-b"), (3.0, "freeze", "edge-1"), (3.5, "freeze", "runner-4"),
-            (5.0, "wake", "edge-1"), (5.5, "wake", "runner-4"), (6.0, "freeze", "core-a"), (7.5, "wake", "core-a"),
-        ])
+        plan_freezes(
+            fleet,
+            run,
+            [
+                (0.5, "kill", "core-b"),
+                (1.5, "run_again", "core-b"),
+                (3.0, "freeze", "edge-1"),
+                (3.5, "freeze", "runner-4"),
+                (5.0, "wake", "edge-1"),
+                (5.5, "wake", "runner-4"),
+                (6.0, "freeze", "core-a"),
+                (7.5, "wake", "core-a"),
+            ],
+        )
         putter.start()
         told = run.run()
         putter.is_over.set()
         putter.join(30)
         fleet.processes["core-b"].wait_event(1202)
         kinds = LICENSING.plan()["kinds"]
-        big = {**kinds, **{f"{name}-{place}": kind for place in range(300) for name, kind in kinds.items()}}
+        big = {
+            **kinds,
+            **{f"{name}-{place}": kind for place in range(300) for name, kind in kinds.items()},
+        }
         mark = call_json(fleet.registries["core-a"], "GET", "/v1/plan")["mark"]
         document = {"expect": mark, "put_id": "big", "plan": LICENSING.plan(kinds=big)}
-        record.append((0, "acked", {"mark": call_json(fleet.registries["core-a"], "PUT", "/v1/plan", document)["mark"], "put_id": "big"}))
+        record.append(
+            (
+                0,
+                "acked",
+                {
+                    "mark": call_json(fleet.registries["core-a"], "PUT", "/v1/plan", document)[
+                        "mark"
+                    ],
+                    "put_id": "big",
+                },
+            )
+        )
         fleet.processes["core-c"].wait_event(1205)
         for name in ("core-a", "core-b"):
             shown = call_json(fleet.registries[name], "GET", "/v1/plan")
--- a/tests/test_never.py
+++ b/tests/test_never.py
@@ -11,7 +11,9 @@
 scenarios("features/never.feature")
 
 
-@given(parsers.parse("the {deployment} fleet under load with seed {seed:d}"), target_fixture="scenario")
+@given(
+    parsers.parse("the {deployment} fleet under load with seed {seed:d}"), target_fixture="scenario"
+)
 def fleet_under_load(deployment, seed):
     return Scenario(deployment, seed).load(2, DEPLOYMENTS[deployment].rate * 0.6)
 
@@ -36,15 +38,49 @@
 
 
 FOUND_ONCE = [
-    ("licensing", 83, 300_000, 2.02, 6.0, [("collide_plans", 4.0, None), ("slow_links", 2.0, None), ("exchange_awake_core", 1.0, None)], 3.0),
-    ("archive", 15, 300_000, 2.9, 20.0, [("crash_runner", 0.3, "burst_plans"), ("kill_core", 0.3, None)], 3.0),
+    (
+        "licensing",
+        83,
+        300_000,
+        2.02,
+        6.0,
+        [
+            ("collide_plans", 4.0, None),
+            ("slow_links", 2.0, None),
+            ("exchange_awake_core", 1.0, None),
+        ],
+        3.0,
+    ),
+    (
+        "archive",
+        15,
+        300_000,
+        2.9,
+        20.0,
+        [("crash_runner", 0.3, "burst_plans"), ("kill_core", 0.3, None)],
+        3.0,
+    ),
     ("licensing", 3211, 300_000, 2.95, 6.0, [("exchange_awake_core", 0.0, "collide_plans")], 1.0),
-    ("licensing", 6, 800_000, 2.54, 16.0, [("cut_router_from_core", 0.0, "burst_plans"), ("jump_clock", 0.0, "burst_plans")], 6.0),
+    (
+        "licensing",
+        6,
+        800_000,
+        2.54,
+        16.0,
+        [("cut_router_from_core", 0.0, "burst_plans"), ("jump_clock", 0.0, "burst_plans")],
+        6.0,
+    ),
 ]
 
 
-@pytest.mark.parametrize("deployment, seed, lag_us, warm_s, rate, faults, hold_s", FOUND_ONCE, ids=[f"{row[0]}-{row[1]}" for row in FOUND_ONCE])
-def test_courses_that_once_found_something_stay_clean(deployment, seed, lag_us, warm_s, rate, faults, hold_s):
+@pytest.mark.parametrize(
+    "deployment, seed, lag_us, warm_s, rate, faults, hold_s",
+    FOUND_ONCE,
+    ids=[f"{row[0]}-{row[1]}" for row in FOUND_ONCE],
+)
+def test_courses_that_once_found_something_stay_clean(
+    deployment, seed, lag_us, warm_s, rate, faults, hold_s
+):
     course = {"lag_us": lag_us, "warm_s": warm_s, "rate": rate, "faults": faults, "hold_s": hold_s}
     assert run_course(deployment, seed, course).breaches() == {}
 
@@ -62,9 +98,15 @@
     assert [name for name in ALL if f"| {name} " not in rows] == []
 
 
-@pytest.mark.parametrize("deployment, seed, lost", [
-    ("licensing", 171, "crash_runner"), ("licensing", 172, "kill_zone"), ("archive", 173, "freeze_holder"), ("archive", 174, "freeze_zone"),
-])
+@pytest.mark.parametrize(
+    "deployment, seed, lost",
+    [
+        ("licensing", 171, "crash_runner"),
+        ("licensing", 172, "kill_zone"),
+        ("archive", 173, "freeze_holder"),
+        ("archive", 174, "freeze_zone"),
+    ],
+)
 def test_the_mix_swings_while_something_is_lost(deployment, seed, lost):
     scenario = Scenario(deployment, seed).load(2)
     scenario.fault("swing_mix").load(3).fault(lost).load(7).close().end(calm_s=21)
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -46,7 +46,11 @@
 
 def attempts():
     node = SimpleNamespace(
-        now_us=lambda: 5, may_start=lambda: True, systems=[], terms=SimpleNamespace(hold_share=0.2), ports=SimpleNamespace(log=lambda *told, **facts: None),
+        now_us=lambda: 5,
+        may_start=lambda: True,
+        systems=[],
+        terms=SimpleNamespace(hold_share=0.2),
+        ports=SimpleNamespace(log=lambda *told, **facts: None),
     )
     extra = SimpleNamespace(spend=lambda why, *part, **cost: True)
     return Attempts(node, Pairing(), Desk(), SimpleNamespace(), extra)
@@ -54,14 +58,24 @@
 
 def asked(**headers):
     told = {name.replace("_", "-"): value for name, value in headers.items()}
-    call = SimpleNamespace(method="GET", path="/a/x", fields=[], body=b"", headers=told, is_begun=False)
+    call = SimpleNamespace(
+        method="GET", path="/a/x", fields=[], body=b"", headers=told, is_begun=False
+    )
     request = Request("r-1", call, 0)
     PlatformCallers().read(request)
-    request.kind = {"ttft_us": 1_000_000, "deadline_us": 1_000_000, "attempts": 2, "repeatable": True, "resumable": False}
+    request.kind = {
+        "ttft_us": 1_000_000,
+        "deadline_us": 1_000_000,
+        "attempts": 2,
+        "repeatable": True,
+        "resumable": False,
+    }
     return request
 
 
-@pytest.mark.parametrize("headers, tokens", [({}, 0), ({"token_usage": "0,4"}, 1), ({"token_usage": "1460,80"}, 1460)])
+@pytest.mark.parametrize(
+    "headers, tokens", [({}, 0), ({"token_usage": "0,4"}, 1), ({"token_usage": "1460,80"}, 1460)]
+)
 def test_only_a_request_that_tells_of_a_prompt_has_one_to_read(headers, tokens):
     assert asked(**headers).prompt_tokens == tokens
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -20,27 +20,58 @@
 
 def route(**given):
     return {
-        "name": "r-a1", "hostname": "one.example", "path_prefix": "/a/", "route_type": "streaming", "timeout_ms": 8000,
-        "target_latency_ms": 800, "priority": 0, "target_service": "pool-1", "max_attempts": 2, "resumable": True, "target_gap_ms": 300,
+        "name": "r-a1",
+        "hostname": "one.example",
+        "path_prefix": "/a/",
+        "route_type": "streaming",
+        "timeout_ms": 8000,
+        "target_latency_ms": 800,
+        "priority": 0,
+        "target_service": "pool-1",
+        "max_attempts": 2,
+        "resumable": True,
+        "target_gap_ms": 300,
         **given,
     }
 
 
 def document(*routes, **given):
-    service = {"name": "pool-1", "health_path": "/health", "max_connections": 360, "engine": {"capacity": 64, "token_kv_bytes": 18432}}
+    service = {
+        "name": "pool-1",
+        "health_path": "/health",
+        "max_connections": 360,
+        "engine": {"capacity": 64, "token_kv_bytes": 18432},
+    }
     return {"revision": 7, "route_rules": list(routes or [route()]), "services": [service], **given}
 
 
 def test_nothing_in_packages_says_a_name_of_the_platform():
     said = {
-        value for name, value in vars(names).items()
-        if name.isupper() and isinstance(value, str) and value.lower() not in OURS and not value.startswith("/etc")
+        value
+        for name, value in vars(names).items()
+        if name.isupper()
+        and isinstance(value, str)
+        and value.lower() not in OURS
+        and not value.startswith("/etc")
+    }
+    said |= {
+        "route_rules",
+        "target_service",
+        "traffic_split",
+        "kv_handle",
+        "token_count",
+        "holder_id",
+        "fence_token",
+        "cloud_api",
     }
-    said |= {"route_rules", "target_service", "traffic_split", "kv_handle", "token_count", "holder_id", "fence_token", "cloud_api"}
     found = []
     for path in (ROOT / "packages").rglob("*.py"):
         text = path.read_text().lower()
-        found += [f"{path.name}: {word}" for word in said if len(word) > 6 and re.search(rf"[\"'/]{re.escape(word.lower())}[\"'/?]", text)]
+        found += [
+            f"{path.name}: {word}"
+            for word in said
+            if len(word) > 6 and re.search(rf"[\"'/]{re.escape(word.lower())}[\"'/?]", text)
+        ]
     assert found == []
 
 
@@ -58,15 +89,18 @@
     assert plan["kinds"]["r-a1"]["repeatable"] is False
 
 
-@pytest.mark.parametrize("wrong", [
-    document(route(target_service="gone")),
-    document(route(), route(name="r-b2")),
-    document(route(traffic_split=[{"target_service": "pool-1", "weight": 0}])),
-    document(route(timeout_ms=0)),
-    document(route(timeout_ms="soon")),
-    {"revision": 7, "services": []},
-    document(services=[{}]),
-])
+@pytest.mark.parametrize(
+    "wrong",
+    [
+        document(route(target_service="gone")),
+        document(route(), route(name="r-b2")),
+        document(route(traffic_split=[{"target_service": "pool-1", "weight": 0}])),
+        document(route(timeout_ms=0)),
+        document(route(timeout_ms="soon")),
+        {"revision": 7, "services": []},
+        document(services=[{}]),
+    ],
+)
 def test_an_invalid_configuration_is_refused(wrong):
     with pytest.raises(Trouble):
         fill_plan(read_plan(wrong, 0.2, 43))
@@ -74,11 +108,15 @@
 
 def test_only_what_did_not_run_is_refused_with_a_promise():
     for code in CATALOGUE:
-        assert (status_of(Trouble(code, done="unknown")) == 502) and status_of(Trouble(code, done="no")) != 502
+        assert (status_of(Trouble(code, done="unknown")) == 502) and status_of(
+            Trouble(code, done="no")
+        ) != 502
 
 
 def test_only_a_runner_that_says_so_did_not_run_a_request():
-    assert trouble_of(503, {}) is None and trouble_of(500, {}) is None and trouble_of(504, {}) is None
+    assert (
+        trouble_of(503, {}) is None and trouble_of(500, {}) is None and trouble_of(504, {}) is None
+    )
     assert trouble_of(503, {names.NOT_RUN: "1"}).done == "no"
     assert trouble_of(421, {names.RUNNER: "i-1"}).done == "no"
 
@@ -87,7 +125,9 @@
     reader = EventReader(0)
     pieces = reader.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     assert [(piece.number, piece.data) for piece in pieces] == [(1, b"id: 1\ndata: a\n\n")]
-    assert [(piece.number, piece.data) for piece in reader.feed(b"ta: b\n\n")] == [(2, b"id: 2\ndata: b\n\n")]
+    assert [(piece.number, piece.data) for piece in reader.feed(b"ta: b\n\n")] == [
+        (2, b"id: 2\ndata: b\n\n")
+    ]
     assert reader.rest == b""
 
 
@@ -101,9 +141,16 @@
     pass
 
 
-@pytest.mark.parametrize("headers", [
-    {"token_usage": "many"}, {"token_usage": "1,2,3"}, {"prompt_prefix": "ab:c"}, {"deadline_remaining": "soon"}, {"deadline_remaining": "inf"},
-])
+@pytest.mark.parametrize(
+    "headers",
+    [
+        {"token_usage": "many"},
+        {"token_usage": "1,2,3"},
+        {"prompt_prefix": "ab:c"},
+        {"deadline_remaining": "soon"},
+        {"deadline_remaining": "inf"},
+    ],
+)
 def test_sizes_that_are_no_numbers_get_a_clear_error(headers):
     request = Asked()
     request.call = Call(**headers)
@@ -114,9 +161,19 @@
 
 def test_sizes_and_parts_are_as_the_caller_told_them():
     request = Asked()
-    request.call = Call(host="one.example:80", token_usage="1460,80", prompt_prefix="5c1e:800,91bd:410,e440:250", deadline_remaining="8000")
+    request.call = Call(
+        host="one.example:80",
+        token_usage="1460,80",
+        prompt_prefix="5c1e:800,91bd:410,e440:250",
+        deadline_remaining="8000",
+    )
     PlatformCallers().read(request)
-    assert (request.host, request.prompt_tokens, request.answer_tokens, request.patience_us) == ("one.example", 1460, 80, 8_000_000)
+    assert (request.host, request.prompt_tokens, request.answer_tokens, request.patience_us) == (
+        "one.example",
+        1460,
+        80,
+        8_000_000,
+    )
     assert request.parts == (("5c1e", 800), ("91bd", 410), ("e440", 250))
 
 
@@ -127,11 +184,25 @@
 
 
 SETTINGS = {
-    "node_name": "edge-1", "zone": "a", "ip_address": "10.0.0.1", "bind_addresses": {"frontend": "10.0.0.1:80", "readiness": "10.0.0.1:81"},
-    "internal_port_range": [7720, 7735], "seed_nodes": ["10.0.0.2:90", "10.0.0.3:90"], "bootstrap": False, "data_directory": None,
-    "limits": {"disk_mb": 0}, "cloud_api": {"address": "10.0.0.9:70"}, "fault_tolerance": {"machines": 2},
+    "node_name": "edge-1",
+    "zone": "a",
+    "ip_address": "10.0.0.1",
+    "bind_addresses": {"frontend": "10.0.0.1:80", "readiness": "10.0.0.1:81"},
+    "internal_port_range": [7720, 7735],
+    "seed_nodes": ["10.0.0.2:90", "10.0.0.3:90"],
+    "bootstrap": False,
+    "data_directory": None,
+    "limits": {"disk_mb": 0},
+    "cloud_api": {"address": "10.0.0.9:70"},
+    "fault_tolerance": {"machines": 2},
     "bounds": {
-        "retry_budget_ratio": 0.2, "retry_slack": 54, "grace_s": 8, "lease_ms": 3000, "contact_ms": 3000, "drain_ms": 3000, "thaw_ms": 300,
+        "retry_budget_ratio": 0.2,
+        "retry_slack": 54,
+        "grace_s": 8,
+        "lease_ms": 3000,
+        "contact_ms": 3000,
+        "drain_ms": 3000,
+        "thaw_ms": 300,
     },
 }
 
@@ -146,7 +217,11 @@
 
 class Shell:
     def __init__(self):
-        self.node = SimpleNamespace(ring=Ring(), systems=[], ports=SimpleNamespace(log=lambda number, **facts: self.logged.append(number)))
+        self.node = SimpleNamespace(
+            ring=Ring(),
+            systems=[],
+            ports=SimpleNamespace(log=lambda number, **facts: self.logged.append(number)),
+        )
         self.logged = []
         self.on_hangup = None
 
@@ -176,7 +251,9 @@
     assert place.terms.poll_us + place.terms.report_us < 3_000_000
 
 
-@pytest.mark.parametrize("lacking", ["node_name", "bounds", "cloud_api", "internal_port_range", "seed_nodes"])
+@pytest.mark.parametrize(
+    "lacking", ["node_name", "bounds", "cloud_api", "internal_port_range", "seed_nodes"]
+)
 def test_settings_that_lack_something_are_told(lacking):
     with pytest.raises(Trouble) as told:
         Place({key: value for key, value in SETTINGS.items() if key != lacking})
