--- a/tests/test_recovery_speed.py
+++ b/tests/test_recovery_speed.py
@@ -5,7 +5,10 @@
 
 SECOND = 1_000_000
 MS = 1_000
-PLAN = {"groups": {"g": {}}, "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}}}
+PLAN = {
+    "groups": {"g": {}},
+    "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}},
+}
 
 
 def started(seed=1, count=3, **terms):
@@ -57,7 +60,9 @@
     assert core.put(0, 3, "text", PLAN)[0][0] is None
     core.machines["core-3"].disk.wipe()
     kill_all(core)
-    assert core.world.wait_for(lambda: {"a", "b"} <= set(core.voting()), 300 * MS, 5 * MS), core.voting()
+    assert core.world.wait_for(lambda: {"a", "b"} <= set(core.voting()), 300 * MS, 5 * MS), (
+        core.voting()
+    )
     assert core.wait_voting(3, 4 * SECOND)
     assert core.read()[1]["revision"] == 3
 
@@ -86,7 +91,10 @@
         host.start()
 
     def told():
-        return all(host.node.roster.taken_us is not None and host.node.image.plan for host in fleet.routers.values())
+        return all(
+            host.node.roster.taken_us is not None and host.node.image.plan
+            for host in fleet.routers.values()
+        )
 
     assert world.wait_for(told, 600 * MS, 5 * MS)
     assert not any(host.node.duties["roster"].is_held() for host in fleet.registries.values())
@@ -103,7 +111,10 @@
     oldest_us = 0
     for _ in range(500):
         world.run_for(10 * MS)
-        oldest_us = max(oldest_us, *(world.now_us - host.node.roster.taken_us for host in fleet.routers.values()))
+        oldest_us = max(
+            oldest_us,
+            *(world.now_us - host.node.roster.taken_us for host in fleet.routers.values()),
+        )
     assert oldest_us <= 2 * SECOND
 
 
@@ -119,7 +130,9 @@
     assert core.world.wait_for(lambda: left, 200 * MS, 5 * MS)
     old.kill()
     others = [host for host in core.machines.values() if host is not old]
-    assert core.world.wait_for(lambda: all(holder_of(others, name) for name in held), 600 * MS, 5 * MS)
+    assert core.world.wait_for(
+        lambda: all(holder_of(others, name) for name in held), 600 * MS, 5 * MS
+    )
     for name in held:
         assert holder_of(others, name).node.duties[name].fence > fences[name]
 
--- a/tests/test_register.py
+++ b/tests/test_register.py
@@ -16,14 +16,18 @@
 
 def put(fleet, expect, seat, most_s=5):
     told = []
-    fleet.put_plan(fleet.plan, expect, seat, 0, lambda status, document: told.append((status, document)))
+    fleet.put_plan(
+        fleet.plan, expect, seat, 0, lambda status, document: told.append((status, document))
+    )
     fleet.world.wait_for(lambda: told, most_s * SECOND, 10_000)
     return told[0] if told else None
 
 
 def show(fleet, seat):
     told = []
-    fleet.operators[0].node.show(fleet.registries[seat].address, lambda status, document: told.append((status, document)))
+    fleet.operators[0].node.show(
+        fleet.registries[seat].address, lambda status, document: told.append((status, document))
+    )
     fleet.world.wait_for(lambda: told, 5 * SECOND, 10_000)
     return told[0]
 
@@ -36,7 +40,9 @@
     fleet, _ = make_core()
     told = []
     for operator, seat in ((0, "a"), (1, "b")):
-        fleet.put_plan(fleet.plan, 1, seat, operator, lambda status, document: told.append((status, document)))
+        fleet.put_plan(
+            fleet.plan, 1, seat, operator, lambda status, document: told.append((status, document))
+        )
     assert fleet.world.wait_for(lambda: len(told) == 2)
     (won, _), (lost, conflict) = sorted(told, key=lambda answer: answer[0])
     assert (won, lost) == (200, 409)
@@ -119,8 +125,18 @@
     assert standing(fleet, "a") == "waiting"
     told = []
     operator = fleet.operators[0].node
-    operator.post(fleet.registries["c"].address, "/v1/core/restore", {}, lambda status, document: told.append(document["code"]))
-    operator.post(fleet.registries["a"].address, "/v1/core/restore", {}, lambda status, document: told.append(status))
+    operator.post(
+        fleet.registries["c"].address,
+        "/v1/core/restore",
+        {},
+        lambda status, document: told.append(document["code"]),
+    )
+    operator.post(
+        fleet.registries["a"].address,
+        "/v1/core/restore",
+        {},
+        lambda status, document: told.append(status),
+    )
     fleet.world.run_for(2 * SECOND)
     assert sorted(told, key=str) == [200, "seat_not_waiting"]
     assert standing(fleet, "a") == "voting"
@@ -174,7 +190,9 @@
     faults.begin("restart_core")
     fleet.world.run_for(SECOND)
     faults.close()
-    assert fleet.world.wait_for(lambda: all(standing(fleet, seat) == "voting" for seat in "abc"), 10 * SECOND)
+    assert fleet.world.wait_for(
+        lambda: all(standing(fleet, seat) == "voting" for seat in "abc"), 10 * SECOND
+    )
     assert show(fleet, "c")[1]["mark"] == 2
 
 
@@ -198,7 +216,9 @@
     for pause_us, seat in ((0, "c"), (7 * SECOND, "a"), (3 * SECOND, "b")):
         world.run_for(pause_us)
         fleet.registries[seat].start()
-    assert world.wait_for(lambda: all(standing(fleet, seat) == "voting" for seat in "abc"), 10 * SECOND)
+    assert world.wait_for(
+        lambda: all(standing(fleet, seat) == "voting" for seat in "abc"), 10 * SECOND
+    )
 
 
 def test_a_put_repeated_under_its_id_is_one_put():
@@ -207,7 +227,13 @@
     first = put(fleet, 1, "a")
     told = []
     body = {"expect": 1, "put_id": first[1]["put_id"], "plan": fleet.plan}
-    node._call(fleet.registries["b"].address, "PUT", "/v1/plan", body, lambda status, document: told.append((status, document)))
+    node._call(
+        fleet.registries["b"].address,
+        "PUT",
+        "/v1/plan",
+        body,
+        lambda status, document: told.append((status, document)),
+    )
     fleet.world.run_for(SECOND)
     assert told == [first]
 
@@ -216,7 +242,9 @@
     fleet, _ = make_core()
     seat = fleet.registries["a"]
     seat.kill()
-    host = Host(fleet.world, seat.name, seat.zone, "10.0.9.9:7000", seat.build, SimDisk(fleet.world))
+    host = Host(
+        fleet.world, seat.name, seat.zone, "10.0.9.9:7000", seat.build, SimDisk(fleet.world)
+    )
     fleet.registries["a"] = host
     host.start()
     assert fleet.world.wait_for(lambda: standing(fleet, "a") == "voting", 10 * SECOND)
@@ -224,7 +252,9 @@
 
 
 def ask_with_keys(fleet, keys, router="edge-1"):
-    asked = [fleet.ask("entitlement-check", [fleet.routers[router].address], key=key) for key in keys]
+    asked = [
+        fleet.ask("entitlement-check", [fleet.routers[router].address], key=key) for key in keys
+    ]
     fleet.world.wait_for(lambda: all(one.ended_us is not None for one in asked), 12 * SECOND)
     return [one.code or one.how for one in asked]
 
@@ -246,7 +276,10 @@
 
 def test_a_kind_may_demand_a_key():
     plan = LICENSING.plan()
-    plan["kinds"] = {**plan["kinds"], "entitlement-check": {**plan["kinds"]["entitlement-check"], "key_required": True}}
+    plan["kinds"] = {
+        **plan["kinds"],
+        "entitlement-check": {**plan["kinds"]["entitlement-check"], "key_required": True},
+    }
     fleet = SimFleet(LICENSING, 52, plan=plan).start()
     fleet.world.run_for(3 * SECOND)
     assert ask_with_keys(fleet, [None, "k"]) == ["key_missing", "done"]
@@ -254,7 +287,10 @@
 
 def test_a_seat_with_many_thousand_keys_rejoins_by_pages_within_its_time():
     fleet, _ = make_core()
-    cells = {f"claim/g/{place:06d}": [[1, "r"], [1, "r"], {"by": f"r-{place}"}] for place in range(20_000)}
+    cells = {
+        f"claim/g/{place:06d}": [[1, "r"], [1, "r"], {"by": f"r-{place}"}]
+        for place in range(20_000)
+    }
     for seat in "ab":
         fleet.registries[seat].node.seat.merge(cells)
     lost = fleet.registries["c"]
@@ -275,10 +311,18 @@
 
     def spy(self, message):
         if old:
-            self.seat.hear_accept({
-                "id": "late", "key": "plan", "ballot": [99, "edge-1"], "value": {"mark": 9}, "back": self.node.address,
-                "seat": self.seat.seat, "incarnation": self.seat.incarnation, "known": {"c": old[0]},
-            })
+            self.seat.hear_accept(
+                {
+                    "id": "late",
+                    "key": "plan",
+                    "ballot": [99, "edge-1"],
+                    "value": {"mark": 9},
+                    "back": self.node.address,
+                    "seat": self.seat.seat,
+                    "incarnation": self.seat.incarnation,
+                    "known": {"c": old[0]},
+                }
+            )
             seen.append(self.seat.cell("plan").value["mark"])
         hear_browse(self, message)
 
--- a/tests/test_renewed_lines.py
+++ b/tests/test_renewed_lines.py
@@ -27,8 +27,16 @@
     wire = Wire()
     ports = SimpleNamespace(wire=wire, log=lambda *told, **facts: None)
     node = SimpleNamespace(
-        name="core-1", address="10.0.0.1:7000", ports=ports, hearers={}, systems=[], on_late=[], on_hear=[], now_us=lambda: 5,
-        tell=lambda *told, **facts: None, terms=SimpleNamespace(beat_us=1, missed_us=1),
+        name="core-1",
+        address="10.0.0.1:7000",
+        ports=ports,
+        hearers={},
+        systems=[],
+        on_late=[],
+        on_hear=[],
+        now_us=lambda: 5,
+        tell=lambda *told, **facts: None,
+        terms=SimpleNamespace(beat_us=1, missed_us=1),
     )
     return Ring(node, "core", "north", [], 1), wire
 
@@ -38,8 +46,12 @@
     ring.hear_members({"name": "router-1", "fellows": [record]})
 
 
-@pytest.mark.parametrize("incarnation, address, renewed", [(2, HOME, [HOME]), (1, HOME, []), (2, "10.0.0.3:7000", [])])
-def test_a_new_start_at_the_same_address_has_its_connection_renewed_once(incarnation, address, renewed):
+@pytest.mark.parametrize(
+    "incarnation, address, renewed", [(2, HOME, [HOME]), (1, HOME, []), (2, "10.0.0.3:7000", [])]
+)
+def test_a_new_start_at_the_same_address_has_its_connection_renewed_once(
+    incarnation, address, renewed
+):
     members, wire = ring()
     told(members, 1)
     assert wire.renewed == []
--- a/tests/test_resumed_head.py
+++ b/tests/test_resumed_head.py
@@ -9,9 +9,18 @@
 
 
 def relay_of(request, attempt):
-    request.state, request.attempt, request.part = DECODING, attempt, SimpleNamespace(abandon=lambda: None)
+    request.state, request.attempt, request.part = (
+        DECODING,
+        attempt,
+        SimpleNamespace(abandon=lambda: None),
+    )
     roster = SimpleNamespace(note_alive=lambda runner: None)
-    attempts = SimpleNamespace(node=SimpleNamespace(now_us=lambda: 5), pairing=None, roster=roster, desk=SimpleNamespace(joins_runs=True))
+    attempts = SimpleNamespace(
+        node=SimpleNamespace(now_us=lambda: 5),
+        pairing=None,
+        roster=roster,
+        desk=SimpleNamespace(joins_runs=True),
+    )
     return Relay(attempts, request, "runner")
 
 
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -11,10 +11,10 @@
 from linkhaven.register.seat import REJOINING
 from linkhaven.registry.gate import KeyGate
 from linkhaven.registry.keeper import RosterKeeper
+from linkhaven.router.attempts import Attempts, Relay
 from linkhaven.router.chain import Chain
 from linkhaven.router.keys import Keys
 from linkhaven.router.request import Request
-from linkhaven.router.attempts import Attempts, Relay
 from linkhaven.runner import Roster, RunnerDesk
 from linkhaven.stage.fleet import LICENSING, SimFleet
 from linkhaven.stage.scenario import Scenario
@@ -152,7 +152,9 @@
 def share_without_counting(monkeypatch):
     monkeypatch.setattr(Bursar, "_left", lambda self, name, router, total, now_us: total)
     monkeypatch.setattr(Bursar, "_most_out", lambda self, group, router, now_us: 0.0)
-    monkeypatch.setattr(Bursar, "_rate_for", lambda self, group, router, total, now_us, floor: total / 2)
+    monkeypatch.setattr(
+        Bursar, "_rate_for", lambda self, group, router, total, now_us, floor: total / 2
+    )
 
 
 def plain_load(fleet_of):
@@ -199,7 +201,11 @@
     world = scenario.fleet.world
 
     def stewards():
-        return [host for host in scenario.fleet.registries.values() if not host.is_frozen and host.node.duties["steward"].is_held()]
+        return [
+            host
+            for host in scenario.fleet.registries.values()
+            if not host.is_frozen and host.node.duties["steward"].is_held()
+        ]
 
     old = stewards()[0]
     runner = old.node.keeper.runners["runner-3"]
@@ -274,7 +280,10 @@
     fleet, world = scenario.fleet, scenario.fleet.world
 
     def steward():
-        return next((host for host in fleet.registries.values() if host.node.duties["steward"].is_held()), None)
+        return next(
+            (host for host in fleet.registries.values() if host.node.duties["steward"].is_held()),
+            None,
+        )
 
     old, runner = steward(), fleet.runners["runner-3"]
     duty = old.node.duties["steward"]
@@ -298,7 +307,9 @@
 
 
 def forget_deadlines(monkeypatch):
-    monkeypatch.setattr(Request, "deadline_us", property(lambda self: 1 << 60, lambda self, value: None))
+    monkeypatch.setattr(
+        Request, "deadline_us", property(lambda self: 1 << 60, lambda self, value: None)
+    )
 
 
 def mute_every_runner(fleet_of):
@@ -307,7 +318,9 @@
 
 
 def believe_any_end(monkeypatch):
-    monkeypatch.setattr(Relay, "on_done", lambda self, piece: self.attempts.node.end_done(self.request))
+    monkeypatch.setattr(
+        Relay, "on_done", lambda self, piece: self.attempts.node.end_done(self.request)
+    )
 
 
 def end_early(fleet_of):
@@ -328,7 +341,11 @@
 
 def lose_the_roster_holder(fleet_of):
     scenario = fleet_of("licensing", 19).load(2)
-    seat = next(seat for seat, host in scenario.fleet.registries.items() if host.node.duties["roster"].is_held())
+    seat = next(
+        seat
+        for seat, host in scenario.fleet.registries.items()
+        if host.node.duties["roster"].is_held()
+    )
     return scenario.fault("empty_core", seat).load(3).close().end(calm_s=20)
 
 
@@ -343,11 +360,19 @@
     (leave_duties_vacant, lose_the_roster_holder, "work_is_served_again"),
     (forget_grants, sleep_over_an_order, "one_holder_orders"),
     (forget_one_time, crash_under_checks, "one_time_work_runs_once"),
-    (grant_keys_from_an_empty_core, use_keys_again_after_the_core_was_lost, "one_time_work_runs_once"),
+    (
+        grant_keys_from_an_empty_core,
+        use_keys_again_after_the_core_was_lost,
+        "one_time_work_runs_once",
+    ),
     (let_keys_pass, one_key_through_two_routers, "one_time_work_runs_once"),
     (trust_any_plan, put_while_a_router_is_cut_off, "plans_are_in_force"),
     (spend_freely, break_every_stream, "extra_shots_keep_to_the_budget"),
-    (keep_a_shot_at_every_router, fail_after_a_crowd_at_more_routers_than_planned, "extra_shots_keep_to_the_budget"),
+    (
+        keep_a_shot_at_every_router,
+        fail_after_a_crowd_at_more_routers_than_planned,
+        "extra_shots_keep_to_the_budget",
+    ),
     (overlook_leaving, leave_slowly, "leaving_runners_get_no_work"),
     (relay_anything, skip_pieces, "streams_are_whole"),
     (refuse_what_was_begun, crash_under_checks, "a_refusal_means_not_done"),
@@ -360,9 +385,14 @@
     return Scenario(deployment, seed, **given)
 
 
-@pytest.mark.parametrize("sabotage, run, rule", CASES, ids=[f"{case[0].__name__}-{place}" for place, case in enumerate(CASES)])
+@pytest.mark.parametrize(
+    "sabotage, run, rule",
+    CASES,
+    ids=[f"{case[0].__name__}-{place}" for place, case in enumerate(CASES)],
+)
 def test_a_rule_breaks_without_its_mechanism_and_holds_with_it(monkeypatch, sabotage, run, rule):
     with monkeypatch.context() as patch:
+
         def make_sabotaged(deployment, seed, **given):
             scenario = make(deployment, seed, **given)
             sabotage(patch)
@@ -402,5 +432,7 @@
     class Walker:
         place = 0
 
-    Chain([refuse, walked.append], lambda request, trouble: answers.append(trouble.code)).walk(Walker())
+    Chain([refuse, walked.append], lambda request, trouble: answers.append(trouble.code)).walk(
+        Walker()
+    )
     assert (answers, walked) == (["queue_full"], [])
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -6,7 +6,10 @@
 from linkhaven.stage.world import Host
 
 SECOND = 1_000_000
-PLAN = {"groups": {"g": {}}, "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}}}
+PLAN = {
+    "groups": {"g": {}},
+    "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}},
+}
 
 
 def started(seed=1, count=3, more=0, **terms):
@@ -30,7 +33,11 @@
 
 def is_sole(core):
     """No seat is voted on by two."""
-    votes = [host.node.seat.seat for host in core.machines.values() if host.node and not host.is_frozen and host.node.seat.is_voting]
+    votes = [
+        host.node.seat.seat
+        for host in core.machines.values()
+        if host.node and not host.is_frozen and host.node.seat.is_voting
+    ]
     return len(votes) == len(set(votes))
 
 
@@ -38,7 +45,10 @@
     core = SimCore(1).bootstrap()
     core.world.run_for(SECOND // 2)
     assert core.voting() == {"a": "core-1", "b": "core-2", "c": "core-3"}
-    assert core.world.wait_for(lambda: any(host.node.duties["roster"].is_held() for host in core.machines.values()), 2 * SECOND)
+    assert core.world.wait_for(
+        lambda: any(host.node.duties["roster"].is_held() for host in core.machines.values()),
+        2 * SECOND,
+    )
 
 
 def test_five_seats_begin_with_three_contacts_and_learn_the_other_two():
@@ -115,14 +125,18 @@
     acked(core, 0, 7)
     for host in core.machines.values():
         host.kill()
-    for name in list(core.machines)[seed % 3:][:wiped]:
+    for name in list(core.machines)[seed % 3 :][:wiped]:
         core.machines[name].disk.wipe()
     for host in core.machines.values():
         core.world.after(core.world.dice.randrange(500_000), host.start)
     core.world.run_for(SECOND // 2)
-    assert core.wait_voting(seats // 2 + 1, 2 * SECOND), {name: host.node.seat.standing for name, host in core.machines.items()}
+    assert core.wait_voting(seats // 2 + 1, 2 * SECOND), {
+        name: host.node.seat.standing for name, host in core.machines.items()
+    }
     assert held(core) == 7
-    assert core.wait_voting(seats, 5 * SECOND), {name: host.node.seat.standing for name, host in core.machines.items()}
+    assert core.wait_voting(seats, 5 * SECOND), {
+        name: host.node.seat.standing for name, host in core.machines.items()
+    }
     acked(core, 7, 8)
 
 
@@ -137,14 +151,23 @@
     for _ in range(160):
         core.world.run_for(SECOND // 20)
         assert is_sole(core)
-    assert len(core.voting()) == 3, {name: host.node.seat.standing for name, host in core.machines.items() if host.node}
+    assert len(core.voting()) == 3, {
+        name: host.node.seat.standing for name, host in core.machines.items() if host.node
+    }
     assert held(core, core.voting()["c"]) == 3
 
 
 def test_a_second_occupant_is_not_noted_at_the_same_incarnation():
     core = started(7)
     seat = core.machines["core-1"].node.seat
-    first = {"seat": "c", "incarnation": 9, "start": "x/1", "name": "x", "back": "10.0.0.8:7000", "genesis": None}
+    first = {
+        "seat": "c",
+        "incarnation": 9,
+        "start": "x/1",
+        "name": "x",
+        "back": "10.0.0.8:7000",
+        "genesis": None,
+    }
     assert seat.occupants.note(first)
     assert not seat.occupants.note({**first, "start": "y/1", "name": "y"})
     assert seat.occupants.note(first)
@@ -163,7 +186,9 @@
     old.wake()
     core.world.run_for(3 * SECOND)
     assert old.node.seat.standing == "spare"
-    assert not [key for key in old.disk.synced if key.startswith("cell/") or key in ("seat", "incarnation")]
+    assert not [
+        key for key in old.disk.synced if key.startswith("cell/") or key in ("seat", "incarnation")
+    ]
     assert core.voting() == {"a": "core-1", "b": "core-9", "c": "core-3"}
     acked(core, 4, 6, "core-9")
     core.machines["core-1"].kill()
@@ -186,7 +211,15 @@
     seeds = [host.address for host in core.machines.values()]
 
     def build(host, ports):
-        return RouterNode(host.name, host.address, ports, host.zone, seeds, host.wall_us() + host.starts, terms=Terms(**core.terms))
+        return RouterNode(
+            host.name,
+            host.address,
+            ports,
+            host.zone,
+            seeds,
+            host.wall_us() + host.starts,
+            terms=Terms(**core.terms),
+        )
 
     router = Host(core.world, "router-1", "z", "10.5.0.1:7000", build)
     router.start()
@@ -212,7 +245,9 @@
         core.world.after(core.world.dice.randrange(SECOND), host.start)
     core.world.run_for(5 * SECOND)
     assert core.voting() == {}
-    assert core.wait_voting(3, 10 * SECOND), {name: host.node.seat.standing for name, host in core.machines.items()}
+    assert core.wait_voting(3, 10 * SECOND), {
+        name: host.node.seat.standing for name, host in core.machines.items()
+    }
     assert is_sole(core)
     assert core.world.wait_for(lambda: held_or_none(core) == 7, 5 * SECOND, 100_000)
     acked(core, 7, 9)
--- a/tests/test_simulator.py
+++ b/tests/test_simulator.py
@@ -12,8 +12,12 @@
     question["seconds"] = 8
     question["what_if"] = {
         "two runners": {"fleet": {"runners": 2, "prefills": 1}, "demand": {"audit-digest": 12}},
-        "hardly any credit for audits": {"groups": {"audit": {"credit": {"tokens": 300, "period_us": 10_000_000}}}},
-        "a zone cut off": {"faults": [{"name": "cut_zone", "on": "long-bien", "at_s": 2, "for_s": 5}]},
+        "hardly any credit for audits": {
+            "groups": {"audit": {"credit": {"tokens": 300, "period_us": 10_000_000}}}
+        },
+        "a zone cut off": {
+            "faults": [{"name": "cut_zone", "on": "long-bien", "at_s": 2, "for_s": 5}]
+        },
     }
     return {**question, **changed}
 
@@ -21,9 +25,14 @@
 def test_the_same_question_has_the_same_answer_and_a_worse_fleet_a_worse_one():
     told = answer(read_question(short()))
     assert told == answer(read_question(short()))
-    usual, poor, cut = (told["answers"][name] for name in ("as it is", "two runners", "a zone cut off"))
+    usual, poor, cut = (
+        told["answers"][name] for name in ("as it is", "two runners", "a zone cut off")
+    )
     assert usual["all"]["goodput_share"] > poor["all"]["goodput_share"]
-    assert cut["all"]["refused"] + cut["all"]["troubled"] > usual["all"]["refused"] + usual["all"]["troubled"]
+    assert (
+        cut["all"]["refused"] + cut["all"]["troubled"]
+        > usual["all"]["refused"] + usual["all"]["troubled"]
+    )
     poorer = told["answers"]["hardly any credit for audits"]["groups"]
     assert poorer["audit"]["served"] < usual["groups"]["audit"]["served"]
     assert poorer["seats"]["served"] == usual["groups"]["seats"]["served"]
@@ -43,14 +52,24 @@
     assert caught.value.code == "question_invalid"
     places = {place["place"] for place in caught.value.detail["places"]}
     assert {
-        "plan/kinds/audit-digest/group", "fleet/prefills", "what_if/a zone cut off/faults/0/on", "what_if/two runners/demand/unknown-kind",
+        "plan/kinds/audit-digest/group",
+        "fleet/prefills",
+        "what_if/a zone cut off/faults/0/on",
+        "what_if/two runners/demand/unknown-kind",
     } <= places
 
 
 def test_every_fault_that_may_be_aimed_takes_its_target():
     from linkhaven.simulator import question as module
 
-    aimed = module.ZONE_FAULTS | module.DUTY_FAULTS | module.SEAT_FAULTS | module.ROUTER_FAULTS | module.RUNNER_FAULTS | module.GROUP_FAULTS
+    aimed = (
+        module.ZONE_FAULTS
+        | module.DUTY_FAULTS
+        | module.SEAT_FAULTS
+        | module.ROUTER_FAULTS
+        | module.RUNNER_FAULTS
+        | module.GROUP_FAULTS
+    )
     assert aimed <= set(module.ALL)
     for name in sorted(aimed):
         target = module._targets_of(name, example_question("licensing"))[0]
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -8,8 +8,11 @@
 PAGE = pathlib.Path(__file__).resolve().parent.parent / "docs" / "CAPACITY.md"
 BASE = {"routers": 4, "runners": 8, "groups": 4, "kinds": 4, "rate": 4}
 VALUES = {
-    "routers": (4, 8, 12, 16, 20), "runners": (8, 16, 24, 32, 40), "groups": (4, 8, 16, 32, 48),
-    "rate": (0, 8, 16, 24, 32), "configurations": (0, 60, 120, 180, 240),
+    "routers": (4, 8, 12, 16, 20),
+    "runners": (8, 16, 24, 32, 40),
+    "groups": (4, 8, 16, 32, 48),
+    "rate": (0, 8, 16, 24, 32),
+    "configurations": (0, 60, 120, 180, 240),
 }
 HELD = ("sent_messages", "sent_bytes", "heard_messages", "heard_bytes", "heap_bytes", "disk_bytes")
 SEEDS = 2
@@ -19,7 +22,11 @@
 
 def read_orders():
     """The page's table of orders: {(number varied, role, figure): order}."""
-    rows = [[cell.strip() for cell in line.strip("|\n").split("|")] for line in PAGE.open() if line.startswith("|")]
+    rows = [
+        [cell.strip() for cell in line.strip("|\n").split("|")]
+        for line in PAGE.open()
+        if line.startswith("|")
+    ]
     begin = next(place for place, row in enumerate(rows) if row[0] == "varied") + 2
     orders = {}
     for row in rows[begin:]:
@@ -44,9 +51,15 @@
     assert not grown
 
 
-@pytest.mark.parametrize("order, shape", [
-    (CONSTANT, lambda x: 40), (LINEAR, lambda x: 3 + 2 * x), (SQUARE, lambda x: 5 + x * x), (SQUARE, lambda x: x * (x - 1)),
-])
+@pytest.mark.parametrize(
+    "order, shape",
+    [
+        (CONSTANT, lambda x: 40),
+        (LINEAR, lambda x: 3 + 2 * x),
+        (SQUARE, lambda x: 5 + x * x),
+        (SQUARE, lambda x: x * (x - 1)),
+    ],
+)
 def test_a_fit_finds_the_order_through_a_spread_of_a_twentieth(order, shape):
     points = [(x, shape(x) * (1 + 0.05 * sign)) for x in (4, 8, 16, 32, 64) for sign in (-1, 0, 1)]
     found = fit(points)
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -7,7 +7,9 @@
 def test_an_ended_request_is_one_trace_with_a_span_for_each_step(tmp_path):
     fleet = SimFleet(LICENSING, 1).start()
     router = fleet.routers["edge-1"]
-    writer = TraceWriter(str(tmp_path / "traces.jsonl"), router.name, wall_ns=lambda: 1_700_000_000_000_000_000)
+    writer = TraceWriter(
+        str(tmp_path / "traces.jsonl"), router.name, wall_ns=lambda: 1_700_000_000_000_000_000
+    )
     router.node.on_end.append(writer.write)
     asked = fleet.ask("audit-digest", [router.address])
     fleet.world.run_for(20_000_000)
@@ -16,7 +18,9 @@
     spans = [
         span
         for line in (tmp_path / "traces.jsonl").read_text().splitlines()
-        for resource in json.loads(line)["resourceSpans"] for scope in resource["scopeSpans"] for span in scope["spans"]
+        for resource in json.loads(line)["resourceSpans"]
+        for scope in resource["scopeSpans"]
+        for span in scope["spans"]
     ]
     whole = next(span for span in spans if span["name"] == "request")
     assert {"queued", "attempt"} <= {span["name"] for span in spans}
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -14,7 +14,12 @@
 from linkhaven.wire import DoorLimits, Shell
 
 DEADLINE_S = 10
-QUICK = settings(max_examples=60, deadline=None, derandomize=True, suppress_health_check=[HealthCheck.function_scoped_fixture])
+QUICK = settings(
+    max_examples=60,
+    deadline=None,
+    derandomize=True,
+    suppress_health_check=[HealthCheck.function_scoped_fixture],
+)
 HOST = b"host: a.example\r\n"
 
 
@@ -52,7 +57,9 @@
             self.shell.tick()
 
     def door(self, on_call=None, **limits):
-        return self.shell.add_door("127.0.0.1:0", on_call or self.calls.append, DoorLimits(**limits))
+        return self.shell.add_door(
+            "127.0.0.1:0", on_call or self.calls.append, DoorLimits(**limits)
+        )
 
     def connect(self, address, data=b""):
         host, port = address.split(":")
@@ -177,11 +184,15 @@
         def both():
             self.serve()
             return condition()
+
         self.bench.until(both)
 
     def call(self, **more):
         heard = Heard()
-        assert self.bench.outlet.open(self.address, "GET", "/x", {}, b"", heard.hearer, **more) is not None
+        assert (
+            self.bench.outlet.open(self.address, "GET", "/x", {}, b"", heard.hearer, **more)
+            is not None
+        )
         self.until(heard.is_over)
         return heard
 
@@ -218,7 +229,9 @@
                 elif isinstance(event, h11.EndOfMessage):
                     answers.append((status, body))
                     break
-                elif event in (h11.NEED_DATA, h11.PAUSED) or isinstance(event, h11.ConnectionClosed):
+                elif event in (h11.NEED_DATA, h11.PAUSED) or isinstance(
+                    event, h11.ConnectionClosed
+                ):
                     return [*answers, (status, None)]
         except h11.RemoteProtocolError:
             return [*answers, (status, None)]
@@ -235,11 +248,20 @@
 
 def test_door_hands_on_the_request_as_received(bench):
     door = bench.door()
-    bench.connect(door.address, b"POST /a%2fb?c=%20d HTTP/1.1\r\nHost: A.example\r\nX-One: 1\r\nx-one: 2\r\nTE: trailers\r\nContent-Length: 4\r\n\r\nbody")
+    bench.connect(
+        door.address,
+        b"POST /a%2fb?c=%20d HTTP/1.1\r\nHost: A.example\r\nX-One: 1\r\nx-one: 2\r\nTE: trailers\r\nContent-Length: 4\r\n\r\nbody",
+    )
     call = bench.calls_at_least(1)
     assert (call.method, call.path, call.body) == ("POST", "/a%2fb?c=%20d", b"body")
     assert call.headers["x-one"] == "1, 2"
-    assert call.fields == [("Host", "A.example"), ("X-One", "1"), ("x-one", "2"), ("TE", "trailers"), ("Content-Length", "4")]
+    assert call.fields == [
+        ("Host", "A.example"),
+        ("X-One", "1"),
+        ("x-one", "2"),
+        ("TE", "trailers"),
+        ("Content-Length", "4"),
+    ]
 
 
 def test_a_fault_in_the_node_ends_the_call_and_not_the_door(bench):
@@ -258,7 +280,10 @@
 
 def test_door_waits_for_the_whole_request_and_decodes_chunks(bench):
     door = bench.door()
-    sock = bench.connect(door.address, b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n")
+    sock = bench.connect(
+        door.address,
+        b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n3\r\nabc\r\n",
+    )
     bench.until(lambda: any(connection.body_bytes for connection in door.connections))
     assert not bench.calls
     sock.sendall(b"2;ext=1\r\nde\r\n0\r\nx-trailer: 1\r\n\r\n")
@@ -267,7 +292,9 @@
 
 def test_pipelined_requests_wait_for_the_answer_before_them(bench):
     door = bench.door()
-    sock = bench.connect(door.address, b"GET /1 HTTP/1.1\r\n" + HOST + b"\r\nGET /2 HTTP/1.1\r\n" + HOST + b"\r\n")
+    sock = bench.connect(
+        door.address, b"GET /1 HTTP/1.1\r\n" + HOST + b"\r\nGET /2 HTTP/1.1\r\n" + HOST + b"\r\n"
+    )
     told = Told(sock)
     first = bench.calls_at_least(1)
     first.begin(200, {})
@@ -290,7 +317,7 @@
     def push():
         nonlocal left
         try:
-            left = left[sock.send(left):] if left else left
+            left = left[sock.send(left) :] if left else left
         except BlockingIOError:
             pass
         told.look()
@@ -300,13 +327,18 @@
     bench.until(push)
 
 
-@pytest.mark.parametrize(("head", "closes"), [
-    (b"GET / HTTP/1.1\r\n" + HOST + b"\r\n", False),
-    (b"GET / HTTP/1.1\r\n" + HOST + b"Connection: foo, Close\r\n\r\n", True),
-    (b"GET / HTTP/1.0\r\n\r\n", True),
-])
+@pytest.mark.parametrize(
+    ("head", "closes"),
+    [
+        (b"GET / HTTP/1.1\r\n" + HOST + b"\r\n", False),
+        (b"GET / HTTP/1.1\r\n" + HOST + b"Connection: foo, Close\r\n\r\n", True),
+        (b"GET / HTTP/1.0\r\n\r\n", True),
+    ],
+)
 def test_keep_alive_follows_the_request(bench, head, closes):
-    told = bench.ask(bench.door(echo).address, head, lambda data: not closes and data.endswith(b"GET "))
+    told = bench.ask(
+        bench.door(echo).address, head, lambda data: not closes and data.endswith(b"GET ")
+    )
     assert told.is_closed == closes
     assert (b"connection: close" in told.data) == closes
     assert read_answers(told.data) == [(200, b"GET ")]
@@ -345,7 +377,10 @@
 
 def test_expect_continue_is_answered_once(bench):
     door = bench.door(echo)
-    sock = bench.connect(door.address, b"POST / HTTP/1.1\r\n" + HOST + b"expect: 100-continue\r\ncontent-length: 3\r\n\r\n")
+    sock = bench.connect(
+        door.address,
+        b"POST / HTTP/1.1\r\n" + HOST + b"expect: 100-continue\r\ncontent-length: 3\r\n\r\n",
+    )
     told = Told(sock)
     bench.until(lambda: told.look() or b"100 Continue\r\n\r\n" in told.data)
     sock.sendall(b"ab")
@@ -357,14 +392,18 @@
 
 SMUGGLED = b"GET /smuggled HTTP/1.1\r\n" + HOST + b"\r\n"
 BAD = [
-    b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+    b"POST / HTTP/1.1\r\n"
+    + HOST
+    + b"content-length: 3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
     b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 3\r\ncontent-length: 4\r\n\r\nabcd",
     b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 3, 4\r\n\r\nabcd",
     b"POST / HTTP/1.1\r\n" + HOST + b"content-length: +3\r\n\r\nabc",
     b"POST / HTTP/1.1\r\n" + HOST + b"content-length: -3\r\n\r\nabc",
     b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
     b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: xchunked\r\n\r\n0\r\n\r\n",
-    b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n\r\n0\r\n\r\n",
+    b"POST / HTTP/1.1\r\n"
+    + HOST
+    + b"transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n\r\n0\r\n\r\n",
     b"POST / HTTP/1.0\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n0\r\n\r\n",
     b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\nzz\r\n",
     b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n-1\r\n",
@@ -406,7 +445,7 @@
 
     bench.until(push)
     assert not bench.calls
-    (status, body), = read_answers(told.data)
+    ((status, body),) = read_answers(told.data)
     assert status == 400 and json.loads(body)["code"] == "bad_request"
     sock.close()
     bench.until(lambda: not door.connections)
@@ -415,9 +454,21 @@
 def test_limits_on_heads_and_bodies_are_told_and_change_at_run_time(bench):
     door = bench.door(head_bytes=1_000, body_bytes=100)
     large = b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 101\r\n\r\n"
-    chunked = b"POST / HTTP/1.1\r\n" + HOST + b"transfer-encoding: chunked\r\n\r\n" + b"32\r\n" + b"x" * 50 + b"\r\n"
+    chunked = (
+        b"POST / HTTP/1.1\r\n"
+        + HOST
+        + b"transfer-encoding: chunked\r\n\r\n"
+        + b"32\r\n"
+        + b"x" * 50
+        + b"\r\n"
+    )
     wide = b"GET / HTTP/1.1\r\n" + HOST + b"x-one: " + b"x" * 1_000
-    for data, status in ((large, 413), (chunked + b"33\r\n" + b"x" * 51 + b"\r\n", 413), (wide, 431), (wide + b"\r\n\r\n", 431)):
+    for data, status in (
+        (large, 413),
+        (chunked + b"33\r\n" + b"x" * 51 + b"\r\n", 413),
+        (wide, 431),
+        (wide + b"\r\n\r\n", 431),
+    ):
         assert read_answers(bench.ask(door.address, data).data)[0][0] == status
     assert not bench.calls
     door.limits = DoorLimits()
@@ -429,7 +480,9 @@
 
 def test_an_error_reaches_a_caller_that_still_sends_its_body(bench):
     door = bench.door(body_bytes=100)
-    sock = bench.connect(door.address, b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 9000000\r\n\r\n")
+    sock = bench.connect(
+        door.address, b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 9000000\r\n\r\n"
+    )
     told, sent = Told(sock), 0
 
     def push():
@@ -462,7 +515,14 @@
 
 def test_a_body_that_stalls_gets_408(bench):
     door = bench.door(head_us=10_000_000, idle_us=50_000)
-    assert read_answers(bench.ask(door.address, b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 5\r\n\r\nab").data)[0][0] == 408
+    assert (
+        read_answers(
+            bench.ask(
+                door.address, b"POST / HTTP/1.1\r\n" + HOST + b"content-length: 5\r\n\r\nab"
+            ).data
+        )[0][0]
+        == 408
+    )
 
 
 def test_an_open_call_is_not_idle(bench):
@@ -476,7 +536,10 @@
     assert read_answers(told.data) == [(200, b"late")]
 
 
-@pytest.mark.parametrize(("end", "headers"), [("finish", {"content-length": "10"}), ("cut", {"content-length": "10"}), ("cut", {})])
+@pytest.mark.parametrize(
+    ("end", "headers"),
+    [("finish", {"content-length": "10"}), ("cut", {"content-length": "10"}), ("cut", {})],
+)
 @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
 def test_an_answer_cut_short_never_looks_whole(bench, end, headers, version):
     door = bench.door()
@@ -591,16 +654,25 @@
 
 @QUICK
 @given(
-    fields=st.lists(st.tuples(TOKEN.map("x-{}".format), VALUE), max_size=8), parts=st.lists(st.binary(min_size=1, max_size=200), max_size=5),
-    is_chunked=st.booleans(), cuts=st.lists(st.integers(0, 2_000), max_size=6),
+    fields=st.lists(st.tuples(TOKEN.map("x-{}".format), VALUE), max_size=8),
+    parts=st.lists(st.binary(min_size=1, max_size=200), max_size=5),
+    is_chunked=st.booleans(),
+    cuts=st.lists(st.integers(0, 2_000), max_size=6),
 )
 def test_requests_arrive_the_same_however_they_are_cut_up(fields, parts, is_chunked, cuts):
     bench = Bench()
     try:
         body = b"".join(parts)
-        head = "POST /p?q HTTP/1.1\r\nhost: a\r\n" + "".join(f"{name}: {value}\r\n" for name, value in fields)
+        head = "POST /p?q HTTP/1.1\r\nhost: a\r\n" + "".join(
+            f"{name}: {value}\r\n" for name, value in fields
+        )
         if is_chunked:
-            data = head.encode() + b"transfer-encoding: chunked\r\n\r\n" + b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts) + b"0\r\n\r\n"
+            data = (
+                head.encode()
+                + b"transfer-encoding: chunked\r\n\r\n"
+                + b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+                + b"0\r\n\r\n"
+            )
         else:
             data = head.encode() + b"content-length: %d\r\n\r\n" % len(body) + body
         door = bench.door()
@@ -618,10 +690,33 @@
 
 
 @QUICK
-@given(st.lists(st.sampled_from([
-    b"GET / HTTP/1.1\r\n", b"POST /a HTTP/1.1\r\n", HOST, b"content-length: 3\r\n", b"content-length: 0\r\n", b"transfer-encoding: chunked\r\n",
-    b"\r\n", b"\n", b"abc", b"3\r\nabc\r\n", b"0\r\n\r\n", b"\r", b" ", b"\t", b"\x00", b"x: y\r\n", b"connection: close\r\n", b"\xff",
-]), max_size=14))
+@given(
+    st.lists(
+        st.sampled_from(
+            [
+                b"GET / HTTP/1.1\r\n",
+                b"POST /a HTTP/1.1\r\n",
+                HOST,
+                b"content-length: 3\r\n",
+                b"content-length: 0\r\n",
+                b"transfer-encoding: chunked\r\n",
+                b"\r\n",
+                b"\n",
+                b"abc",
+                b"3\r\nabc\r\n",
+                b"0\r\n\r\n",
+                b"\r",
+                b" ",
+                b"\t",
+                b"\x00",
+                b"x: y\r\n",
+                b"connection: close\r\n",
+                b"\xff",
+            ]
+        ),
+        max_size=14,
+    )
+)
 def test_no_bytes_break_the_door(pieces):
     bench = Bench()
     try:
@@ -631,7 +726,11 @@
         told = Told(sock)
         bench.until(told.look)
         bench.until(lambda: not door.connections)
-        alive = bench.ask(door.address, b"GET / HTTP/1.1\r\n" + HOST + b"\r\n", lambda data: data.endswith(b"GET "))
+        alive = bench.ask(
+            door.address,
+            b"GET / HTTP/1.1\r\n" + HOST + b"\r\n",
+            lambda data: data.endswith(b"GET "),
+        )
         assert read_answers(alive.data) == [(200, b"GET ")]
     finally:
         bench.close()
@@ -660,9 +759,14 @@
     runner = Runner(bench, whole(), whole())
     one, two = Heard(), Heard()
     assert bench.outlet.open(runner.address, "GET", "/x", {}, b"", one.hearer, keep=True, most=1)
-    assert bench.outlet.open(runner.address, "GET", "/x", {}, b"", two.hearer, keep=True, most=1) is None
+    assert (
+        bench.outlet.open(runner.address, "GET", "/x", {}, b"", two.hearer, keep=True, most=1)
+        is None
+    )
     runner.until(one.is_over)
-    assert bench.outlet.open(runner.address, "GET", "/x", {}, b"", two.hearer, keep=True, most=1).is_reused
+    assert bench.outlet.open(
+        runner.address, "GET", "/x", {}, b"", two.hearer, keep=True, most=1
+    ).is_reused
     runner.until(two.is_over)
     assert bench.outlet.opened == 1 and not one.troubles and not two.troubles
 
@@ -670,13 +774,32 @@
 def test_the_request_goes_out_with_its_fields_in_order_and_the_host_told(bench):
     runner = Runner(bench, whole())
     heard = Heard()
-    fields = [("Host", "old"), ("X-One", "1"), ("X-Two", "2"), ("x-one", "3"), ("Content-Length", "9")]
-    bench.outlet.open(runner.address, "POST", "/a%2f?b", fields, b"", heard.hearer, keep=True, host="new.example")
+    fields = [
+        ("Host", "old"),
+        ("X-One", "1"),
+        ("X-Two", "2"),
+        ("x-one", "3"),
+        ("Content-Length", "9"),
+    ]
+    bench.outlet.open(
+        runner.address, "POST", "/a%2f?b", fields, b"", heard.hearer, keep=True, host="new.example"
+    )
     runner.until(heard.is_over)
-    assert runner.got == [b"POST /a%2f?b HTTP/1.1\r\nhost: new.example\r\nX-One: 1\r\nX-Two: 2\r\nx-one: 3\r\ncontent-length: 0"]
-
-
-@pytest.mark.parametrize(("path", "headers"), [("/a b", {}), ("/a\r\nx: y", {}), ("", {}), ("/", {"x-one": "1\r\n\r\nGET /"}), ("/", {"x\n": "1"})])
+    assert runner.got == [
+        b"POST /a%2f?b HTTP/1.1\r\nhost: new.example\r\nX-One: 1\r\nX-Two: 2\r\nx-one: 3\r\ncontent-length: 0"
+    ]
+
+
+@pytest.mark.parametrize(
+    ("path", "headers"),
+    [
+        ("/a b", {}),
+        ("/a\r\nx: y", {}),
+        ("", {}),
+        ("/", {"x-one": "1\r\n\r\nGET /"}),
+        ("/", {"x\n": "1"}),
+    ],
+)
 def test_a_request_that_would_look_like_two_is_not_sent(bench, path, headers):
     runner = Runner(bench)
     with pytest.raises(ValueError):
@@ -684,14 +807,23 @@
     assert not bench.outlet.count(runner.address)
 
 
-@pytest.mark.parametrize("reply", [
-    whole(more=b"connection: close\r\n"), whole() + b"surplus", whole() + whole(b"second"), (whole(), True),
-    whole().replace(b"1.1", b"1.0"), whole(more=b"keep-alive: timeout=0\r\n"),
-])
+@pytest.mark.parametrize(
+    "reply",
+    [
+        whole(more=b"connection: close\r\n"),
+        whole() + b"surplus",
+        whole() + whole(b"second"),
+        (whole(), True),
+        whole().replace(b"1.1", b"1.0"),
+        whole(more=b"keep-alive: timeout=0\r\n"),
+    ],
+)
 def test_a_connection_that_may_not_be_kept_is_not_kept(bench, reply):
     runner = Runner(bench, reply, whole(b"next"))
     assert runner.call(keep=True).body == b"ok"
-    runner.until(lambda: not bench.outlet.count(runner.address)) if isinstance(reply, tuple) else None
+    runner.until(lambda: not bench.outlet.count(runner.address)) if isinstance(
+        reply, tuple
+    ) else None
     assert runner.call(keep=True).body == b"next"
     assert bench.outlet.opened == 2
 
@@ -720,7 +852,9 @@
     runner = Runner(bench, whole(), whole(b"next"))
     runner.call(keep=True)
     heard = Heard()
-    exchange = bench.outlet.open(runner.address, "GET", "/x", {}, b"", heard.hearer, keep=True, most=1)
+    exchange = bench.outlet.open(
+        runner.address, "GET", "/x", {}, b"", heard.hearer, keep=True, most=1
+    )
     assert exchange.is_reused
     exchange.connection.plug.fail()
     runner.until(heard.is_over)
@@ -741,7 +875,11 @@
     runner.until(lambda: not bench.outlet.count(runner.address))
     now_us = bench.shell.ticker.now_us()
     runner.call(keep=True)
-    assert 3_900_000 < bench.outlet.pools[runner.address].idle[0].until_us - now_us <= 4_000_000 + DEADLINE_S * 1_000_000
+    assert (
+        3_900_000
+        < bench.outlet.pools[runner.address].idle[0].until_us - now_us
+        <= 4_000_000 + DEADLINE_S * 1_000_000
+    )
     assert not bench.outlet.pools[runner.address].idle[0].plug.is_over
 
 
@@ -786,7 +924,9 @@
 
 
 def test_interim_answers_are_passed_over(bench):
-    runner = Runner(bench, b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nx: y\r\n\r\n" + whole())
+    runner = Runner(
+        bench, b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nx: y\r\n\r\n" + whole()
+    )
     heard = runner.call(keep=True)
     assert (heard.status, heard.body) == (200, b"ok") and "x" not in heard.headers
 
@@ -820,11 +960,35 @@
 
 
 @QUICK
-@given(st.lists(st.one_of(st.sampled_from([
-    b"HTTP/1.1 200 OK\r\n", b"HTTP/1.1 204 No\r\n", b"HTTP/1.1 100 C\r\n\r\n", b"content-length: 3\r\n", b"transfer-encoding: chunked\r\n", b"\r\n",
-    b"abc", b"3\r\nabc\r\n", b"0\r\n\r\n", b"HTTP/1.0 200 OK\r\n", b"connection: close\r\n", b"\x00", b"\n",
-]), st.binary(max_size=5)), max_size=10), st.booleans())
-def test_whatever_a_runner_sends_the_hearer_hears_one_end_and_the_next_call_is_its_own(pieces, closes):
+@given(
+    st.lists(
+        st.one_of(
+            st.sampled_from(
+                [
+                    b"HTTP/1.1 200 OK\r\n",
+                    b"HTTP/1.1 204 No\r\n",
+                    b"HTTP/1.1 100 C\r\n\r\n",
+                    b"content-length: 3\r\n",
+                    b"transfer-encoding: chunked\r\n",
+                    b"\r\n",
+                    b"abc",
+                    b"3\r\nabc\r\n",
+                    b"0\r\n\r\n",
+                    b"HTTP/1.0 200 OK\r\n",
+                    b"connection: close\r\n",
+                    b"\x00",
+                    b"\n",
+                ]
+            ),
+            st.binary(max_size=5),
+        ),
+        max_size=10,
+    ),
+    st.booleans(),
+)
+def test_whatever_a_runner_sends_the_hearer_hears_one_end_and_the_next_call_is_its_own(
+    pieces, closes
+):
     bench = Bench()
     try:
         data = b"".join(pieces)
@@ -863,7 +1027,9 @@
         bench.outlet.tell(runner.address, {"number": number})
     runner.until(lambda: runner.connections[0][1].count(b"\n") == 10)
     assert len(sizes) == 1
-    assert [json.loads(line)["number"] for line in runner.connections[0][1].splitlines()] == list(range(10))
+    assert [json.loads(line)["number"] for line in runner.connections[0][1].splitlines()] == list(
+        range(10)
+    )
     assert real.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT) == 3_000
 
 
