Plan: an order that was taken is acknowledged again after later changes

Cause: only the newest put id or document was known, so an order that was sent again after a lost answer met another value and was refused (412, 409); the proposer's own second round did the same. A refusal also rested on a value that only one seat held: the refused order could win after all. Ruled out: keeping whole documents (size); times (core code has no clock that all agree on). Now: the value carries a row for each of the last 128 changes (mark, order, digest, revision). What stands there is acknowledged with what it got; a number taken by another document stays refused; what may have left the history is unclear (put_unknown, 504). put_id_used is new: an id that was taken for another change. A refusal is given only when the promising majority had accepted one ballot, or after the value was confirmed at a majority.

--- a/packages/plan/src/linkhaven/plan/desk.py
+++ b/packages/plan/src/linkhaven/plan/desk.py
@@ -3,6 +3,17 @@
 
 from .check import check_plan, fill_plan
 from .overlay import lay_overlay, overlay_group, overlay_kind, overlay_of, overlay_without_group
+from .taken import (
+    TakenOrder,
+    digest_of,
+    digest_of_document,
+    extend_history,
+    find_order,
+    knows_mark,
+    knows_revision,
+    order_of_document,
+    order_of_put,
+)
 
 KEY = "plan"
 
@@ -82,6 +93,44 @@
     return Trouble("core_unready", retry_us=1_000_000, why=value)
 
 
+def refuse_document(value, base, revision):
+    """Why a document that the history has no row of isn't taken now; None where it may be."""
+    held = (value or {}).get("revision") or 0
+    if held == base:
+        return Trouble("revision_old", given=revision, revision=held) if revision <= held else None
+    is_found = find_order(value, order_of_document(revision)) is not None
+    may_be_taken = base < revision <= held and not is_found
+    if may_be_taken and not knows_revision(value, revision):
+        return Trouble("put_unknown", put_id=f"revision-{revision}")
+    return Trouble("revision_conflict", base=base, revision=held)
+
+
+def is_put_taken(value, put_id, digest):
+    """Also of a value that an earlier version of this program wrote, without a history."""
+    taken = find_order(value, order_of_put(put_id))
+    if taken is not None:
+        return taken.digest == digest
+    return value is not None and "taken" not in value and value["put_id"] == put_id
+
+
+def refuse_put(value, expect, put_id):
+    """Why a put that the history has no row of isn't taken now; None where it may be."""
+    mark = value["mark"] if value else 0
+    if find_order(value, order_of_put(put_id)) is not None:
+        return Trouble("put_id_used", put_id=put_id)
+    if mark == expect:
+        return None
+    if expect < mark and not knows_mark(value, expect + 1):
+        return Trouble("put_unknown", put_id=put_id)
+    return Trouble("mark_conflict", expect=expect, mark=mark)
+
+
+def digest_of_order(call, ordered):
+    """What a native order asks for: where, and its document without the mark and the id."""
+    asked = {key: ordered[key] for key in ordered if key not in ("expect", "put_id")}
+    return digest_of_document([call.method, call.path.partition("?")[0], asked])
+
+
 class PlanDesk:
     """Operators' side of the plan: check, show and put, each answered over HTTP by a registry."""
 
@@ -136,44 +185,64 @@
         self.proposer.read(KEY, end)
 
     def put_document(self, base, revision, document, plan, done):
-        """The document of another door, in place of the one of revision `base`. done(trouble, value)."""
+        """The document of another door, in place of the one of revision `base`.
+
+        done(trouble, taken): `taken` has the mark and the revision that the order got, now or when it came before."""
         put_id = f"revision-{revision}"
+        order, digest = order_of_document(revision), digest_of(document)
 
         def step(value):
-            held = (value or {}).get("revision") or 0
-            if value and held == revision and value.get("document") == document:
+            if self._is_document_taken(value, revision, document):
                 return "keep", None
-            if held != base:
-                return "stop", Trouble("revision_conflict", base=base, revision=held)
-            if revision <= held:
-                return "stop", Trouble("revision_old", given=revision, revision=held)
+            trouble = refuse_document(value, base, revision)
+            if trouble is not None:
+                return "stop", trouble
             try:
                 fill_plan(plan)
             except Trouble as trouble:
                 return "stop", trouble
-            mark = value["mark"] if value else 0
+            mark = (value["mark"] if value else 0) + 1
+            taken = TakenOrder(mark, order, digest, revision)
             return "set", {
-                "mark": mark + 1,
+                "mark": mark,
                 "put_id": put_id,
                 "plan": plan,
                 "document": document,
                 "revision": revision,
                 "overlay": overlay_of(value),
+                "taken": extend_history(value, taken),
             }
 
         def end(outcome, value):
-            if outcome == "chosen":
-                self.image.take(value)
-                self.node.ports.log(1301, mark=value["mark"], put_id=put_id)
-                return done(None, value)
-            if outcome == "stopped":
-                self.node.ports.log(1302, expect=base, code=value.code)
-            if outcome == "unknown":
-                self.node.ports.log(1303, expect=base, put_id=put_id)
-            done(outcome_trouble(outcome, value, put_id), None)
+            self._log_outcome(outcome, value, base, put_id)
+            if outcome != "chosen":
+                return done(outcome_trouble(outcome, value, put_id), None)
+            self.image.take(value)
+            taken = find_order(value, order)
+            mark = taken.mark if taken is not None else value["mark"]
+            done(None, {"mark": mark, "revision": revision})
 
         self.proposer.change(KEY, step, end)
 
+    def _is_document_taken(self, value, revision, document):
+        """Also of a value that an earlier version of this program wrote, without a history."""
+        taken = find_order(value, order_of_document(revision))
+        if taken is not None:
+            return taken.digest == digest_of(document)
+        return (
+            value is not None
+            and value.get("revision") == revision
+            and value.get("document") == document
+        )
+
+    def _log_outcome(self, outcome, value, expect, put_id):
+        if outcome == "chosen":
+            self.node.ports.log(1301, mark=value["mark"], put_id=put_id)
+        if outcome == "stopped":
+            self.node.ports.log(1302, expect=expect, code=value.code)
+        if outcome == "unknown":
+            self.node.ports.log(1303, expect=expect, put_id=put_id)
+
     def serve_put(self, call):
         document = check_document("PlanPut", read_json(call.body))
         fill_plan(document["plan"])
@@ -193,7 +262,7 @@
             fill_plan(plan)
             return {**value, "plan": plan}
 
-        self.change(document["expect"], document["put_id"], edit, call)
+        self.change(document["expect"], document["put_id"], edit, call, document)
 
     def put(self, expect, put_id, plan, call):
         """Takes the place of a document, too: what that held under its revision is then no longer in force."""
@@ -207,30 +276,38 @@
                 "overlay": overlay_of(None),
             }
 
-        self.change(expect, put_id, edit, call)
+        self.change(expect, put_id, edit, call, {"plan": plan})
+
+    def change(self, expect, put_id, edit, call, ordered):
+        """`edit` makes the next value of the one with the expected mark; `ordered` is what was asked for, by which
+        the order is known when it is sent again."""
+        order, digest = order_of_put(put_id), digest_of_order(call, ordered)
 
-    def change(self, expect, put_id, edit, call):
         def step(value):
-            mark = value["mark"] if value else 0
-            if value and value["put_id"] == put_id:
+            if is_put_taken(value, put_id, digest):
                 return "keep", None
-            if mark != expect:
-                return "stop", Trouble("mark_conflict", expect=expect, mark=mark)
+            trouble = refuse_put(value, expect, put_id)
+            if trouble is not None:
+                return "stop", trouble
             try:
                 edited = edit(value or {})
             except Trouble as trouble:
                 return "stop", trouble
-            return "set", {**edited, "mark": mark + 1, "put_id": put_id}
+            taken = TakenOrder(expect + 1, order, digest, edited.get("revision") or 0)
+            return "set", {
+                **edited,
+                "mark": taken.mark,
+                "put_id": put_id,
+                "taken": extend_history(value, taken),
+            }
 
         def done(outcome, value):
-            if outcome == "chosen":
-                self.image.take(value)
-                self.node.ports.log(1301, mark=value["mark"], put_id=put_id)
-                return call.answer_json(200, {"mark": value["mark"], "put_id": put_id})
-            if outcome == "stopped":
-                self.node.ports.log(1302, expect=expect, code=value.code)
-            if outcome == "unknown":
-                self.node.ports.log(1303, expect=expect, put_id=put_id)
-            call.answer_trouble(outcome_trouble(outcome, value, put_id))
+            self._log_outcome(outcome, value, expect, put_id)
+            if outcome != "chosen":
+                return call.answer_trouble(outcome_trouble(outcome, value, put_id))
+            self.image.take(value)
+            taken = find_order(value, order)
+            mark = taken.mark if taken is not None else value["mark"]
+            call.answer_json(200, {"mark": mark, "put_id": put_id})
 
         self.proposer.change(KEY, step, done)
--- /dev/null
+++ b/packages/plan/src/linkhaven/plan/taken.py
@@ -0,0 +1,81 @@
+"""The orders that were taken, as the register's value remembers them.
+
+An order whose answer was lost is sent again as it was, also after other changes were made on top
+of it. The value of the plan key therefore carries one small row for each change, newest last: the
+mark that the change got, its order, the digest of what was ordered, and the sender's revision that
+was in force after it. Marks and revisions only rise, so the oldest row says how far back the
+history knows everything."""
+
+import hashlib
+import json
+
+KEPT_ORDERS = 128
+DIGEST_DIGITS = 32
+
+
+def digest_of(text):
+    """A name for a text that no other text has."""
+    return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_DIGITS]
+
+
+def digest_of_document(document):
+    """The digest of a document in JSON, however its members are ordered."""
+    return digest_of(json.dumps(document, sort_keys=True, separators=(",", ":")))
+
+
+def order_of_document(revision):
+    return f"revision/{revision}"
+
+
+def order_of_put(put_id):
+    return f"put/{put_id}"
+
+
+class TakenOrder:
+    """One change that was acknowledged, or may have been."""
+
+    __slots__ = ("mark", "order", "digest", "revision")
+
+    def __init__(self, mark, order, digest, revision):
+        self.mark = mark
+        self.order = order
+        self.digest = digest
+        self.revision = revision
+
+    def as_row(self):
+        return [self.mark, self.order, self.digest, self.revision]
+
+
+def read_history(value):
+    """The orders that a value of the plan key remembers, oldest first."""
+    return [TakenOrder(*row) for row in (value or {}).get("taken", ())]
+
+
+def extend_history(value, taken):
+    """The rows of the next value: those of the value before it and the order that it takes."""
+    rows = (value or {}).get("taken", [])
+    return [*rows, taken.as_row()][-KEPT_ORDERS:]
+
+
+def find_order(value, order):
+    """The order as it was taken, or None where the history has no row of it."""
+    return next((taken for taken in read_history(value) if taken.order == order), None)
+
+
+def knows_mark(value, mark):
+    """Whether the history tells which order, if any, got this mark."""
+    if value is None:
+        return True
+    history = read_history(value)
+    return mark >= (history[0].mark if history else value["mark"] + 1)
+
+
+def knows_revision(value, revision):
+    """Whether a document under this number that is not in the history was surely never taken."""
+    if value is None:
+        return True
+    history = read_history(value)
+    if history and history[0].mark == 1:
+        return True
+    oldest = history[0].revision if history else value.get("revision") or 0
+    return revision > oldest
--- a/packages/register/src/linkhaven/register/proposer.py
+++ b/packages/register/src/linkhaven/register/proposer.py
@@ -14,6 +14,7 @@
         "phase",
         "ballot",
         "votes",
+        "accepted",
         "highest",
         "value",
         "result",
@@ -33,6 +34,7 @@
         self.phase = RESTING
         self.ballot = None
         self.votes = set()
+        self.accepted = {}
         self.highest = None
         self.value = None
         self.result = None
@@ -77,6 +79,7 @@
         change.phase = PREPARE
         change.ballot = [self.counter, self.node.name]
         change.votes = set()
+        change.accepted = {}
         change.highest = None
         change.value = None
         change.shot_us = now_us + SHOT_US
@@ -132,22 +135,31 @@
             change.highest = accepted
             change.value = message["value"]
         change.votes.add((message["seat"], message["incarnation"]))
+        change.accepted[message["seat"]] = accepted
         if len(change.votes) < self.majority:
             return
         verb, fruit = change.step(change.value)
-        if verb == "stop" and not change.has_sent_accept:
+        if verb == "stop" and not change.has_sent_accept and self._is_chosen(change):
             return self._end(change, "stopped", fruit)
         change.result = ("stopped", fruit) if verb == "stop" else None
         if verb == "set":
             change.value = fruit
         if change.value is None:
-            return self._end(change, "chosen", None)
+            return self._end(change, *(change.result or ("chosen", None)))
         change.phase = ACCEPT
         change.has_sent_accept = True
         promised = change.votes
         change.votes = set()
         self._tell_accept(change, promised)
 
+    def _is_chosen(self, change):
+        """Whether the majority that promised had accepted one and the same ballot.
+
+        A refusal may rest on nothing less: a value that only some seats hold may lose to the very
+        order that it would refuse, which then would be in force though it was refused."""
+        first, *rest = change.accepted.values()
+        return all(accepted == first for accepted in rest)
+
     def _tell_accept(self, change, promised):
         seats = self.directory.seats()
         known = {seat: incarnation for seat, (_, incarnation) in seats.items()}
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -129,6 +129,11 @@
         "no",
         "The document's revision is not above the one in force; put it with a higher revision.",
     ),
+    "put_id_used": (
+        409,
+        "no",
+        "This put id was taken for another change; read the plan, and put with a new put id.",
+    ),
     "put_unknown": (
         504,
         "unknown",
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,6 +5,7 @@
 
 from linkhaven.clockwork import Call
 from linkhaven.plan import check_plan, effective_plan, fill_plan
+from linkhaven.plan.taken import KEPT_ORDERS, TakenOrder, extend_history
 from linkhaven.registry import program
 from linkhaven.stage.core import SimCore
 from linkhaven.stage.fleet import LICENSING, SimFleet
@@ -270,3 +271,174 @@
         {"credit": credit, "weight": 2.0},
     )
     assert check_plan({**PLAN, "groups": {**PLAN["groups"], "desks": document["group"]}}) == []
+
+
+def chain(core, count, first=3, name=None):
+    """Documents 3, 5, 7 and so on, each on the one before it."""
+    revisions = [0, *range(first, first + 2 * count, 2)]
+    for base, revision in zip(revisions, revisions[1:], strict=False):
+        assert code(core.put(base, revision, f"text {revision}", PLAN, name)) is None
+    return revisions[-1]
+
+
+def test_a_document_that_was_taken_is_acknowledged_again_after_later_changes():
+    core = make_core()
+    chain(core, 3)
+    for name in core.machines:
+        trouble, taken = core.put(0, 3, "text 3", PLAN, name)[0]
+        assert (trouble, taken) == (None, {"mark": 1, "revision": 3})
+        assert code(core.put(3, 5, "text 5", PLAN, name)) is None
+    value = core.read()[1]
+    assert (value["mark"], value["revision"], value["document"]) == (3, 7, "text 7")
+
+
+def test_a_number_that_another_document_took_stays_refused_after_later_changes():
+    core = make_core()
+    chain(core, 3)
+    assert code(core.put(0, 3, "another text", PLAN)) == "revision_conflict"
+    assert code(core.put(3, 5, "another text", PLAN)) == "revision_conflict"
+    assert code(core.put(0, 4, "between", PLAN)) == "revision_conflict"
+    assert core.read()[1]["document"] == "text 7"
+
+
+def test_an_order_older_than_the_history_has_no_clear_answer_and_a_newer_one_has():
+    core = make_core()
+    last = chain(core, KEPT_ORDERS + 2)
+    assert len(core.read()[1]["taken"]) == KEPT_ORDERS
+    assert code(core.put(0, 3, "text 3", PLAN)) == "put_unknown"
+    assert code(core.put(3, 5, "another text", PLAN)) == "put_unknown"
+    assert code(core.put(5, 7, "text 7", PLAN)) is None
+    assert code(core.put(5, 7, "another text", PLAN)) == "revision_conflict"
+    assert code(core.put(0, last + 2, "new", PLAN)) == "revision_conflict"
+    assert core.read()[1]["revision"] == last
+
+
+def test_the_history_of_the_longest_row_of_orders_stays_small():
+    rows = []
+    for mark in range(1, 3 * KEPT_ORDERS):
+        taken = TakenOrder(mark, f"revision/{10_000 + mark}", "0" * 32, 10_000 + mark)
+        rows = extend_history({"taken": rows}, taken)
+    assert len(rows) == KEPT_ORDERS
+    assert len(json.dumps(rows)) < 10_000
+
+
+def put_whole(core, expect, put_id, plan, name="core-2", path="/v1/plan", part=None):
+    document = {"expect": expect, "put_id": put_id, **(part or {"plan": plan})}
+    call = Answered("PUT", path, {}, json.dumps(document).encode())
+    core.machines[name].node.serve(call)
+    core.world.wait_for(lambda: call.is_ended, 5 * SECOND, 10_000)
+    return call.status, call.document
+
+
+def test_a_native_put_is_acknowledged_again_with_its_own_mark_after_later_changes():
+    core = make_core()
+    other = {**PLAN, "groups": {"g": {"weight": 2.0}, "h": {}}}
+    assert put_whole(core, 0, "first", PLAN)[0] == 200
+    assert put_whole(core, 1, "second", other)[0] == 200
+    group = {"group": {"weight": 3.0}}
+    assert put_whole(core, 2, "third", None, path="/v1/groups/g", part=group)[0] == 200
+    for name in core.machines:
+        assert put_whole(core, 0, "first", PLAN, name) == (200, {"mark": 1, "put_id": "first"})
+        again = put_whole(core, 2, "third", None, name, "/v1/groups/g", group)
+        assert again == (200, {"mark": 3, "put_id": "third"})
+    assert put_whole(core, 0, "another", PLAN)[1]["code"] == "mark_conflict"
+    assert core.read()[1]["mark"] == 3
+
+
+def test_a_put_id_that_another_change_took_is_refused_on_every_mark():
+    core = make_core()
+    other = {**PLAN, "groups": {"g": {"weight": 2.0}, "h": {}}}
+    assert put_whole(core, 0, "first", PLAN)[0] == 200
+    for expect in (0, 1):
+        status, told = put_whole(core, expect, "first", other)
+        assert (status, told["code"]) == (409, "put_id_used")
+    assert core.read()[1]["mark"] == 1
+
+
+def test_a_native_put_older_than_the_history_has_no_clear_answer():
+    core = make_core()
+    chain(core, KEPT_ORDERS + 1)
+    status, told = put_whole(core, 0, "first", PLAN)
+    assert (status, told["code"]) == (504, "put_unknown")
+    assert put_whole(core, 1, "first", PLAN)[1]["code"] == "mark_conflict"
+
+
+def without_answers(host, say):
+    """The node hears none of these any more, until the returned function is called."""
+    hear = host.node.hearers[say]
+    host.node.hearers[say] = lambda message: None
+
+    def mend():
+        host.node.hearers[say] = hear
+
+    return mend
+
+
+@pytest.mark.parametrize("is_same", (True, False))
+def test_a_proposer_whose_answers_were_lost_finds_its_order_below_a_later_change(is_same):
+    """Its accept was chosen, its answers are lost, and another change went on top."""
+    core = make_core()
+    lone = core.machines["core-1"]
+    mend = without_answers(lone, "accepted")
+    told = core.put(0, 3, "text 3", PLAN, "core-1", wait=False)
+    core.world.run_for(100_000)
+    assert not told
+    rival = "text 3" if is_same else "another text"
+    assert (code(core.put(0, 3, rival, PLAN, "core-2")) is None) == is_same
+    assert code(core.put(3, 5, "text 5", PLAN, "core-3")) is None
+    mend()
+    core.world.wait_for(lambda: told, 5 * SECOND, 10_000)
+    assert (told[0][0], told[0][1]) == (None, {"mark": 1, "revision": 3})
+    assert core.read()[1]["document"] == "text 5"
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_of_two_documents_under_one_number_never_both_are_taken(seed):
+    core = make_core(seed)
+    told = [
+        core.put(0, 3, f"text of {name}", PLAN, name, wait=False)
+        for name in list(core.machines)[:2]
+    ]
+    core.world.wait_for(lambda: all(told), 5 * SECOND, 10_000)
+    assert sorted(str(code(one)) for one in told) == ["None", "revision_conflict"]
+    won = next(place for place, one in enumerate(told) if code(one) is None)
+    assert code(core.put(3, 5, "on top", PLAN)) is None
+    for place, name in enumerate(list(core.machines)[:2]):
+        again = code(core.put(0, 3, f"text of {name}", PLAN, "core-3"))
+        assert again == (None if place == won else "revision_conflict")
+
+
+def drop(host, say, is_dropped):
+    hear = host.node.hearers[say]
+    host.node.hearers[say] = lambda message: None if is_dropped(message) else hear(message)
+
+
+def test_no_order_is_refused_for_a_value_that_may_yet_lose_to_it():
+    """A rival's value stands at one seat only; the order stands at another, under a higher ballot.
+
+    Who refused the order for the rival's value would see it in force all the same."""
+    core = make_core()
+    rules = {name: set() for name in core.machines}
+    for name, host in core.machines.items():
+        for say in ("prepare", "accept"):
+            drop(host, say, lambda m, name=name, say=say: (say, m["name"]) in rules[name])
+    rules["core-2"] = rules["core-3"] = {("accept", "core-1")}
+    core.put(0, 5, "rival", PLAN, "core-1", wait=False)
+    core.world.run_for(50_000)
+    core.machines["core-1"].node.proposer.changes.clear()
+    rules["core-1"] = {("prepare", "core-3"), ("accept", "core-3")}
+    rules["core-2"] = {("accept", "core-3")}
+    rules["core-3"] = {("prepare", "core-2")}
+    core.machines["core-3"].node.proposer.counter = 50
+    first = core.put(0, 7, "order", PLAN, "core-3", wait=False)
+    core.world.run_for(50_000)
+    core.machines["core-2"].node.proposer.counter = 60
+    again = core.put(0, 7, "order", PLAN, "core-2", wait=False)
+    core.world.run_for(50_000)
+    is_refused = bool(again) and code(again) == "revision_conflict"
+    for rule in rules.values():
+        rule.clear()
+    core.world.wait_for(lambda: first and again, 5 * SECOND, 10_000)
+    revision = core.read()[1]["revision"]
+    assert not (is_refused and revision == 7)
+    assert (code(again) is None) == (revision == 7)
