--- a/packages/registry/src/linkhaven/registry/views.py
+++ b/packages/registry/src/linkhaven/registry/views.py
@@ -28,7 +28,7 @@
         for name, incarnation, *figures in views:
             key = (name, incarnation)
             held = self.sums.get(key) or (0, 0, 0, 0)
-            total = tuple(one + sign * other for one, other in zip(held, figures))
+            total = tuple(one + sign * other for one, other in zip(held, figures, strict=False))
             if any(total):
                 self.sums[key] = total
             else:
@@ -45,7 +45,7 @@
             rest = (
                 total
                 if figures is None
-                else tuple(one - other for one, other in zip(total, figures))
+                else tuple(one - other for one, other in zip(total, figures, strict=False))
             )
             if any(rest):
                 rows.append([*key, *rest])
--- a/packages/simulator/src/linkhaven/simulator/answer.py
+++ b/packages/simulator/src/linkhaven/simulator/answer.py
@@ -139,7 +139,7 @@
         lines.append(
             "  ".join(
                 str(cell).ljust(width) if not place else str(cell).rjust(width)
-                for place, (cell, width) in enumerate(zip(row, widths))
+                for place, (cell, width) in enumerate(zip(row, widths, strict=True))
             )
         )
     for name, found in told["answers"].items():
--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -89,7 +89,7 @@
 def streams_are_whole(record, **terms):
     """Pieces of one run, in order, none skipped or repeated, as the runner made them; done only when whole."""
     asked, runs, last = {}, {}, {}
-    for at_us, kind, facts in record:
+    for _, kind, facts in record:
         if kind == "asked":
             asked.setdefault(facts["id"], facts)
             if facts["resume"] and facts["id"] not in runs:
@@ -120,7 +120,7 @@
 def memory_is_never_shared(record, **terms):
     """A request's KV memory goes to no other request or shot: neither asked for by a router, nor handed over."""
     issued = {}
-    for at_us, kind, facts in record:
+    for _, kind, facts in record:
         if kind == "issued":
             issued[facts["handle"]] = (facts["request"], facts["shot"])
         elif kind == "offered" and facts.get("handle"):
@@ -161,7 +161,7 @@
             yield f"{node} went back from mark {highest[node]} to {mark} at {sent_us}"
         highest[node] = max(mark, highest.get(node, 0))
     seen = {}
-    for at_us, kind, facts in record:
+    for _, kind, facts in record:
         if kind != "taken" and not (kind == "order" and facts["is_taken"]):
             continue
         runner = (facts["runner"], facts["incarnation"])
@@ -310,7 +310,7 @@
     puts = {facts["put_id"]: facts["plan"] for _, facts in _of(record, "put")}
     plans = {facts["mark"]: puts[facts["put_id"]] for _, facts in _of(record, "acked")}
     asked = {facts["id"]: facts for _, facts in _of(record, "asked")}
-    for at_us, facts in _of(record, "ended"):
+    for _, facts in _of(record, "ended"):
         plan = plans.get(facts.get("mark"))
         if facts["how"] != "done" or plan is None:
             continue
--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -275,7 +275,9 @@
     def _pick(self):
         if self.only:
             return self.only
-        kinds, shares = zip(*((kind, share) for kind, (share, _, _) in self.deployment.mix.items()))
+        kinds, shares = zip(
+            *((kind, share) for kind, (share, _, _) in self.deployment.mix.items()), strict=True
+        )
         return self.dice.choices(kinds, shares)[0]
 
     def _next(self):
--- a/packages/stage/src/linkhaven/stage/measure.py
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -1,3 +1,5 @@
+from functools import partial
+
 from linkhaven.pairing import NO_BOUND_US, Decision, Pairing
 from linkhaven.runner.roster import PREFILL
 
@@ -150,7 +152,7 @@
             fleet.load()
             names = sorted(fleet.routers)
             world.dice.shuffle(names)
-            dead, live = names[:kill], names[kill:]
+            dead = names[:kill]
             world.run_for(20 * SECOND)
             killed_us = world.now_us
             for name in dead:
@@ -182,7 +184,7 @@
                 holder = _holder(fleet, duty)
                 begun_us = fleet.world.now_us
                 getattr(holder, deed)()
-                fleet.world.wait_for(lambda: _holder(fleet, duty), 12 * SECOND, 10_000)
+                fleet.world.wait_for(partial(_holder, fleet, duty), 12 * SECOND, 10_000)
                 delays.append(fleet.world.now_us - begun_us)
                 holder.wake() if deed == "freeze" else holder.start()
                 fleet.world.run_for(8 * SECOND)
@@ -412,7 +414,7 @@
             fleet = make_fleet(deployment, seed)
             fleet.load()
             for step in range(400 if is_flooded else 0):
-                fleet.world.after(step * 20_000, lambda: fleet.ask(flooding))
+                fleet.world.after(step * 20_000, partial(fleet.ask, flooding))
             fleet.world.run_for(12 * SECOND)
             fleet.settle(120)
             for one in fleet.caller.node.asked.values():
--- a/packages/stage/src/linkhaven/stage/slopes/fit.py
+++ b/packages/stage/src/linkhaven/stage/slopes/fit.py
@@ -82,6 +82,6 @@
     found, errors, spread = _solve(columns, y)
     told = {
         name: [float(f"{slope:.4g}"), float(f"{error:.2g}")]
-        for name, slope, error in zip(names, found[1:], errors[1:])
+        for name, slope, error in zip(names, found[1:], errors[1:], strict=True)
     }
     return {"start": float(f"{found[0]:.4g}"), "slopes": told, "spread": float(f"{spread:.4g}")}
--- a/packages/stage/src/linkhaven/stage/slopes/request.py
+++ b/packages/stage/src/linkhaven/stage/slopes/request.py
@@ -74,7 +74,9 @@
         "codes": told.get("codes", {}),
     }
     for role, held in watched.items():
-        spent_us = [_spent_us(process) - was for process, was in zip(held, before[role])]
+        spent_us = [
+            _spent_us(process) - was for process, was in zip(held, before[role], strict=True)
+        ]
         row[f"{role}_cpu_us"] = int(sum(spent_us) / len(held) / passed)
         row[f"{role}_rss_mb"] = round(
             max(process.memory_info().rss for process in held) / 1_048_576, 1
--- a/packages/traces/src/linkhaven/traces/writer.py
+++ b/packages/traces/src/linkhaven/traces/writer.py
@@ -1,5 +1,6 @@
 import os
 import time
+from itertools import pairwise
 
 from opentelemetry.exporter.otlp.json.file.trace_exporter import FileSpanExporter
 from opentelemetry.sdk.resources import Resource
@@ -63,7 +64,7 @@
             },
         )
         context = set_span_in_context(span)
-        for step, following in zip(request.steps, request.steps[1:]):
+        for step, following in pairwise(request.steps):
             facts = {
                 f"linkhaven.{key}": value
                 for key, value in step.items()
--- a/tests/test_slopes.py
+++ b/tests/test_slopes.py
@@ -32,7 +32,9 @@
     for row in rows[begin:]:
         if len(row) != 2 + len(HELD) or row[0] not in VALUES:
             break
-        orders.update({(row[0], row[1], figure): order for figure, order in zip(HELD, row[2:])})
+        orders.update(
+            {(row[0], row[1], figure): order for figure, order in zip(HELD, row[2:], strict=True)}
+        )
     return orders
 
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -4,6 +4,7 @@
 import socket
 import threading
 import time
+from itertools import pairwise
 
 import h11
 import pytest
@@ -678,7 +679,7 @@
         door = bench.door()
         sock = bench.connect(door.address)
         places = sorted({0, len(data), *(cut for cut in cuts if cut < len(data))})
-        for begin, end in zip(places, places[1:]):
+        for begin, end in pairwise(places):
             sock.sendall(data[begin:end])
             for _ in range(2):
                 bench.shell.tick()
