Runners' list told as differences: a router hears what changed since the list it holds

Cause: any report changed the list, and each answer then carried all of it: 70 runners at about 240 bytes to 80 routers four times a second. Change: the keeper holds the serial of each runner's last change; an answer to a router that holds a serial of this list has whole records of what changed otherwise, short rows of figures, and names gone. A list begun anew, or a serial older than what is remembered as gone, is answered whole as before. A router weighs its own word about dark runners anew with each difference, as it did with each list. Ruled out: differences without their base; a difference from another place than the held one is dropped.

--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -1,6 +1,8 @@
 from linkhaven.clockwork import Table
 from linkhaven.runner import Runner, Starts
 
+from .changes import RosterChanges
+
 ABANDON_US = 1_000_000
 PRESS_US = 250_000
 SETTLE_US = 200_000
@@ -31,6 +33,7 @@
         "heard_us",
         "blind_us",
         "changed",
+        "changes",
         "serial",
         "since_us",
         "leaving",
@@ -57,6 +60,7 @@
         self.owed_us = {}
         self.blind_us = max(BLIND_US, 3 * node.terms.poll_us)
         self.changed = 0
+        self.changes = RosterChanges()
         self.heard_us = {}
         self.serial = 0
         self.since_us = None
@@ -101,17 +105,17 @@
                 self._hear_dark(runner, now_us - age_us)
 
     def document(self, held=None):
-        """The whole list, or only how old it is for who holds a serial since which nothing changed."""
+        """The whole list; for who holds a serial of this list only what changed since, or only how old it is."""
         now_us = self.node.now_us()
-        if held is not None and self.changed <= held <= self.serial:
-            return {"serial": held, "age_us": now_us - self.listed_us}
-        return {
-            "serial": self.serial,
-            "age_us": now_us - self.listed_us,
-            "runners": [
-                runner.as_record(now_us) for runner in self.runners.values() if runner.is_listed
-            ],
-        }
+        age_us = now_us - self.listed_us
+        if held is None or not self.changes.is_known(held, self.serial):
+            listed = [runner for runner in self.runners.values() if runner.is_listed]
+            records = [runner.as_record(now_us) for runner in listed]
+            return {"serial": self.serial, "age_us": age_us, "runners": records}
+        if self.changed <= held:
+            return {"serial": held, "age_us": age_us}
+        changed = self.changes.since(held, self.runners, now_us)
+        return {"serial": self.serial, "age_us": age_us, "since": held, **changed}
 
     def tick(self, now_us):
         if not any(duty.is_held() or duty.is_quiet() for duty in self.needs):
@@ -121,8 +125,8 @@
             self.since_us = now_us
             self.listed_us = self.first_us = None
             self.is_settled = False
-            self._change()
             self.runners.clear()
+            self._begin_list()
             self.heard_us.clear()
             self.silent.clear()
             self.polled_us = now_us - self.node.terms.poll_us
@@ -142,12 +146,16 @@
         if not self.is_settled and self.is_ready():
             self.on_ready()
 
-    def _change(self):
+    def _begin_list(self):
+        """A list without a former one: who held another one is told the whole."""
         self.serial += 1
         self.changed = self.serial
+        self.changes.begin(self.serial)
 
-    def _facts(self, runner):
-        return {**runner.as_record(0), "age_us": None}
+    def _change(self, runner):
+        self.serial += 1
+        self.changed = self.serial
+        self.changes.note_record(runner.name, self.serial)
 
     def _press(self, now_us):
         """Who owes an answer is asked again sooner than the others."""
@@ -172,7 +180,7 @@
 
     def _take_list(self, document, sent_us):
         listed = set()
-        before = {name: self._facts(runner) for name, runner in self.runners.items()}
+        before = {name: runner.as_record(0) for name, runner in self.runners.items()}
         for record in document.get("runners", []):
             name, incarnation = record["name"], record["incarnation"]
             listed.add(name)
@@ -209,7 +217,7 @@
         if self.first_us is None:
             self.first_us = self.node.now_us()
         self.serial += 1
-        if before != {name: self._facts(runner) for name, runner in self.runners.items()}:
+        if self.changes.note_list(before, self.runners, self.serial):
             self.changed = self.serial
 
     def _leave_address(self, name, address, before):
@@ -222,7 +230,7 @@
         if not runner.is_leaving:
             self.node.ports.log(1603, runner=runner.name)
             runner.is_leaving = True
-            self._change()
+            self._change(runner)
         self.leaving[(runner.name, runner.incarnation)] = self.node.now_us()
 
     def _ask_report(self, runner, now_us):
@@ -253,13 +261,13 @@
             runner = self.runners[runner.name] = Runner(
                 runner.name, runner.address, runner.zone, report["incarnation"]
             )
-        before = self._facts(runner) if runner.reported_us is not None else None
+        before = runner.as_record(0) if runner.reported_us is not None else None
         runner.take_report(report, now_us)
         if report["is_leaving"] or (runner.name, runner.incarnation) in self.leaving:
             self._mark_leaving(runner)
         self._hear_alive(runner, now_us)
         self.serial += 1
-        if before != self._facts(runner):
+        if self.changes.note_report(before, runner, self.serial, now_us):
             self.changed = self.serial
 
     def _hear_alive(self, runner, seen_us):
@@ -272,7 +280,7 @@
         if not runner.is_dark:
             return
         runner.is_dark = False
-        self._change()
+        self._change(runner)
         self.node.ports.log(1602, runner=runner.name)
 
     def _hear_dark(self, runner, seen_us):
@@ -316,5 +324,5 @@
 
     def _darken(self, runner):
         runner.is_dark = True
-        self._change()
+        self._change(runner)
         self.node.ports.log(1601, runner=runner.name)
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -29,6 +29,7 @@
         "slots",
         "is_switching",
         "silent_us",
+        "is_told_dark",
     )
 
     def __init__(self, name, address, zone, incarnation):
@@ -45,7 +46,7 @@
         self.reported_us = None
         self.mark = 0
         self.fence = 0
-        self.is_dark = False
+        self.is_dark = self.is_told_dark = False
         self.is_changing = False
         self.alive_us = None
         self.pool = None
@@ -68,6 +69,23 @@
         self.is_switching = report.get("is_switching", False)
         self.is_leaving = self.is_leaving or report["is_leaving"]
 
+    def as_figures(self, now_us):
+        """What changes with each report, in short: the list's differences consist mostly of these."""
+        age_us = now_us - self.reported_us
+        return [
+            self.name,
+            self.incarnation,
+            self.queued,
+            self.running,
+            self.kv_used,
+            self.kv_total,
+            age_us,
+        ]
+
+    def take_figures(self, figures, now_us):
+        _, _, self.queued, self.running, self.kv_used, self.kv_total, age_us = figures
+        self.reported_us = now_us - age_us
+
     def is_open(self):
         return (
             self.is_listed
@@ -145,6 +163,7 @@
         )
 
     def take(self, document, sent_us):
+        """A whole list, what changed since the one that is held, or only how old that is."""
         place = (document["fence"], document["serial"])
         if "runners" not in document:
             if place == self.place:
@@ -152,6 +171,10 @@
             return
         if place <= self.place:
             return
+        if "since" in document:
+            if self.place == (document["fence"], document["since"]):
+                self._take_changes(document, sent_us)
+            return
         now_us = self.node.now_us()
         self.place = place
         self.taken_us = sent_us - document["age_us"]
@@ -161,6 +184,25 @@
             self._take_record(record, now_us)
         for name in [name for name in self.runners if name not in named]:
             self.runners.drop(name)
+        self._end_taking()
+
+    def _take_changes(self, document, sent_us):
+        now_us = self.node.now_us()
+        self.place = (document["fence"], document["serial"])
+        self.taken_us = sent_us - document["age_us"]
+        for record in document["runners"]:
+            self._take_record(record, now_us)
+        for figures in document["figures"]:
+            runner = self.runners.get(figures[0])
+            if runner is not None and runner.incarnation == figures[1]:
+                runner.take_figures(figures, now_us)
+        for name in document["gone"]:
+            self.runners.drop(name)
+        for runner in self.runners.values():
+            self._weigh_dark(runner, now_us)
+        self._end_taking()
+
+    def _end_taking(self):
         self.starts.forget(self.runners)
         for hear in self.on_new:
             hear()
@@ -183,7 +225,11 @@
         if record["age_us"] is not None:
             runner.take_report({**record, "is_leaving": record["is_leaving"]}, now_us)
         runner.is_leaving = runner.is_leaving or record["is_leaving"]
-        is_dark_by_word = record["is_dark"] and not self._is_alive_first_hand(runner, now_us)
+        runner.is_told_dark = record["is_dark"]
+        self._weigh_dark(runner, now_us)
+
+    def _weigh_dark(self, runner, now_us):
+        is_dark_by_word = runner.is_told_dark and not self._is_alive_first_hand(runner, now_us)
         runner.is_dark = is_dark_by_word or self._is_dark_first_hand(runner, now_us)
 
     def _is_dark_first_hand(self, runner, now_us):
--- /dev/null
+++ b/tests/test_roster_changes.py
@@ -0,0 +1,177 @@
+"""The list of runners told as differences: what a router holds then equals the whole list."""
+
+import random
+
+from linkhaven.registry.changes import RosterChanges
+from linkhaven.runner import Roster, Runner
+
+SECOND = 1_000_000
+
+
+class Clock:
+    """A node as far as a list of runners needs one."""
+
+    class Terms:
+        roster_stale_us = None
+
+    terms = Terms()
+
+    def __init__(self):
+        self.at_us = 10 * SECOND
+
+    def now_us(self):
+        return self.at_us
+
+
+def report(**told):
+    facts = {
+        "incarnation": 1,
+        "phase": "decode",
+        "queued": 0,
+        "running": 0,
+        "kv_used": 0,
+        "kv_total": 100,
+        "mark": 0,
+        "fence": 0,
+        "age_us": 0,
+        "is_leaving": False,
+    }
+    return {**facts, **told}
+
+
+class Keeper:
+    """The list as its keeper holds it, with the serials of what changed."""
+
+    def __init__(self, clock, names):
+        self.clock = clock
+        self.serial = 1
+        self.changes = RosterChanges()
+        self.runners = {}
+        self.changes.begin(self.serial)
+        self.list(names)
+
+    def list(self, names):
+        before = {name: runner.as_record(0) for name, runner in self.runners.items()}
+        kept = {name: runner for name, runner in self.runners.items() if name in names}
+        for name in names:
+            if name not in kept:
+                kept[name] = Runner(name, f"{name}:1", "zone-1", 1)
+        self.runners = kept
+        self.serial += 1
+        self.changes.note_list(before, kept, self.serial)
+
+    def report(self, name, **told):
+        runner = self.runners[name]
+        before = runner.as_record(0) if runner.reported_us is not None else None
+        runner.take_report(report(**told), self.clock.at_us)
+        self.serial += 1
+        self.changes.note_report(before, runner, self.serial, self.clock.at_us)
+
+    def darken(self, name, is_dark):
+        self.runners[name].is_dark = is_dark
+        self.serial += 1
+        self.changes.note_record(name, self.serial)
+
+    def whole(self):
+        records = [runner.as_record(self.clock.at_us) for runner in self.runners.values()]
+        return {"fence": 1, "serial": self.serial, "age_us": 0, "runners": records}
+
+    def document(self, place):
+        fence, held = place
+        if fence != 1 or not self.changes.is_known(held, self.serial):
+            return self.whole()
+        told = self.changes.since(held, self.runners, self.clock.at_us)
+        return {"fence": 1, "serial": self.serial, "age_us": 0, "since": held, **told}
+
+
+def seen(roster):
+    names = ("incarnation", "phase", "queued", "running", "kv_used", "is_dark", "is_leaving")
+    return {
+        runner.name: [getattr(runner, name) for name in names] for runner in roster.runners.values()
+    }
+
+
+def change_something(keeper, dice, extra):
+    kind = dice.randrange(5)
+    name = dice.choice(list(keeper.runners))
+    if kind == 0:
+        keeper.list([*(other for other in keeper.runners if other != name), f"runner-{extra}"])
+    elif kind == 1:
+        keeper.darken(name, not keeper.runners[name].is_dark)
+    elif kind == 2:
+        keeper.report(name, phase=dice.choice(("prefill", "decode")))
+    else:
+        keeper.report(name, queued=dice.randrange(9), running=dice.randrange(9))
+
+
+def test_differences_lead_to_the_same_list_as_the_whole():
+    for seed in range(40):
+        dice, clock = random.Random(seed), Clock()
+        keeper = Keeper(clock, [f"runner-{place}" for place in range(6)])
+        by_whole, by_changes = Roster(clock), Roster(clock)
+        parts = 0
+        for step in range(60):
+            clock.at_us += 100_000
+            for _ in range(dice.randrange(4)):
+                change_something(keeper, dice, 10 + 100 * step + dice.randrange(90))
+            document = keeper.document(by_changes.place)
+            parts += "since" in document
+            by_changes.take(document, clock.at_us)
+            by_whole.take(keeper.whole(), clock.at_us)
+            assert seen(by_changes) == seen(by_whole)
+        assert parts > 50
+
+
+def test_a_difference_from_another_list_than_the_held_one_is_not_taken():
+    clock = Clock()
+    keeper, roster = Keeper(clock, ["runner-1"]), Roster(clock)
+    roster.take(keeper.whole(), clock.at_us)
+    place = roster.place
+    keeper.report("runner-1", queued=5)
+    missed = keeper.document(place)
+    keeper.list(["runner-1", "runner-2"])
+    roster.take(keeper.document(place), clock.at_us)
+    assert set(roster.runners) == {"runner-1", "runner-2"}
+    roster.take({**missed, "serial": keeper.serial + 9}, clock.at_us)
+    assert roster.place == (1, keeper.serial)
+
+
+def test_a_list_begun_anew_and_one_that_forgot_the_gone_are_told_whole():
+    clock = Clock()
+    keeper = Keeper(clock, ["runner-1"])
+    held = keeper.serial
+    assert keeper.changes.is_known(held, keeper.serial)
+    for place in range(300):
+        keeper.list(["runner-1", f"other-{place}"])
+    assert not keeper.changes.is_known(held, keeper.serial)
+    keeper.serial += 1
+    keeper.changes.begin(keeper.serial)
+    assert not keeper.changes.is_known(keeper.serial - 1, keeper.serial)
+
+
+def test_a_report_without_news_is_told_again_only_now_and_then():
+    clock = Clock()
+    keeper = Keeper(clock, ["runner-1"])
+    keeper.report("runner-1")
+    held = keeper.serial
+    clock.at_us += SECOND // 4
+    keeper.report("runner-1")
+    assert keeper.changes.since(held, keeper.runners, clock.at_us)["figures"] == []
+    clock.at_us += SECOND
+    keeper.report("runner-1")
+    figures = keeper.changes.since(held, keeper.runners, clock.at_us)["figures"]
+    assert [row[0] for row in figures] == ["runner-1"]
+
+
+def test_a_runner_that_this_router_lost_is_open_again_after_a_while_by_any_difference():
+    clock = Clock()
+    clock.ports = type("Ports", (), {"log": staticmethod(lambda number, **facts: None)})
+    keeper, roster = Keeper(clock, ["runner-1", "runner-2"]), Roster(clock)
+    keeper.report("runner-1")
+    roster.take(keeper.whole(), clock.at_us)
+    roster.note_dark(roster.runners["runner-1"])
+    assert roster.runners["runner-1"].is_dark
+    clock.at_us += 2 * SECOND
+    keeper.report("runner-2", queued=1)
+    roster.take(keeper.document(roster.place), clock.at_us)
+    assert not roster.runners["runner-1"].is_dark
