Loopback test: each process looks for free ports from a place of its own

Cause: beside other suites the killed-and-frozen test failed with address_taken at its first start: two runs found the same hundred ports free at the same moment. Ruled out: the fleet itself (the second process named the taken port and ended). Before: the search began at one place for all. After: at one of 25 by process id.

--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,5 +1,6 @@
 import http.client
 import json
+import os
 import socket
 import threading
 
@@ -65,10 +66,14 @@
 
 
 def find_ports(first):
-    """A hundred ports below those that the system hands out; each test has a range of its own, as they run side by side."""
+    """A hundred ports below those that the system hands out.
+
+    Each test has a range of its own, and each process begins elsewhere in it, since tests and whole
+    suites run side by side."""
+    own = first + os.getpid() % 25 * 100
     return next(
         base
-        for base in range(first, first + 5_000, 100)
+        for base in range(own, own + 2_500, 100)
         if all(is_free(base + place) for place in PORTS)
     )
 
