Plan: news of a configuration once, its body named by a digest and stored apart

Cause: every promise, accept and news carried the whole document and the plan made of it; three seats sent it to every router. Now: a value of the plan key names its plan and document by digest. The proposer sends a new body to each seat once, packed, ahead of the accept; who lacks one asks. An accept or a page of a rejoin that names a body waits until it is held, and the body is written in the same turn before the vote is. A router gets the body from one seat, the nearest that answers, and from another that told of it after body_wait_us; all others send mark and digest. Routers get the plan, no longer the operator's text. A body that doesn't match its digest is refused (1304); two bodies for one mark are logged (1305). Changed test: the sabotage take_any_image also has every seat send the body, since one seat alone no longer brings an older one; the rule is found broken as before, and holds with the mechanism.

--- a/packages/clockwork/src/linkhaven/clockwork/terms.py
+++ b/packages/clockwork/src/linkhaven/clockwork/terms.py
@@ -5,7 +5,8 @@
     before a router takes no new work; None means that it goes on with what it has. `alone_us`: how long a seat
     with a disk waits for the others before it goes on with a majority. `vacant_us`: how long the occupant of a
     seat must be gone before a newcomer takes the seat. `linger_us`: how long a stopping router still takes new
-    work. `orders_after_us`: how long after winning its duty a holder waits before its first order. `seats`: how
+    work. `body_wait_us`: how long a router waits for a plan's body from the nearest seat after another has told of
+    it. `orders_after_us`: how long after winning its duty a holder waits before its first order. `seats`: how
     many core seats there are (2f + 1). `bootstrap`: this is the first start of the whole system, on empty disks."""
 
     __slots__ = (
@@ -19,6 +20,7 @@
         "report_us",
         "dark_us",
         "news_hold_us",
+        "body_wait_us",
         "beat_us",
         "missed_us",
         "vacant_us",
@@ -41,6 +43,7 @@
         "report_us": 250_000,
         "dark_us": 1_200_000,
         "news_hold_us": 250_000,
+        "body_wait_us": 100_000,
         "beat_us": 250_000,
         "missed_us": 1_000_000,
         "vacant_us": 1_500_000,
--- a/packages/plan/src/linkhaven/plan/desk.py
+++ b/packages/plan/src/linkhaven/plan/desk.py
@@ -1,6 +1,7 @@
 from linkhaven.clockwork import read_json
 from linkhaven.schema import Trouble, check_document
 
+from .bodies import digests_of, name_bodies
 from .check import check_plan, fill_plan
 from .overlay import lay_overlay, overlay_group, overlay_kind, overlay_of, overlay_without_group
 from .taken import (
@@ -16,6 +17,8 @@
 )
 
 KEY = "plan"
+SHOWN = ("mark", "put_id", "plan", "document", "revision", "overlay")
+GATHER_TRIES = 3
 
 
 def _with(plan, part, entries):
@@ -93,6 +96,24 @@
     return Trouble("core_unready", retry_us=1_000_000, why=value)
 
 
+def lacking_body():
+    return Trouble(
+        "core_unready", done="no", retry_us=1_000_000, why="no seat gave the body of the plan"
+    )
+
+
+def is_document_taken(value, revision, document):
+    """Also of a value that an earlier version of this program wrote, without a history."""
+    taken = find_order(value, order_of_document(revision))
+    if taken is not None:
+        return taken.digest == digest_of(document)
+    return (
+        value is not None
+        and value.get("revision") == revision
+        and value.get("document") == document
+    )
+
+
 def refuse_document(value, base, revision):
     """Why a document that the history has no row of isn't taken now; None where it may be."""
     held = (value or {}).get("revision") or 0
@@ -134,12 +155,13 @@
 class PlanDesk:
     """Operators' side of the plan: check, show and put, each answered over HTTP by a registry."""
 
-    __slots__ = ("node", "proposer", "seat", "image")
+    __slots__ = ("node", "proposer", "bodies", "image")
 
-    def __init__(self, node, proposer, seat, image):
+    def __init__(self, node, proposer, bodies, image):
+        """Its paths are the node's from here on."""
         self.node = node
         self.proposer = proposer
-        self.seat = seat
+        self.bodies = bodies
         self.image = image
         node.paths.update(
             {
@@ -169,30 +191,65 @@
                 return call.answer_trouble(trouble)
             if value is None:
                 return call.answer_json(200, {"mark": 0, "put_id": None, "plan": None})
-            call.answer_json(200, {**value, "plan": lay_overlay(value["plan"], overlay_of(value))})
+            shown = {name: value[name] for name in SHOWN if name in value}
+            shown["plan"] = lay_overlay(value["plan"], overlay_of(value))
+            call.answer_json(200, shown)
 
         self.read_document(done)
 
     def read_document(self, done):
-        """done(trouble, value) with what a majority of the core holds: the plan, and the document it was read from."""
+        """done(trouble, value) with what a majority of the core holds, its plan and document in it.
+
+        A value whose bodies can't be had is no answer: it is never shown in part."""
 
         def end(outcome, value):
             if outcome != "chosen":
                 return done(Trouble("core_unready", done="no", retry_us=1_000_000, why=value), None)
-            self.image.take(value)
-            done(None, value)
+            if value is None:
+                return done(None, None)
+            self.bodies.gather(value, lambda is_held: show(is_held, value))
+
+        def show(is_held, value):
+            if not is_held:
+                return done(lacking_body(), None)
+            self._take_image(value)
+            done(None, self.bodies.opened(value))
 
         self.proposer.read(KEY, end)
 
+    def _take_image(self, value):
+        """As soon as its plan is here; who made a change has it, who repeats one may not."""
+        if not self.image.is_news(value):
+            return
+
+        def take(is_held):
+            if is_held:
+                self.image.take(self.bodies.with_plan(value))
+
+        self.bodies.gather(value, take)
+
+    def _sender_of(self, texts):
+        """Sends bodies once, whatever the number of rounds, and only those that the value before lacks."""
+        unsent = dict(texts)
+
+        def send(value):
+            known = digests_of(value)
+            self.bodies.send([text for digest, text in unsent.items() if digest not in known])
+            unsent.clear()
+
+        return send
+
     def put_document(self, base, revision, document, plan, done):
         """The document of another door, in place of the one of revision `base`.
 
         done(trouble, taken): `taken` has the mark and the revision that the order got, now or when it came before."""
         put_id = f"revision-{revision}"
         order, digest = order_of_document(revision), digest_of(document)
+        names, texts = name_bodies(plan, document)
+        send = self._sender_of(texts)
 
         def step(value):
-            if self._is_document_taken(value, revision, document):
+            if is_document_taken(value, revision, document):
                 return "keep", None
             trouble = refuse_document(value, base, revision)
             if trouble is not None:
@@ -203,11 +260,11 @@
                 return "stop", trouble
             mark = (value["mark"] if value else 0) + 1
             taken = TakenOrder(mark, order, digest, revision)
+            send(value)
             return "set", {
                 "mark": mark,
                 "put_id": put_id,
-                "plan": plan,
-                "document": document,
+                "bodies": names,
                 "revision": revision,
                 "overlay": overlay_of(value),
                 "taken": extend_history(value, taken),
@@ -217,24 +274,13 @@
             self._log_outcome(outcome, value, base, put_id)
             if outcome != "chosen":
                 return done(outcome_trouble(outcome, value, put_id), None)
-            self.image.take(value)
+            self._take_image(value)
             taken = find_order(value, order)
             mark = taken.mark if taken is not None else value["mark"]
             done(None, {"mark": mark, "revision": revision})
 
         self.proposer.change(KEY, step, end)
 
-    def _is_document_taken(self, value, revision, document):
-        """Also of a value that an earlier version of this program wrote, without a history."""
-        taken = find_order(value, order_of_document(revision))
-        if taken is not None:
-            return taken.digest == digest_of(document)
-        return (
-            value is not None
-            and value.get("revision") == revision
-            and value.get("document") == document
-        )
-
     def _log_outcome(self, outcome, value, expect, put_id):
         if outcome == "chosen":
             self.node.ports.log(1301, mark=value["mark"], put_id=put_id)
@@ -249,39 +295,43 @@
         self.put(document["expect"], document["put_id"], document["plan"], call)
 
     def serve_part(self, call, name, part):
-        """One group or kind: a change of the whole value, in the same two rounds with the expected mark."""
+        """One group or kind: a change of the whole value, with the expected mark."""
         document = check_document(part.schema, read_json(call.body))
 
         def edit(value):
-            if value.get("document") is not None:
-                return {
-                    **value,
-                    "overlay": part.edit_beside(value["plan"], overlay_of(value), name, document),
-                }
-            plan = part.edit(value.get("plan") or {}, name, document)
+            opened = self.bodies.opened(value) if value else {}
+            if opened.get("document") is not None:
+                overlay = overlay_of(value)
+                edited = part.edit_beside(opened["plan"], overlay, name, document)
+                return {**opened, "overlay": edited}
+            plan = part.edit(opened.get("plan") or {}, name, document)
             fill_plan(plan)
-            return {**value, "plan": plan}
+            return {**opened, "plan": plan}
 
         self.change(document["expect"], document["put_id"], edit, call, document)
 
     def put(self, expect, put_id, plan, call):
-        """Takes the place of a document, too: what that held under its revision is then no longer in force."""
+        """Takes the place of a document, too: what that held is then no longer in force."""
 
         def edit(value):
             fill_plan(plan)
+            revision = (value or {}).get("revision") or 0
             return {
                 "plan": plan,
                 "document": None,
-                "revision": value.get("revision") or 0,
+                "revision": revision,
                 "overlay": overlay_of(None),
             }
 
-        self.change(expect, put_id, edit, call, {"plan": plan})
+        self.change(expect, put_id, edit, call, {"plan": plan}, needs_bodies=False)
+
+    def change(self, expect, put_id, edit, call, ordered, needs_bodies=True, tries=GATHER_TRIES):
+        """`edit` makes the next value of the one with the expected mark, plan and document in it.
 
-    def change(self, expect, put_id, edit, call, ordered):
-        """`edit` makes the next value of the one with the expected mark; `ordered` is what was asked for, by which
-        the order is known when it is sent again."""
+        `ordered` is what was asked for, by which the order is known when it is sent again. Where the
+        bodies of the value that is edited are missing here, they are gathered and it begins anew."""
         order, digest = order_of_put(put_id), digest_of_order(call, ordered)
+        lacking = []
 
         def step(value):
             if is_put_taken(value, put_id, digest):
@@ -289,25 +339,43 @@
             trouble = refuse_put(value, expect, put_id)
             if trouble is not None:
                 return "stop", trouble
-            try:
-                edited = edit(value or {})
-            except Trouble as trouble:
-                return "stop", trouble
-            taken = TakenOrder(expect + 1, order, digest, edited.get("revision") or 0)
-            return "set", {
-                **edited,
-                "mark": taken.mark,
-                "put_id": put_id,
-                "taken": extend_history(value, taken),
-            }
+            if needs_bodies and value is not None and not self.bodies.has(value):
+                lacking.append(value)
+                return "stop", lacking_body()
+            return self._edited(value, edit, put_id, TakenOrder(expect + 1, order, digest, 0))
+
+        def again(is_held):
+            if not is_held or tries <= 1:
+                return call.answer_trouble(lacking_body())
+            self.change(expect, put_id, edit, call, ordered, needs_bodies, tries - 1)
 
         def done(outcome, value):
+            if outcome == "stopped" and lacking and value.code == "core_unready":
+                return self.bodies.gather(lacking[-1], again)
             self._log_outcome(outcome, value, expect, put_id)
             if outcome != "chosen":
                 return call.answer_trouble(outcome_trouble(outcome, value, put_id))
-            self.image.take(value)
+            self._take_image(value)
             taken = find_order(value, order)
             mark = taken.mark if taken is not None else value["mark"]
             call.answer_json(200, {"mark": mark, "put_id": put_id})
 
         self.proposer.change(KEY, step, done)
+
+    def _edited(self, value, edit, put_id, taken):
+        """The step that sets what `edit` makes of the value, with its bodies on their way."""
+        try:
+            edited = edit(value)
+        except Trouble as trouble:
+            return "stop", trouble
+        names, texts = name_bodies(edited["plan"], edited.get("document"))
+        self._sender_of(texts)(value)
+        taken.revision = edited.get("revision") or 0
+        return "set", {
+            "mark": taken.mark,
+            "put_id": put_id,
+            "bodies": names,
+            "revision": taken.revision,
+            "overlay": overlay_of(edited),
+            "taken": extend_history(value, taken),
+        }
--- a/packages/plan/src/linkhaven/plan/image.py
+++ b/packages/plan/src/linkhaven/plan/image.py
@@ -1,3 +1,5 @@
+"""What a node holds of the plan in force."""
+
 from .overlay import effective_plan
 
 
@@ -21,8 +23,13 @@
         if mark > self.highest:
             self.highest = mark
 
+    def is_news(self, value):
+        """Whether a value is newer than the plan held, and not older than one that was heard of."""
+        return value is not None and value["mark"] > self.mark and value["mark"] >= self.highest
+
     def take(self, value):
-        if value is None or value["mark"] <= self.mark or value["mark"] < self.highest:
+        """A value with its plan in it; whether it is in force here now."""
+        if not self.is_news(value):
             return False
         self.plan = effective_plan(value)
         self.mark = value["mark"]
--- /dev/null
+++ b/packages/plan/src/linkhaven/plan/reader.py
@@ -0,0 +1,263 @@
+"""Router side of the news: one open ask at every seat, and the body of a plan from one of them.
+
+The plan is confirmed as of the sending of the asks that a majority of seats has answered. The body
+comes from the nearest seat that answers; the others name it by its digest. Where the nearest is
+silent or behind for `body_wait_us` after another seat has told of a newer plan, one that told of it
+is asked at once."""
+
+import hashlib
+from functools import lru_cache
+
+from linkhaven.clockwork import read_json
+
+from .packing import BodyMismatch, open_body
+
+LATE_US = 350_000
+
+
+@lru_cache(maxsize=1024)
+def spread(name, seat):
+    """Where a seat stands in one router's order of seats that are equally near."""
+    return hashlib.blake2b(f"{name}/{seat}".encode(), digest_size=4).digest()
+
+
+class Told:
+    """The ask at one seat, and what its answers confirmed."""
+
+    __slots__ = ("id", "sent_us", "confirmed_us", "incarnation", "quiet_us")
+
+    def __init__(self, now_us):
+        self.id = None
+        self.sent_us = 0
+        self.confirmed_us = None
+        self.incarnation = 0
+        self.quiet_us = now_us
+
+
+class Lacking:
+    """A plan that seats have told of and whose body has not come yet."""
+
+    __slots__ = ("mark", "digest", "tellers", "tried", "ask_us")
+
+    def __init__(self, mark, digest, ask_us):
+        self.mark = mark
+        self.digest = digest
+        self.tellers = {}
+        self.tried = set()
+        self.ask_us = ask_us
+
+
+class NewsReader:
+    """What a router knows of the plan in force, and as of when."""
+
+    __slots__ = (
+        "node",
+        "directory",
+        "image",
+        "majority",
+        "told",
+        "serial",
+        "facts",
+        "on_news",
+        "confirmed_us",
+        "lacking",
+        "held",
+    )
+
+    def __init__(self, node, directory, image, majority=None):
+        """Hears news and asks for more from here on."""
+        self.node = node
+        self.directory = directory
+        self.image = image
+        self.majority = majority or node.terms.seats // 2 + 1
+        self.told = {}
+        self.serial = 0
+        self.facts = []
+        self.on_news = []
+        self.confirmed_us = None
+        self.lacking = None
+        self.held = None
+        node.hearers["news"] = self.hear_news
+        node.systems.append(self.tick)
+
+    def is_fresh(self):
+        """Whether the plan held here may be served by now."""
+        if self.image.plan is None:
+            return False
+        stale_us = self.node.terms.plan_stale_us
+        if stale_us is None:
+            return True
+        if self.image.is_behind or self.confirmed_us is None:
+            return False
+        return self.node.now_us() - self.confirmed_us <= stale_us
+
+    def as_told(self):
+        """The value and the packed body that the image was taken from; None before there was one."""
+        return self.held
+
+    # Asking
+
+    def _ask(self, seat, address, now_us, wants_plan=None):
+        told = self.told.get(seat)
+        if told is None:
+            told = self.told[seat] = Told(now_us)
+        self.serial += 1
+        told.id = f"{self.serial}"
+        told.sent_us = now_us
+        if wants_plan is None:
+            wants_plan = self._is_source(seat, now_us)
+        if wants_plan and self.lacking is not None:
+            self.lacking.tried.add(seat)
+        facts = {
+            "id": told.id,
+            "mark": self.image.mark,
+            "heard": self.lacking.mark if self.lacking is not None else self.image.mark,
+            "wants_plan": wants_plan,
+            "known": {
+                seat: incarnation for seat, (_, incarnation) in self.directory.seats().items()
+            },
+        }
+        for add in self.facts:
+            add(facts)
+        self.node.tell(address, "ask", **facts)
+
+    def _is_source(self, seat, now_us):
+        """Whether this seat's answers are to bring the body: the nearest that isn't silent."""
+        seats = self._by_nearness()
+        answering = [other for other in seats if not self._is_silent(other, now_us)]
+        return seat == (answering or seats)[0]
+
+    def _is_silent(self, seat, now_us):
+        told = self.told.get(seat)
+        longest_us = self.node.terms.news_hold_us + LATE_US
+        return told is not None and now_us - told.quiet_us > longest_us
+
+    def _by_nearness(self):
+        """Seats in this router's zone come first; beyond that routers spread over the seats."""
+        zone, name = self.directory.me.zone, self.node.name
+        holders = self.directory.seat_holders()
+        return sorted(holders, key=lambda seat: (holders[seat].zone != zone, spread(name, seat)))
+
+    def tick(self, now_us):
+        """Asks again where an answer is overdue, and elsewhere for a body that doesn't come."""
+        for seat, (address, _) in self.directory.seats().items():
+            told = self.told.get(seat)
+            if (
+                told is None
+                or told.id is None
+                or now_us - told.sent_us > self.node.terms.news_hold_us + LATE_US
+            ):
+                self._ask(seat, address, now_us)
+        self._chase(now_us)
+
+    def _chase(self, now_us):
+        lacking, seats = self.lacking, self.directory.seats()
+        if lacking is None or now_us < lacking.ask_us:
+            return
+        lacking.ask_us = now_us + self.node.terms.body_wait_us
+        tellers = [seat for seat in self._by_nearness() if seat in lacking.tellers]
+        if not tellers:
+            return
+        untried = [seat for seat in tellers if seat not in lacking.tried]
+        if not untried:
+            lacking.tried.clear()
+        seat = (untried or tellers)[0]
+        self._ask(seat, seats[seat][0], now_us, wants_plan=True)
+
+    # Hearing
+
+    def hear_news(self, message):
+        """The answer to the ask that is open at this seat; any other is late and says nothing."""
+        told = self.told.get(message["seat"])
+        if told is None or told.id != message["id"]:
+            return
+        now_us = self.node.now_us()
+        told.quiet_us = now_us
+        self.directory.learn_seats(message["known"])
+        known = self.directory.seats().get(message["seat"])
+        is_newest = known is not None and known[1] <= message["incarnation"]
+        if is_newest and message["is_current"]:
+            self._hear_current(message, told)
+        for hear in self.on_news:
+            hear(message, told.sent_us)
+        told.id = None
+        if known is not None:
+            self._ask(message["seat"], known[0], now_us)
+
+    def _hear_current(self, message, told):
+        mark = message["mark"]
+        self.image.hear_mark(mark)
+        if "body" in message:
+            self._take_body(message["plan"], message["body"])
+        if mark > self.image.mark:
+            return self._note_lacking(message, told)
+        if mark == self.image.mark and self._is_other_body(message):
+            return
+        self._confirm_at(told, told.sent_us, message["incarnation"])
+
+    def _take_body(self, value, body):
+        digest = value["bodies"]["plan"]
+        try:
+            plan = read_json(open_body(digest, body))
+        except BodyMismatch as fault:
+            return self.node.ports.log(1304, digest=digest, why=str(fault))
+        if not self.image.take({**value, "plan": plan}):
+            return
+        self.held = (value, body)
+        lacking = self.lacking
+        if lacking is None or lacking.mark > self.image.mark:
+            return
+        self.lacking = None
+        if lacking.mark == self.image.mark:
+            self._confirm_tellers(lacking, digest)
+
+    def _confirm_tellers(self, lacking, digest):
+        for seat, (named, sent_us, incarnation) in lacking.tellers.items():
+            if named == digest:
+                self._confirm_at(self.told[seat], sent_us, incarnation)
+
+    def _note_lacking(self, message, told):
+        now_us = self.node.now_us()
+        lacking, mark = self.lacking, message["mark"]
+        if lacking is not None and mark < lacking.mark:
+            return
+        if lacking is None or mark > lacking.mark:
+            ask_us = now_us + self.node.terms.body_wait_us
+            lacking = self.lacking = Lacking(mark, message["digest"], ask_us)
+        lacking.tellers[message["seat"]] = (
+            message["digest"],
+            told.sent_us,
+            message["incarnation"],
+        )
+
+    def _is_other_body(self, message):
+        """Two seats that name two bodies for one mark: never while the register keeps its promise."""
+        if "digest" not in message or self.held is None:
+            return False
+        held = self.held[0]["bodies"]["plan"]
+        if message["digest"] == held:
+            return False
+        self.node.ports.log(
+            1305, mark=message["mark"], seat=message["seat"], named=message["digest"]
+        )
+        return True
+
+    def _confirm_at(self, told, sent_us, incarnation):
+        told.confirmed_us = max(told.confirmed_us or sent_us, sent_us)
+        told.incarnation = incarnation
+        self._confirm()
+
+    def _confirm(self):
+        seats = self.directory.seats()
+        sent = sorted(
+            (
+                told.confirmed_us
+                for seat, told in self.told.items()
+                if told.confirmed_us is not None
+                and seat in seats
+                and told.incarnation >= seats[seat][1]
+            ),
+            reverse=True,
+        )
+        if len(sent) >= self.majority:
+            self.confirmed_us = sent[self.majority - 1]
--- a/packages/plan/src/linkhaven/plan/taken.py
+++ b/packages/plan/src/linkhaven/plan/taken.py
@@ -10,7 +10,7 @@
 import json
 
 KEPT_ORDERS = 128
-DIGEST_DIGITS = 32
+DIGEST_DIGITS = 24
 
 
 def digest_of(text):
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -47,6 +47,7 @@
         "votes_from_us",
         "on_change",
         "on_votes",
+        "on_retired",
         "clock_us",
         "clocked_us",
         "claim_terms",
@@ -79,6 +80,7 @@
         self.directory = directory
         self.on_change = on_change
         self.on_votes = on_votes
+        self.on_retired = []
         self.claim_terms = claim_terms
         now_us = node.now_us()
         held = node.ports.disk.load()
@@ -186,6 +188,8 @@
         self.is_empty, self.is_failing, self.are_claims_open = True, False, True
         self.rejoin.forget()
         self.node.ports.disk.write(dict.fromkeys(dropped), lambda is_kept: None)
+        for hear in self.on_retired:
+            hear()
         self.directory.sit("", 0)
         self.node.ports.log(1209)
 
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -1,7 +1,7 @@
 from linkhaven.clockwork import Node
 from linkhaven.credit import Bursar
 from linkhaven.duty import Duty
-from linkhaven.plan import NewsDesk, PlanDesk, PlanImage
+from linkhaven.plan import BodyStore, NewsDesk, PlanDesk, PlanImage, write_plan
 from linkhaven.register import Proposer, Seat, default_terms
 from linkhaven.ring import Ring
 from linkhaven.runner import RunnerDesk
@@ -27,6 +27,7 @@
         "seat",
         "proposer",
         "image",
+        "bodies",
         "plan_desk",
         "news",
         "duties",
@@ -88,8 +89,9 @@
         self.seat.occupants.contact = contact or address
         self.contacts = sorted(contacts)
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
-        self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
-        self.news = NewsDesk(self, self.seat, self.proposer, self.image)
+        self.bodies = BodyStore(self, self.seat)
+        self.plan_desk = PlanDesk(self, self.proposer, self.bodies, self.image)
+        self.news = NewsDesk(self, self.seat, self.proposer, self.image, self.bodies)
         self.desk = desk_of(self)
         self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in DUTIES}
         for duty in self.duties.values():
@@ -153,8 +155,10 @@
     def _hear_change(self, key):
         if key != "plan":
             return
-        if self.seat.is_known_chosen(key):
-            self.image.take(self.seat.cell(key).value)
+        value = self.seat.cell(key).value
+        if self.seat.is_known_chosen(key) and self.image.is_news(value):
+            if self.bodies.has_plan(value):
+                self.image.take(self.bodies.with_plan(value))
         self.news.spread()
 
     def _hear_votes(self):
@@ -233,9 +237,12 @@
         return self.seat.is_voting and mark > (value["mark"] if value else 0)
 
     def _hear_image(self, message):
+        """What a router holds: the value that news brought it, and the body of its plan."""
         value = message["value"]
+        if not self.bodies.take(value["bodies"]["plan"], message["body"]):
+            return
         if self.told_image is None or value["mark"] > self.told_image["mark"]:
-            self.told_image = value
+            self.told_image = {**value, "plan": self.bodies.plan_of(value)}
 
     def _adopt_image(self, now_us):
         told = self.told_image
@@ -256,13 +263,15 @@
         def step(value):
             if value is not None and value["mark"] >= told["mark"]:
                 return "keep", None
-            return "set", told
+            self.bodies.send([write_plan(told["plan"])])
+            return "set", {name: told[name] for name in told if name != "plan"}
 
         def done(outcome, value):
             self.is_adopting = False
             if outcome == "chosen":
                 self.ports.log(1207, mark=value["mark"])
-                self.image.take(value)
+                if self.image.is_news(value) and self.bodies.has_plan(value):
+                    self.image.take(self.bodies.with_plan(value))
                 self.told_image = None
 
         self.proposer.change("plan", step, done)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -204,8 +204,10 @@
         self.wake_queue()
 
     def _hear_want_image(self, message):
-        if self.image.value is not None:
-            self.tell(message["back"], "image", value=self.image.value)
+        held = self.news.as_told()
+        if held is not None:
+            value, body = held
+            self.tell(message["back"], "image", value=value, body=body)
 
     def may_start(self):
         return self.news.is_fresh() and self.roster.is_fresh()
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -18,6 +18,8 @@
     1301: ("info", "plan chosen"),
     1302: ("warning", "plan put conflicted"),
     1303: ("warning", "plan put ended without a majority"),
+    1304: ("error", "the body of a plan is not the one of its digest; it is refused"),
+    1305: ("error", "a seat names another body for the mark in force here"),
     1401: ("info", "duty won"),
     1402: ("warning", "duty lapsed"),
     1501: ("info", "phase order sent"),
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -202,6 +202,7 @@
         "lease_ms": 3000,
         "contact_ms": 3000,
         "drain_ms": 3000,
+        "config_apply_ms": 2000,
         "thaw_ms": 300,
     },
 }
@@ -249,6 +250,7 @@
     assert place.terms.seats == 5 and place.terms.lease_us == 3_000_000 and place.margin < 54
     assert place.terms.drain_us < 8_000_000 and place.terms.linger_us < place.terms.drain_us
     assert place.terms.poll_us + place.terms.report_us < 3_000_000
+    assert 10 * place.terms.body_wait_us < 2_000_000
 
 
 @pytest.mark.parametrize(
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -247,6 +247,7 @@
 
     monkeypatch.setattr(PlanImage, "take", take)
     monkeypatch.setattr(PlanImage, "hear_mark", lambda self, mark: None)
+    monkeypatch.setattr(NewsReader, "_is_source", lambda self, seat, now_us: True)
 
 
 def hear_a_slow_seat_during_a_burst(fleet_of):
