--- a/packages/plan/src/linkhaven/plan/bodies.py
+++ b/packages/plan/src/linkhaven/plan/bodies.py
@@ -29,7 +29,7 @@
 
 
 def name_bodies(plan, document):
-    """A plan and a document as texts: what each part of a value is named, and the text of each name."""
+    """What each part of a value is named, and the text of each name."""
     texts = {PLAN: write_plan(plan)}
     if document is not None:
         texts[DOCUMENT] = document
@@ -66,7 +66,7 @@
     __slots__ = ("node", "seat", "held", "synced", "writing", "wanted", "waiting")
 
     def __init__(self, node, seat):
-        """Takes over the hearers of the seat's messages that bring values: create it after the seat."""
+        """Takes over the hearers of the messages that bring values: create it after the seat."""
         self.node = node
         self.seat = seat
         self.held = OrderedDict()
@@ -87,7 +87,9 @@
                 self.synced.add(key[len(STORED) :])
 
     def _forget_disk(self):
+        """A seat that retires drops all that it kept; what it still writes then counts for nothing."""
         self.synced.clear()
+        self.writing.clear()
 
     # What is held
 
@@ -141,7 +143,7 @@
         return digest
 
     def take(self, digest, packed):
-        """A body that came from elsewhere; whether it is the one of its name. A wrong one is refused."""
+        """A body that came from elsewhere; whether it is the one of its name."""
         if digest in self.held:
             return True
         try:
@@ -170,7 +172,7 @@
     # The disk
 
     def _write(self, digests):
-        """Before a vote is written, in the same turn: the bodies that the disk lacks, and what it may drop."""
+        """Before a vote is, in the same turn: the bodies that the disk lacks, and what it drops."""
         lacking = [digest for digest in digests if digest not in {*self.synced, *self.writing}]
         dropped = [digest for digest in self.synced if digest not in self.held]
         if not lacking and not dropped:
@@ -181,9 +183,10 @@
         records.update({f"{STORED}{digest}": self.held[digest] for digest in lacking})
 
         def done(is_kept):
-            self.writing.difference_update(lacking)
+            written = self.writing.intersection(lacking)
+            self.writing.difference_update(written)
             if is_kept:
-                self.synced.update(lacking)
+                self.synced.update(written)
 
         self.node.ports.disk.write(records, done)
 
