Membership: a leaving member hands its seat to a spare, or leaves when the others hold all

Cause: a member that got SIGTERM left the ring at once; its seat stood vacant until a spare had read a majority of the others. With another member lost before, that majority did not exist: the spare could never vote. Without a spare the newest value could stay on one other disk. Now: the spare learns page by page while the old occupant votes; the old one seals itself (synced), sends what changed since, and the spare takes the acceptor state whole under the next incarnation, recorded by the seal and f others (a majority of all). Without a spare the leaving member compares its ballots with the others and sends what they lack, in a last round without votes. Both within terms.drain_us; a whole core that stops together stops at once. Ruled out: noting the successor before the seal (the notes cut the old occupant's votes off); f + 1 others' notes (with one other lost nobody could take the seat, and the seal has cut off the old one). Conclusion: three and five members bear any one loss at the tried steps of a hand-over.

--- /dev/null
+++ b/packages/register/src/linkhaven/register/leaving.py
@@ -0,0 +1,257 @@
+"""How a voting member leaves: it hands its acceptor state to a spare, or makes sure that the
+others hold all.
+
+| state | event | next |
+| --- | --- | --- |
+| STAYING | begin | CHOOSING |
+| CHOOSING | a spare is known | OFFERING: offer the seat, go on voting |
+| CHOOSING | no spare is known | HOLDING: compare with the other members, go on voting |
+| OFFERING | the successor has read all pages | SEALING: it votes no more, and syncs the seal |
+| OFFERING | no page asked for in PATIENCE_US | CHOOSING, without this spare |
+| SEALING | the seal is synced | SEALED: tell the successor, answer its last pages |
+| SEALING | the disk refuses the seal | CHOOSING: nothing was told yet, so it votes again |
+| SEALED | the successor votes | GONE, as an empty spare |
+| SEALED | the successor gave up | CHOOSING once it votes again, after an ordinary rejoin |
+| HOLDING | a majority without it holds all | PAUSED: it votes no more, compares the rest |
+| PAUSED | a majority without it holds all | GONE |
+| PAUSED | a member falls silent | HOLDING: it votes again |
+| any | `terms.drain_us` have passed | GONE |
+
+Invariant: what a successor votes with holds everything that the leaving member ever voted for,
+since the pages after
+the seal are read when it votes no more
+(`test_what_only_the_leaver_and_one_other_hold_is_with_the_successor`).
+Invariant: a sealed member counts as one that lost its disk, also after a restart, unless its
+successor says that it
+never took the seat (`test_a_sealed_member_that_starts_again_counts_as_one_without_a_disk`)."""
+
+from enum import Enum
+
+from .rejoin import REJOINING, VOTING, WAITING
+
+RESEND_US = 100_000
+PATIENCE_US = 700_000
+
+
+class LeavingState(Enum):
+    """Where a member stands on its way out."""
+
+    STAYING = "staying"
+    CHOOSING = "choosing"
+    OFFERING = "offering"
+    SEALING = "sealing"
+    SEALED = "sealed"
+    HOLDING = "holding"
+    PAUSED = "paused"
+    GONE = "gone"
+
+
+class Leaving:
+    """The leaving side of a hand-over, and of a departure without a successor."""
+
+    __slots__ = (
+        "node",
+        "seat",
+        "holders",
+        "state",
+        "handover",
+        "successor",
+        "tried",
+        "began_us",
+        "moved_us",
+        "sent_us",
+        "on_gone",
+        "asked_us",
+    )
+
+    def __init__(self, node, seat, holders):
+        """`holders` compares this member with the others when no spare is there."""
+        self.node = node
+        self.seat = seat
+        self.holders = holders
+        self.state = LeavingState.STAYING
+        self.handover = None
+        self.successor = None
+        self.tried = set()
+        self.began_us = self.moved_us = self.sent_us = self.asked_us = 0
+        self.on_gone = None
+        node.hearers.update(handover_ready=self.on_ready, handover_fate=self.on_fate)
+
+    def begin(self, on_gone):
+        """Leave; `on_gone` is called once, when the process may end."""
+        self.on_gone = on_gone
+        self.began_us = self.node.now_us()
+        self.state = LeavingState.CHOOSING
+        self._choose(self.began_us)
+
+    def tick(self, now_us):
+        """Send again what was not answered, and go at the bound."""
+        if self.state in (LeavingState.STAYING, LeavingState.GONE):
+            return
+        if now_us - self.began_us >= self.node.terms.drain_us:
+            return self._go()
+        if self.state == LeavingState.CHOOSING:
+            return self._choose(now_us)
+        if self.state == LeavingState.OFFERING and now_us - self.moved_us >= PATIENCE_US:
+            return self._give_up_successor()
+        if self.state in (LeavingState.HOLDING, LeavingState.PAUSED):
+            return self._watch_holders(now_us)
+        if now_us - self.sent_us >= RESEND_US:
+            self._send_again(now_us)
+
+    def _choose(self, now_us):
+        """A rejoin in progress is waited for; who holds no votes has nothing to hand over."""
+        seat = self.seat
+        if seat.sealed is None and seat.standing not in (VOTING, REJOINING, WAITING):
+            return self._go()
+        if not seat.is_voting:
+            return self._leave_if_alone()
+        spares = self._spares()
+        if spares:
+            return self._offer(spares[0], now_us)
+        self._hold(now_us)
+
+    def _spares(self):
+        if not self.seat.is_learned:
+            return []
+        spares = [
+            fellow
+            for fellow in self.seat.directory.live("registry")
+            if not fellow.seat and fellow.name not in self.tried
+        ]
+        return sorted(spares, key=lambda fellow: fellow.name)
+
+    def _leave_if_alone(self):
+        if self._is_alone():
+            self._go()
+
+    def _is_alone(self):
+        """So many others left in order that no majority remains without this member: there's
+        nobody to wait for."""
+        holders = self.seat.directory.seat_holders()
+        left = [
+            seat for seat, fellow in holders.items() if seat != self.seat.seat and fellow.has_left
+        ]
+        known = [seat for seat in holders if seat != self.seat.seat]
+        return len(known) - len(left) < self.seat.majority
+
+    def _offer(self, spare, now_us):
+        self.state = LeavingState.OFFERING
+        self.successor = (spare.name, spare.address)
+        self.handover = f"{self.seat.rejoin.start}/{self.seat.incarnation}/{now_us}"
+        self.moved_us = now_us
+        self.node.ports.log(1210, seat=self.seat.seat, successor=spare.name)
+        self._send_again(now_us)
+
+    def _send_again(self, now_us):
+        self.sent_us = now_us
+        if self.state == LeavingState.OFFERING:
+            self._tell_successor("handover_offer")
+        elif self.state == LeavingState.SEALED:
+            self._send_sealed()
+
+    def _tell_successor(self, say, **facts):
+        seat = self.seat
+        self.node.tell(
+            self.successor[1],
+            say,
+            id=self.handover,
+            seat=seat.seat,
+            incarnation=seat.incarnation,
+            **facts,
+        )
+
+    def _give_up_successor(self):
+        self.tried.add(self.successor[0])
+        self.state = LeavingState.CHOOSING
+
+    def note_browse(self, asked):
+        """The successor goes on reading."""
+        if asked == self.handover:
+            self.moved_us = self.node.now_us()
+
+    def on_ready(self, message):
+        """The successor has read every page: seal, so that the rest is final."""
+        if self.state != LeavingState.OFFERING or message["id"] != self.handover:
+            return
+        if not self.seat.is_voting:
+            self.state = LeavingState.CHOOSING
+            return
+        self.state = LeavingState.SEALING
+        self.seat.seal(
+            {"id": self.handover, "name": self.successor[0], "address": self.successor[1]},
+            self._on_seal,
+        )
+
+    def _on_seal(self, is_kept):
+        if self.state != LeavingState.SEALING:
+            return
+        if not is_kept:
+            return self._give_up_successor()
+        self.state = LeavingState.SEALED
+        self._send_again(self.node.now_us())
+
+    def _send_sealed(self):
+        seat = self.seat
+        self._tell_successor(
+            "handover_sealed",
+            known=seat.known,
+            clock_us=seat.clock_us,
+            are_claims_open=seat.are_claims_open,
+            occupants=seat.occupants.records,
+            wait_us=max(0, seat.votes_from_us - self.node.now_us()),
+        )
+
+    def ask_fate(self, now_us):
+        """A sealed member that was started again asks whether its successor took the seat."""
+        if now_us - self.asked_us < RESEND_US:
+            return
+        self.asked_us = now_us
+        sealed = self.seat.sealed
+        self.node.tell(sealed["address"], "handover_ask", id=sealed["id"])
+
+    def on_fate(self, message):
+        """The successor took the seat, or says that it never will."""
+        sealed = self.seat.sealed
+        if sealed is None or message["id"] != sealed["id"]:
+            return
+        if message["is_taken"]:
+            self.seat.retire()
+            return self._go()
+        self.tried.add(sealed["name"])
+        if self.seat.rejoin.notes is None:
+            self.seat.unseal()
+        if self.state == LeavingState.SEALED:
+            self.state = LeavingState.CHOOSING
+
+    def _hold(self, now_us):
+        self.state = LeavingState.HOLDING
+        self.moved_us = now_us
+        self.holders.begin_round(is_final=False)
+
+    def _watch_holders(self, now_us):
+        if self._is_alone():
+            return self._go()
+        if self.state == LeavingState.HOLDING and (not self.seat.is_voting or self._spares()):
+            self.state = LeavingState.CHOOSING
+            return
+        if self.holders.is_held_without_us():
+            return self._end_round(now_us)
+        if self.state == LeavingState.PAUSED and now_us - self.moved_us >= PATIENCE_US:
+            self.seat.resume()
+            return self._hold(now_us)
+        self.holders.tick(now_us)
+
+    def _end_round(self, now_us):
+        if self.state == LeavingState.PAUSED:
+            return self._go()
+        self.state = LeavingState.PAUSED
+        self.moved_us = now_us
+        self.seat.pause()
+        self.holders.begin_round(is_final=True)
+
+    def _go(self):
+        self.state = LeavingState.GONE
+        on_gone, self.on_gone = self.on_gone, None
+        if on_gone is not None:
+            on_gone()
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -1,12 +1,14 @@
 from bisect import bisect_right
 
-REJOINING, VOTING, WAITING, FENCED, SPARE, BEGINNING = (
+REJOINING, VOTING, WAITING, FENCED, SPARE, BEGINNING, SEALED, LEARNING = (
     "rejoining",
     "voting",
     "waiting",
     "fenced",
     "spare",
     "beginning",
+    "sealed",
+    "learning",
 )
 
 ASK_US = 200_000
@@ -43,6 +45,8 @@
         "asked_back",
         "has_met_no_vote",
         "is_anew",
+        "recorded",
+        "moved_wait_us",
     )
 
     def __init__(self, node, seat):
@@ -61,6 +65,8 @@
         self.browsers = {}
         self.asked_back = None
         self.has_met_no_vote = self.is_anew = False
+        self.recorded = None
+        self.moved_wait_us = 0
         node.hearers.update(
             rejoin=self.hear_rejoin,
             rejoin_state=self.hear_state,
@@ -73,13 +79,30 @@
     def begin_anew(self, is_doubted=False):
         self.is_doubted = is_doubted or self.is_doubted
         self.seat.standing = REJOINING
-        self.notes = None
+        self.notes = self.recorded = None
         self.cursors = {}
         self.told = {}
         self.started_us = self.moved_us = self.node.now_us()
 
+    def begin_moved(self, wait_us):
+        """The state came whole from the sealed occupant, whose seal is one record of a majority: the others' records
+        make it up, and nothing is read. When they don't come, it goes on as a restart with its disk does."""
+        self.begin_anew()
+        self.has_met_no_vote = False
+        self.notes = set(self.seat.seats) - {self.seat.seat}
+        self.recorded = set()
+        self.moved_wait_us = wait_us
+        self._tell_notes()
+
+    def _vote_if_recorded(self):
+        if self.recorded is None or len(self.recorded) < self.seat.majority - 1:
+            return
+        self.recorded = None
+        self.cursors = {}
+        self.seat.begin_votes(wait_us=self.moved_wait_us)
+
     def forget(self):
-        self.notes = None
+        self.notes = self.recorded = None
         self.cursors = {}
         self.told = {}
         self.browsers = {}
@@ -109,7 +132,7 @@
             seat=seat.seat,
             for_seat=message["seat"],
             is_voting=seat.is_voting,
-            is_empty=seat.is_empty,
+            is_empty=seat.is_empty or seat.sealed is not None,
             incarnation=seat.incarnation,
             known=self._known_with(message["seat"]),
             start=self.start,
@@ -280,8 +303,12 @@
             or name not in self.notes
         ):
             return
-        self.cursors[name] = ""
         self.moved_us = self.node.now_us()
+        if self.recorded is not None:
+            self.cursors[name] = None
+            self.recorded.add(name)
+            return self._vote_if_recorded()
+        self.cursors[name] = ""
         self._browse(name, message["back"])
 
     def _browse(self, name, address):
@@ -291,16 +318,19 @@
             seat=self.seat.seat,
             asked=self.start,
             after=self.cursors[name],
+            since=0,
         )
 
     def hear_browse(self, message):
         """One page of what this seat holds, in the order of its keys."""
-        seat, asked, after = self.seat, message["asked"], message["after"]
-        keys = self.browsers.get(asked)
-        if keys is None or not after:
+        seat, asked, after, since = self.seat, message["asked"], message["after"], message["since"]
+        seat.leaving.note_browse(asked)
+        if asked not in self.browsers or not after:
             while len(self.browsers) >= BROWSERS_AT_MOST:
                 del self.browsers[next(iter(self.browsers))]
-            keys = self.browsers[asked] = sorted(seat.cells)
+            keys = sorted(key for key, cell in seat.cells.items() if cell.version >= since)
+            self.browsers[asked] = (keys, seat.changes)
+        keys, version = self.browsers[asked]
         place = bisect_right(keys, after)
         page = keys[place : place + PAGE]
         self.node.tell(
@@ -310,6 +340,8 @@
             start=self.start,
             asked=asked,
             after=after,
+            since=since,
+            version=version,
             last=page[-1] if len(keys) > place + PAGE else None,
             are_claims_open=seat.are_claims_open,
             cells={key: seat.cells[key].as_record()[:3] for key in page if key in seat.cells},
@@ -317,6 +349,8 @@
 
     def hear_page(self, message):
         name = message["seat"]
+        if self.seat.successor.expects(message):
+            return self.seat.successor.on_page(message)
         if (
             self.notes is None
             or message["asked"] != self.start
@@ -360,7 +394,7 @@
             seat.begin_votes()
 
         self.node.ports.disk.write(
-            {"is_partial": None, "are_claims_open": seat.are_claims_open}, vote
+            {"is_partial": None, "sealed": None, "are_claims_open": seat.are_claims_open}, vote
         )
 
     def tick(self, now_us):
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -1,7 +1,10 @@
 from collections import deque
 
+from .holders import Holders
+from .leaving import Leaving
 from .occupants import Occupants
-from .rejoin import BEGINNING, FENCED, REJOINING, SPARE, VOTING, Rejoin
+from .rejoin import BEGINNING, FENCED, LEARNING, REJOINING, SEALED, SPARE, VOTING, Rejoin
+from .successor import Successor
 
 SWEEP_US = 10_000_000
 SWEPT_AT_ONCE = 2_000
@@ -11,7 +14,7 @@
 
 
 class Cell:
-    __slots__ = ("promise", "accepted", "value", "chosen", "kept_us")
+    __slots__ = ("promise", "accepted", "value", "chosen", "kept_us", "version")
 
     def __init__(self, promise=None, accepted=None, value=None, kept_us=0):
         self.promise = promise or [0, ""]
@@ -19,6 +22,7 @@
         self.value = value
         self.chosen = None
         self.kept_us = kept_us
+        self.version = 0
 
     def as_record(self):
         return [self.promise, self.accepted, self.value, self.kept_us]
@@ -57,6 +61,11 @@
         "ticked_us",
         "is_learned",
         "occupants",
+        "changes",
+        "sealed",
+        "leaving",
+        "holders",
+        "successor",
     )
 
     OWN_KEYS = (
@@ -67,6 +76,7 @@
         "is_partial",
         "are_claims_open",
         "occupants",
+        "sealed",
     )
 
     def __init__(
@@ -95,7 +105,11 @@
         self.known = held.get("known", {})
         self.clock_us = held.get("clock_us", 0)
         self.clocked_us = now_us
-        self.is_empty = not self.incarnation or held.get("is_partial", False)
+        self.sealed = held.get("sealed")
+        self.is_empty = (
+            not self.incarnation or held.get("is_partial", False) or self.sealed is not None
+        )
+        self.changes = 0
         self.are_claims_open = held.get("are_claims_open", True)
         self.is_failing = False
         self.standing = REJOINING if self.seat else SPARE
@@ -103,6 +117,9 @@
         self.occupants = Occupants(node, self, held.get("occupants", {}))
         self.ticked_us = now_us
         self.rejoin = Rejoin(node, self)
+        self.holders = Holders(node, self)
+        self.leaving = Leaving(node, self, self.holders)
+        self.successor = Successor(node, self, held.get("offer"))
         node.hearers.update(
             prepare=self.hear_prepare, accept=self.hear_accept, chosen=self.hear_chosen
         )
@@ -131,6 +148,11 @@
                 self.claims.append((cell.kept_us, key))
         return cell
 
+    def _touch(self, cell):
+        """Count the change, so that who read this cell before is sent it again."""
+        self.changes += 1
+        cell.version = self.changes
+
     def merge(self, cells):
         """The highest of everything; answers what is to be written."""
         changed = {}
@@ -139,6 +161,7 @@
             cell.promise = max(cell.promise, promise)
             if accepted and (cell.accepted is None or accepted > cell.accepted):
                 cell.accepted, cell.value = accepted, value
+            self._touch(cell)
             changed[f"cell/{key}"] = cell.as_record()
         return changed
 
@@ -178,12 +201,12 @@
     def retire(self):
         """Back to a spare that keeps nothing which votes."""
         dropped = [
-            *self.node.ports.disk.load(),
+            *(key for key in self.node.ports.disk.load() if key != "offer"),
             *self.OWN_KEYS,
             *(f"cell/{key}" for key in self.cells),
         ]
         self.seat, self.standing, self.incarnation = "", SPARE, 0
-        self.cells, self.known = {}, {}
+        self.cells, self.known, self.sealed = {}, {}, None
         self.claims.clear()
         self.is_empty, self.is_failing, self.are_claims_open = True, False, True
         self.rejoin.forget()
@@ -193,15 +216,81 @@
         self.directory.sit("", 0)
         self.node.ports.log(1209)
 
-    def begin_votes(self, is_first=False):
+    def seal(self, successor, done):
+        """No vote under this incarnation from here on; the record says so to a later start, too."""
+        self.standing = SEALED
+        self.sealed = {**successor, "incarnation": self.incarnation}
+
+        def answer(is_kept):
+            if not is_kept:
+                self.sealed = None
+                self.resume()
+            done(is_kept)
+
+        self.node.ports.disk.write({"sealed": self.sealed}, answer)
+
+    def unseal(self):
+        """The successor never votes: this disk is whole, and goes on through an ordinary rejoin."""
+
+        def go_on(is_kept):
+            if not is_kept or self.sealed is None or self.rejoin.notes is not None:
+                return
+            self.sealed = None
+            self.is_empty = False
+            self.rejoin.begin_anew()
+
+        self.node.ports.disk.write({"sealed": None, "is_partial": None}, go_on)
+
+    def pause(self):
+        """No vote until `resume`, in this process only."""
+        self.standing = SEALED
+
+    def resume(self):
+        if self.standing == SEALED and self.sealed is None:
+            self.standing = VOTING
+
+    def take_over(self, terms, offer, done):
+        """The whole state of the sealed occupant is here: one write makes this node the next occupant."""
+        incarnation = terms["incarnation"] + 1
+        occupants = {seat: row for seat, row in terms["occupants"].items() if seat != terms["seat"]}
+        record = {
+            "seat": terms["seat"],
+            "incarnation": incarnation,
+            "known": terms["known"],
+            "clock_us": self.clock_us,
+            "are_claims_open": terms["are_claims_open"],
+            "occupants": occupants,
+            "offer": offer,
+        }
+
+        def answer(is_kept):
+            if is_kept:
+                self.seat, self.incarnation = terms["seat"], incarnation
+                self.known = dict(terms["known"])
+                self.are_claims_open = terms["are_claims_open"]
+                self.occupants.records = occupants
+            done(is_kept)
+
+        self.node.ports.disk.write(record, answer)
+
+    def begin_moved(self, wait_us):
+        """Its state is that of the sealed occupant: it needs to be recorded by the others, and no reading."""
+        self.is_empty = False
+        self.node.ports.log(1201, seat=self.seat, empty=False)
+        self.rejoin.begin_moved(wait_us)
+
+    def begin_votes(self, is_first=False, wait_us=None):
         self.is_empty = self.is_failing = False
+        self.sealed = None
         self.standing = VOTING
-        self.votes_from_us = 0 if is_first else self.node.now_us() + self.node.terms.lease_us
+        wait_us = self.node.terms.lease_us if wait_us is None else wait_us
+        self.votes_from_us = 0 if is_first else self.node.now_us() + wait_us
         if self.is_learned:
             self.directory.sit(self.seat, self.incarnation)
         self.directory.learn_seats(self.known_of_all())
         self.node.ports.log(1202, seat=self.seat, incarnation=self.incarnation)
         self.on_votes()
+        self.successor.tell_taken()
 
     def _refuse(self, message, say, why, **facts):
         self.node.tell(
@@ -285,6 +374,8 @@
         self._keep(message, "accepted", key, cell)
 
     def _keep(self, message, say, key, cell, **facts):
+        self._touch(cell)
+
         def answer(is_kept):
             if not is_kept:
                 self.is_failing = True
@@ -329,6 +420,8 @@
         self.ticked_us = now_us
         if leap_us > 0 and self.votes_from_us:
             self.votes_from_us += leap_us
+        self.leaving.tick(now_us)
+        self.successor.tick(now_us)
         if self.standing == VOTING:
             self.occupants.tick(now_us)
             newest = self.directory.seats()[self.seat][1]
@@ -337,7 +430,9 @@
             return self._sweep_claims(now_us)
         if self.standing == SPARE:
             return self.occupants.search(now_us)
-        if self.standing not in (FENCED, BEGINNING):
+        if self.sealed is not None and self.standing != SEALED:
+            self.leaving.ask_fate(now_us)
+        if self.standing not in (FENCED, BEGINNING, SEALED, LEARNING):
             self.rejoin.tick(now_us)
 
     def _sweep_claims(self, now_us):
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -48,6 +48,8 @@
         "on_drained",
         "leave_by_us",
         "unreleased",
+        "has_left_seat",
+        "rewritten",
     )
 
     def __init__(
@@ -79,6 +81,8 @@
         self.on_drained = None
         self.leave_by_us = 0
         self.unreleased = set()
+        self.has_left_seat = False
+        self.rewritten = set()
         self.ring = Ring(
             self, "registry", zone, seeds, incarnation, seat or "", mark_of=lambda: self.image.mark
         )
@@ -87,6 +91,7 @@
             self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms
         )
         self.seat.occupants.contact = contact or address
+        self.seat.holders.on_stuck = self._rewrite
         self.contacts = sorted(contacts)
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
         self.bodies = BodyStore(self, self.seat)
@@ -316,13 +321,27 @@
         self.unreleased = set(self.duties)
         for name, duty in self.duties.items():
             duty.release(lambda name=name: self._hear_released(name))
+        self.seat.leaving.begin(self._hear_left_seat)
 
     def _hear_released(self, name):
         self.unreleased.discard(name)
-        if not self.unreleased:
-            self._leave()
+        self._leave()
+
+    def _hear_left_seat(self):
+        self.has_left_seat = True
+        self._leave()
+
+    def _rewrite(self, key):
+        """Its value goes to a majority under a higher ballot."""
+        if key in self.rewritten:
+            return
+        self.rewritten.add(key)
+        self.proposer.read(key, lambda outcome, value: self.rewritten.discard(key))
 
     def _leave(self):
+        """Once the seat is left and the duties are released, or had their time for it."""
+        if not self.has_left_seat or self.unreleased and self.now_us() < self.leave_by_us:
+            return
         on_drained, self.on_drained = self.on_drained, None
         if on_drained is None:
             return
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -15,6 +15,8 @@
     1207: ("info", "genesis plan taken from a router's image"),
     1208: ("info", "keys won before this core began were told; claims are granted"),
     1209: ("info", "node waits as a spare for a vacant seat"),
+    1210: ("info", "member leaves and offers its seat to a spare"),
+    1211: ("info", "spare reads the state of a leaving member"),
     1301: ("info", "plan chosen"),
     1302: ("warning", "plan put conflicted"),
     1303: ("warning", "plan put ended without a majority"),
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,339 @@
+"""Members that leave in order: a hand-over to a spare, and a departure without one, with losses at
+each step."""
+
+import pytest
+
+from linkhaven.register.leaving import LeavingState
+from linkhaven.stage.core import SimCore
+
+SECOND = 1_000_000
+STEP = 10_000
+PLAN = {
+    "groups": {"g": {}},
+    "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}},
+}
+
+
+def started(seed, seats=3, spares=(), **terms):
+    core = SimCore(seed, seats=seats, **terms).bootstrap(3, seats - 3)
+    assert core.wait_voting(seats, 10 * SECOND), core.voting()
+    for name in spares:
+        core.add(name).start()
+    core.world.run_for(2 * SECOND)
+    return core
+
+
+def acked(core, base, revision, name=None):
+    trouble, value = core.put(base, revision, f"text {revision}", PLAN, name)[0]
+    assert trouble is None, trouble
+    assert value["revision"] == revision
+
+
+def held(core, name=None):
+    trouble, value = core.read(name)
+    assert trouble is None, trouble
+    return value["revision"]
+
+
+def leave(core, name):
+    """SIGTERM: the process ends 200 ms after it says that it is drained; answers when that was."""
+    host, told = core.machines[name], []
+    epoch = host.epoch
+
+    def end():
+        told.append(core.world.now_us)
+        core.world.after(200_000, lambda: host.kill() if host.epoch == epoch else None)
+
+    host.node.drain(end)
+    return told
+
+
+def voters(core):
+    return [
+        (host.node.seat.seat, name)
+        for name, host in core.machines.items()
+        if host.node and not host.is_frozen and host.node.seat.is_voting
+    ]
+
+
+def is_sole(core):
+    seats = [seat for seat, _ in voters(core)]
+    return len(seats) == len(set(seats))
+
+
+def run_soundly(core, span_us):
+    """No seat is ever voted on by two."""
+    end_us = core.world.now_us + span_us
+    while core.world.now_us < end_us:
+        core.world.run_for(STEP)
+        assert is_sole(core), voters(core)
+
+
+def standings(core):
+    return {
+        name: (host.node.seat.seat, host.node.seat.standing, host.node.seat.leaving.state.value)
+        for name, host in core.machines.items()
+        if host.node
+    }
+
+
+@pytest.mark.parametrize("seats", [3, 5])
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_a_leaving_member_votes_until_its_successor_does(seed, seats):
+    core = started(seed, seats, ["core-9"])
+    acked(core, 0, 3)
+    told = leave(core, "core-2")
+    began_us, fewest = core.world.now_us, seats
+    without_us = 0
+    while not told:
+        core.world.run_for(1_000)
+        assert is_sole(core)
+        fewest = min(fewest, len(voters(core)))
+        without_us += 1_000 if len(voters(core)) < seats else 0
+    assert core.voting()["b"] == "core-9", standings(core)
+    assert fewest >= seats - 1
+    assert without_us <= 50_000
+    assert told[0] - began_us <= SECOND
+    core.world.run_for(SECOND)
+    assert len(core.voting()) == seats
+    assert held(core, "core-9") == 3
+
+
+@pytest.mark.parametrize("seed", range(1, 7))
+def test_a_member_that_leaves_right_after_a_loss_leaves_a_majority(seed):
+    """One member is lost for good; before its seat is taken another leaves, and the spare takes
+    that one's seat."""
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 3)
+    core.machines["core-3"].kill()
+    core.world.run_for(core.world.dice.randrange(600_000))
+    told = leave(core, "core-2")
+    assert core.world.wait_for(lambda: told, 8 * SECOND)
+    core.world.run_for(SECOND)
+    assert core.machines["core-2"].node is None
+    assert held(core) == 3
+    acked(core, 3, 5, "core-9")
+
+
+@pytest.mark.parametrize("seats", [3, 5])
+@pytest.mark.parametrize("step_ms", [0, 2, 5, 10, 20, 30, 40, 60, 80, 120, 200, 400])
+@pytest.mark.parametrize("lost", ["core-1", "core-2", "core-9"])
+def test_any_loss_at_any_step_of_a_hand_over_leaves_an_answer(step_ms, lost, seats):
+    core = started(step_ms + seats, seats, ["core-9"])
+    acked(core, 0, 3)
+    leave(core, "core-2")
+    core.world.run_for(step_ms * 1_000)
+    core.machines[lost].kill()
+    run_soundly(core, SECOND)
+    assert held(core, "core-3") == 3
+    acked(core, 3, 5, "core-3")
+    run_soundly(core, 6 * SECOND)
+    acked(core, 5, 6, "core-3")
+    assert held(core, "core-3") == 6
+
+
+@pytest.mark.parametrize("step_ms", [0, 5, 10, 20, 30, 40, 60, 100])
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_whole_core_killed_in_a_hand_over_votes_again_with_what_was_acknowledged(seed, step_ms):
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 3)
+    leave(core, "core-2")
+    core.world.run_for(step_ms * 1_000 + seed)
+    for host in core.machines.values():
+        host.kill()
+    for host in core.machines.values():
+        core.world.after(core.world.dice.randrange(500_000), host.start)
+    run_soundly(core, 4 * SECOND)
+    assert len(core.voting()) >= 2, standings(core)
+    assert held(core) == 3
+    run_soundly(core, 8 * SECOND)
+    assert len(core.voting()) == 3, standings(core)
+    acked(core, 3, 4)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_the_successor_holds_what_was_accepted_while_it_learned(seed):
+    """Orders go on at every moment of the hand-over; after it the two that stayed lose one."""
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 1)
+    told = leave(core, "core-2")
+    revision, attempts = 1, 0
+    while not told and attempts < 400:
+        attempts += 1
+        answer = core.put(
+            revision, revision + 1, f"text {revision + 1}", PLAN, "core-1", wait=False
+        )
+        assert core.world.wait_for(lambda answer=answer: answer, 5 * SECOND, 1_000)
+        trouble, value = answer[0]
+        assert trouble is None, trouble
+        revision = value["revision"]
+    assert told
+    core.machines["core-1"].kill()
+    assert held(core, "core-9") == revision
+    acked(core, revision, revision + 1, "core-9")
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_what_only_the_leaver_and_one_other_hold_is_with_the_successor(seed):
+    """The order comes after the successor's first page and before the seal; then that other is
+    lost."""
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 3)
+    core.world.cut(["core-3"], ["core-1", "core-2", "core-9"])
+    core.world.slow.update({("core-2", "core-9"): 100_000, ("core-9", "core-2"): 100_000})
+    told = leave(core, "core-2")
+    successor = core.machines["core-9"].node.seat
+    assert core.world.wait_for(lambda: successor.cells, 2 * SECOND, 1_000)
+    acked(core, 3, 4, "core-1")
+    assert core.machines["core-2"].node.seat.leaving.state == LeavingState.OFFERING
+    assert core.world.wait_for(lambda: told, 4 * SECOND, 1_000)
+    core.world.links.clear()
+    core.world.heal()
+    assert core.machines["core-3"].node.seat.cell("plan").value["revision"] == 3
+    core.machines["core-1"].kill()
+    assert held(core, "core-3") == 4
+
+
+def test_five_members_are_exchanged_one_after_the_other_while_orders_go_on():
+    core = started(3, 5, [f"core-{number}" for number in (11, 12, 13, 14, 15)])
+    acked(core, 0, 1)
+    revision = 1
+    for number in range(1, 6):
+        told = leave(core, f"core-{number}")
+        while not told:
+            revision += 1
+            acked(core, revision - 1, revision, f"core-{10 + number}")
+            assert is_sole(core)
+    core.world.run_for(SECOND)
+    assert {name for _, name in voters(core)} == {f"core-{number}" for number in range(11, 16)}
+    assert held(core, "core-15") == revision
+
+
+def sealed_at(core, leaver):
+    """Run to the moment at which the seal is synced and the successor hasn't the rest."""
+    node = core.machines[leaver].node
+    assert core.world.wait_for(
+        lambda: node.seat.leaving.state == LeavingState.SEALED, 3 * SECOND, 100
+    )
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_sealed_member_that_starts_again_counts_as_one_without_a_disk(seed):
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 3)
+    leave(core, "core-2")
+    sealed_at(core, "core-2")
+    core.machines["core-2"].kill()
+    core.machines["core-9"].freeze()
+    core.machines["core-2"].start()
+    seat = core.machines["core-2"].node.seat
+    assert seat.sealed is not None
+    assert seat.is_empty
+    core.machines["core-9"].wake()
+    run_soundly(core, 6 * SECOND)
+    assert len(core.voting()) == 3, standings(core)
+    assert held(core) == 3
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_sealed_disk_is_good_again_once_the_successor_says_that_it_never_took_the_seat(seed):
+    """Whole core killed right after the seal, another disk lost: the sealed disk is one of the two
+    that are left."""
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 3)
+    leave(core, "core-2")
+    sealed_at(core, "core-2")
+    for host in core.machines.values():
+        host.kill()
+    core.machines["core-1"].disk.wipe()
+    for host in core.machines.values():
+        host.start()
+    run_soundly(core, 4 * SECOND)
+    assert len(core.voting()) == 3, standings(core)
+    assert held(core) == 3
+
+
+def test_a_successor_that_gave_up_never_takes_the_seat_later():
+    core = started(5, 3, ["core-9"])
+    acked(core, 0, 3)
+    node = core.machines["core-9"].node
+    leave(core, "core-2")
+    sealed_at(core, "core-2")
+    old = core.machines["core-2"].node.seat
+    core.world.cut(["core-2"], ["core-9"])
+    core.world.run_for(2 * SECOND)
+    assert node.seat.successor.offer["is_taken"] is False
+    core.world.heal()
+    run_soundly(core, 3 * SECOND)
+    assert node.seat.successor.offer["id"] != (old.sealed or {}).get("id") or old.sealed is None
+    assert len(core.voting()) == 3, standings(core)
+    assert held(core) == 3
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_two_that_leave_at_once_with_one_spare_leave_a_majority(seed):
+    core = started(seed, 5, ["core-9"])
+    acked(core, 0, 3)
+    told = [leave(core, name) for name in ("core-2", "core-4")]
+    assert core.world.wait_for(lambda: all(told), 12 * SECOND)
+    run_soundly(core, 2 * SECOND)
+    assert len(core.voting()) >= 4, standings(core)
+    assert held(core) == 3
+
+
+@pytest.mark.parametrize("seed", range(1, 5))
+def test_without_a_spare_the_others_hold_all_before_a_member_leaves(seed):
+    """What was chosen by it and one other is with both others when it is gone; then that other
+    loses its disk."""
+    core = started(seed, 3)
+    core.world.cut(["core-3"], ["core-1", "core-2"])
+    acked(core, 0, 3, "core-2")
+    core.world.links.clear()
+    core.world.heal()
+    assert core.machines["core-3"].node.seat.cell("plan").value is None
+    told = leave(core, "core-2")
+    assert core.world.wait_for(lambda: told, 3 * SECOND, STEP)
+    cell = core.machines["core-3"].node.seat.cell("plan")
+    assert cell.value["revision"] == 3
+    core.world.run_for(SECOND)
+    assert held(core, "core-3") == 3
+
+
+def test_without_a_spare_it_stays_while_no_majority_remains_and_goes_at_the_bound():
+    core = started(1, 3, drain_us=5 * SECOND)
+    acked(core, 0, 3)
+    core.machines["core-3"].kill()
+    began_us = core.world.now_us
+    told = leave(core, "core-2")
+    core.world.run_for(3 * SECOND)
+    assert not told
+    acked(core, 3, 4, "core-1")
+    core.machines["core-3"].start()
+    assert core.world.wait_for(lambda: told, 2 * SECOND, STEP), standings(core)
+    core.world.run_for(SECOND)
+    acked(core, 4, 5, "core-3")
+    told = leave(core, "core-3")
+    began_us = core.world.now_us
+    assert core.world.wait_for(lambda: told, 6 * SECOND, STEP)
+    assert told[0] - began_us <= 5 * SECOND + STEP
+
+
+def test_a_whole_core_that_is_stopped_at_once_stops_at_once():
+    core = started(2, 5)
+    acked(core, 0, 3)
+    told = [leave(core, name) for name in list(core.machines)]
+    assert core.world.wait_for(lambda: all(told), 2 * SECOND), standings(core)
+
+
+@pytest.mark.parametrize("seed", range(1, 6))
+def test_a_spare_that_comes_while_a_member_waits_to_leave_is_its_successor(seed):
+    core = started(seed, 3)
+    acked(core, 0, 3)
+    core.machines["core-3"].kill()
+    told = leave(core, "core-2")
+    core.world.run_for(SECOND)
+    core.add("core-9").start()
+    assert core.world.wait_for(lambda: told, 5 * SECOND, STEP), standings(core)
+    core.world.run_for(SECOND)
+    assert held(core, "core-9") == 3
+    acked(core, 3, 4, "core-9")
