A member that hears no majority answers within 0.6 s and calls nothing current

Cause: an order or a read at a member that was cut off was answered after the proposer's whole deadline of 2 s, though its sender moves on after 1 s of silence; and such a member went on telling routers that its plan was current, for as long as the cut lasted, since it had heard of no newer one. Also: the 400 ms of a shot counted over both rounds, so that on links with more than 200 ms there and back no order was ever chosen. Ruled out: a wrong confirmation or a 4xx from such a member; none was seen before either.

--- a/packages/clockwork/src/linkhaven/clockwork/terms.py
+++ b/packages/clockwork/src/linkhaven/clockwork/terms.py
@@ -7,7 +7,10 @@
     seat must be gone before a newcomer takes the seat. `linger_us`: how long a stopping router still takes new
     work. `body_wait_us`: how long a router waits for a plan's body from the nearest seat after another has told of
     it. `orders_after_us`: how long after winning its duty a holder waits before its first order. `seats`: how
-    many core seats there are (2f + 1). `bootstrap`: this is the first start of the whole system, on empty disks."""
+    many core seats there are (2f + 1). `silent_us`: how long an order or a read at a registry waits for a majority
+    that says nothing; shorter than its sender's patience. `contact_us`: how old a core member's last answer from a
+    majority may be while it still calls its plan current. `bootstrap`: this is the first start of the whole system,
+    on empty disks."""
 
     __slots__ = (
         "plan_stale_us",
@@ -30,6 +33,8 @@
         "orders_after_us",
         "hold_share",
         "retry_least_us",
+        "silent_us",
+        "contact_us",
     )
 
     DEFAULTS = {
@@ -53,6 +58,8 @@
         "orders_after_us": 0,
         "hold_share": None,
         "retry_least_us": 1_000_000,
+        "silent_us": 600_000,
+        "contact_us": 1_500_000,
     }
 
     def __init__(self, **given):
--- a/packages/plan/src/linkhaven/plan/desk.py
+++ b/packages/plan/src/linkhaven/plan/desk.py
@@ -19,6 +19,7 @@
 KEY = "plan"
 SHOWN = ("mark", "put_id", "plan", "document", "revision", "overlay")
 GATHER_TRIES = 3
+RETRY_US = 1_000_000
 
 
 def _with(plan, part, entries):
@@ -92,13 +93,13 @@
     if outcome == "stopped":
         return value
     if outcome == "unknown":
-        return Trouble("put_unknown", put_id=put_id)
-    return Trouble("core_unready", retry_us=1_000_000, why=value)
+        return Trouble("put_unknown", retry_us=RETRY_US, put_id=put_id)
+    return Trouble("core_unready", retry_us=RETRY_US, why=value)
 
 
 def lacking_body():
     return Trouble(
-        "core_unready", done="no", retry_us=1_000_000, why="no seat gave the body of the plan"
+        "core_unready", done="no", retry_us=RETRY_US, why="no seat gave the body of the plan"
     )
 
 
@@ -204,7 +205,7 @@
 
         def end(outcome, value):
             if outcome != "chosen":
-                return done(Trouble("core_unready", done="no", retry_us=1_000_000, why=value), None)
+                return done(Trouble("core_unready", done="no", retry_us=RETRY_US, why=value), None)
             if value is None:
                 return done(None, None)
             self.bodies.gather(value, lambda is_held: show(is_held, value))
--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -40,6 +40,7 @@
         "is_reading",
         "read_us",
         "asked_us",
+        "has_contact",
     )
 
     def __init__(self, node, seat, proposer, image, bodies):
@@ -54,6 +55,7 @@
         self.is_reading = False
         self.read_us = 0
         self.asked_us = node.now_us()
+        self.has_contact = lambda: True
         node.hearers["ask"] = self.hear_ask
         node.systems.append(self.tick)
 
@@ -77,6 +79,10 @@
         return value["mark"] if value else 0
 
     def is_current(self):
+        """Whether what this seat holds may be handed out: it is the newest known, and a majority was heard lately."""
+        return self._is_newest_known() and self.has_contact()
+
+    def _is_newest_known(self):
         return (
             self.seat.is_voting
             and self.seat.is_known_chosen(KEY)
@@ -132,7 +138,7 @@
         }
 
     def tick(self, now_us):
-        if not self.is_current() and self.seat.is_voting:
+        if not self._is_newest_known() and self.seat.is_voting:
             self._read(now_us)
         for ask in list(self.asks.values()):
             if now_us >= ask.until_us:
--- /dev/null
+++ b/packages/registry/src/linkhaven/registry/contact.py
@@ -0,0 +1,79 @@
+"""A core member's contact with a majority: without it, it calls nothing that it holds current.
+
+| message | to | says |
+| --- | --- | --- |
+| `contact_ask` | every other seat, three times in `contact_us` | when it asked, by its own clock |
+| `contact` | who asked | this seat votes, its incarnation, the newest mark known chosen |
+
+Invariant: `is_held` only while a majority of voting seats, this one among them, has answered asks
+that were sent within `contact_us` (`tests/test_control_cuts.py`). Time is the asker's own,
+counted from the sending, so neither a slow answer nor another's clock makes old contact look
+new."""
+
+ASKS_IN_A_BOUND = 3
+
+
+class Contact:
+    """Asks the other seats at a steady pace and remembers as of when a majority answered."""
+
+    __slots__ = ("node", "seat", "directory", "image", "answered_us", "asked_us")
+
+    def __init__(self, node, seat, directory, image):
+        """Hear and answer from the start; ask only while this seat votes."""
+        self.node = node
+        self.seat = seat
+        self.directory = directory
+        self.image = image
+        self.answered_us = {}
+        self.asked_us = None
+        node.hearers.update(contact_ask=self.hear_ask, contact=self.hear_answer)
+        node.systems.append(self.tick)
+
+    def is_held(self):
+        """Whether a majority answered what was asked within the bound."""
+        since_us = self.node.now_us() - self.node.terms.contact_us
+        heard = sum(sent_us >= since_us for sent_us in self.answered_us.values())
+        return heard + 1 >= self.seat.majority
+
+    def hear_ask(self, message):
+        """Only a seat that votes is contact: what others hold may be old."""
+        if not self.seat.is_voting:
+            return
+        self.directory.learn_seats(message["known"])
+        self.node.tell(
+            message["back"],
+            "contact",
+            seat=self.seat.seat,
+            incarnation=self.seat.incarnation,
+            known=self.seat.known_of_all(),
+            sent_us=message["sent_us"],
+            mark=self.image.mark,
+        )
+
+    def hear_answer(self, message):
+        """An older occupant of a seat is no contact."""
+        self.directory.learn_seats(message["known"])
+        known = self.directory.seats().get(message["seat"])
+        if known is None or known[1] > message["incarnation"] or message["seat"] == self.seat.seat:
+            return
+        self.image.hear_mark(message["mark"])
+        held_us = self.answered_us.get(message["seat"], message["sent_us"])
+        self.answered_us[message["seat"]] = max(held_us, message["sent_us"])
+
+    def tick(self, now_us):
+        """Ask while this seat votes; a seat that stopped voting has no contact."""
+        if not self.seat.is_voting:
+            self.answered_us = {}
+            self.asked_us = None
+            return
+        pace_us = self.node.terms.contact_us // ASKS_IN_A_BOUND
+        if self.asked_us is not None and now_us - self.asked_us < pace_us:
+            return
+        self.asked_us = now_us
+        self._ask(now_us)
+
+    def _ask(self, now_us):
+        known = self.seat.known_of_all()
+        for seat, (address, _) in self.directory.seats().items():
+            if seat != self.seat.seat:
+                self.node.tell(address, "contact_ask", sent_us=now_us, known=known)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -7,6 +7,7 @@
 from linkhaven.runner import RunnerDesk
 from linkhaven.schema import Trouble
 
+from .contact import Contact
 from .gate import KeyGate
 from .keeper import RosterKeeper
 from .steward import Steward
@@ -50,6 +51,7 @@
         "unreleased",
         "has_left_seat",
         "rewritten",
+        "contact",
     )
 
     def __init__(
@@ -86,7 +88,7 @@
         self.ring = Ring(
             self, "registry", zone, seeds, incarnation, seat or "", mark_of=lambda: self.image.mark
         )
-        self.proposer = Proposer(self, self.ring)
+        self.proposer = Proposer(self, self.ring, silent_us=self.terms.silent_us)
         self.seat = Seat(
             self, seat, seats, self.ring, self._hear_change, self._hear_votes, self._claim_terms
         )
@@ -96,7 +98,9 @@
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
         self.bodies = BodyStore(self, self.seat)
         self.plan_desk = PlanDesk(self, self.proposer, self.bodies, self.image)
+        self.contact = Contact(self, self.seat, self.ring, self.image)
         self.news = NewsDesk(self, self.seat, self.proposer, self.image, self.bodies)
+        self.news.has_contact = self.contact.is_held
         self.desk = desk_of(self)
         self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in DUTIES}
         for duty in self.duties.values():
--- a/packages/stage/src/linkhaven/stage/world.py
+++ b/packages/stage/src/linkhaven/stage/world.py
@@ -13,6 +13,7 @@
 STALLED_AT_MOST = 200
 SYNC_US = 1_000
 DUTY_WON, SHUT = 1401, 2002
+SILENT, RESET, REFUSAL = "silent", "reset", "refusal"
 
 
 class World:
@@ -25,6 +26,7 @@
         "serial",
         "hosts",
         "cuts",
+        "cut_how",
         "slow",
         "links",
         "record",
@@ -40,6 +42,7 @@
         self.serial = 0
         self.hosts = {}
         self.cuts = set()
+        self.cut_how = {}
         self.slow = {}
         self.links = {}
         self.record = []
@@ -78,16 +81,28 @@
     def is_cut(self, source, target):
         return (source.name, target.name) in self.cuts
 
-    def cut(self, names, others, both=True):
+    def cut(self, names, others, both=True, how=SILENT):
+        """Cut links off. `how`: SILENT holds back what is sent until the links are joined again, as a network does
+        that answers nothing; RESET loses it and what was on its way; REFUSAL loses what is sent from now on."""
         for name in names:
             for other in others:
                 if name != other:
-                    self.cuts.add((name, other))
+                    self._cut_one_way(name, other, how)
                     if both:
-                        self.cuts.add((other, name))
+                        self._cut_one_way(other, name, how)
+
+    def _cut_one_way(self, source, target, how):
+        self.cuts.add((source, target))
+        self.cut_how[(source, target)] = how
+
+    def how_cut(self, source, target):
+        """How the link from one host to another is cut."""
+        return self.cut_how.get((source.name, target.name), SILENT)
 
     def heal(self):
+        """Join all links; what silent ones held back arrives."""
         self.cuts.clear()
+        self.cut_how.clear()
         self.slow.clear()
         for link in list(self.links.values()):
             link.flush()
@@ -119,6 +134,8 @@
 
     def send(self, deed, is_bounded=False):
         if self.world.is_cut(self.source, self.target):
+            if self.world.how_cut(self.source, self.target) != SILENT:
+                return
             if not is_bounded or len(self.stalled) < STALLED_AT_MOST:
                 self.stalled.append(deed)
             return
@@ -127,10 +144,13 @@
         world.at(self.last_us, lambda: self.arrive(deed))
 
     def arrive(self, deed):
-        if self.world.is_cut(self.source, self.target):
+        if not self.world.is_cut(self.source, self.target):
+            return self.target.do(deed)
+        how = self.world.how_cut(self.source, self.target)
+        if how == SILENT:
             self.stalled.append(deed)
-            return
-        self.target.do(deed)
+        elif how == REFUSAL:
+            self.target.do(deed)
 
     def flush(self):
         stalled, self.stalled = self.stalled, deque()
--- /dev/null
+++ b/tests/test_control_cuts.py
@@ -0,0 +1,230 @@
+"""Point 1 of docs/control.md: a core member that is cut off from the others for twenty seconds."""
+
+import pytest
+
+from linkhaven.clockwork import Terms
+from linkhaven.duty import Duty
+from linkhaven.register import Proposer
+from linkhaven.registry.contact import Contact
+from linkhaven.router import RouterNode
+from linkhaven.stage.core import SimCore
+from linkhaven.stage.cutcourse import (
+    ANY,
+    BOTH,
+    HOLDER,
+    IN,
+    LAST_TO_ACT,
+    OUT,
+    PLAN,
+    CutCourse,
+)
+from linkhaven.stage.orders import TAKEN, UNCLEAR, History
+from linkhaven.stage.world import REFUSAL, RESET, SILENT, Host
+
+SECOND = 1_000_000
+TICK_US = 50_000
+ROUND_US = 20_000
+WHO = (ANY, LAST_TO_ACT, HOLDER)
+CASES = [
+    (seats, direction, how, WHO[(place + seats) % 3])
+    for seats in (3, 5)
+    for place, (direction, how) in enumerate(
+        (direction, how) for direction in (BOTH, OUT, IN) for how in (SILENT, RESET, REFUSAL)
+    )
+]
+
+
+def breaches(course):
+    """What the course shows that may not be, by name; empty where all holds."""
+    history = History(course.operators.calls)
+    terms = Terms()
+    late = terms.silent_us + 2 * TICK_US
+    cut = course.while_cut(history.calls)
+    first, *later = cut
+    held_until_us = course.cut_us + terms.lease_us + TICK_US
+    current_until_us = course.cut_us + terms.contact_us + TICK_US
+    back_by_us = course.joined_us + terms.contact_us
+    while_cut = [sample for sample in course.samples if sample.at_us < course.joined_us]
+    found = {
+        **history.breaches(),
+        "confirmed": [
+            told for told in cut if told.outcome == TAKEN and told.ended_us > held_until_us
+        ],
+        "not_unclear": [told for told in cut if told.outcome != UNCLEAR],
+        "late": [told for told in (first, *later) if told.ended_us - told.sent_us > late],
+        "late_though_known": [
+            told
+            for told in later[2:]
+            if told.ended_us - told.sent_us > terms.silent_us // 3 + 2 * TICK_US
+        ],
+        "refused_though_right": history.refused_though_right(course.newest),
+        "current": [s.at_us for s in while_cut if s.is_current and s.at_us > current_until_us],
+        "duties": [s.at_us for s in while_cut if s.duties and s.at_us > held_until_us],
+        "not_back": [
+            s.at_us
+            for s in course.samples
+            if s.at_us > back_by_us and not (s.is_current and s.revision >= course.newest)
+        ],
+    }
+    return {name: what for name, what in found.items() if what}
+
+
+@pytest.mark.parametrize("seats, direction, how, who", CASES)
+def test_a_member_cut_off_confirms_nothing_refuses_nothing_and_answers_at_once(
+    seats, direction, how, who
+):
+    course = CutCourse(seats + len(how), seats, who, direction, how).run(who)
+    assert breaches(course) == {}
+    history = History(course.operators.calls)
+    others = [told for told in history.orders(TAKEN) if told.member != course.lone]
+    assert len(others) >= 6
+    assert [told.revision for told in history.reads(TAKEN)[-seats:]] == [course.newest] * seats
+
+
+def confirm_alone(monkeypatch):
+    cut = CutCourse._cut
+
+    def cut_and_forget_the_majority(self):
+        cut(self)
+        self.core.machines[self.lone].node.proposer.majority = 1
+
+    monkeypatch.setattr(CutCourse, "_cut", cut_and_forget_the_majority)
+
+
+def wait_for_the_deadline(monkeypatch):
+    monkeypatch.setattr(Proposer, "_silent_bound_us", lambda self: None)
+
+
+def forget_that_nobody_answered(monkeypatch):
+    monkeypatch.setattr(Proposer, "_silent_bound_us", lambda self: self.silent_us)
+
+
+def serve_without_contact(monkeypatch):
+    monkeypatch.setattr(Contact, "is_held", lambda self: True)
+
+
+def forget_grants(monkeypatch):
+    monkeypatch.setattr(Duty, "is_held", lambda self: self.fence is not None)
+    monkeypatch.setattr(Duty, "_lapse", lambda self: None)
+
+
+@pytest.mark.parametrize(
+    "sabotage, breach",
+    [
+        (confirm_alone, "not_unclear"),
+        (wait_for_the_deadline, "late"),
+        (forget_that_nobody_answered, "late_though_known"),
+        (serve_without_contact, "current"),
+        (forget_grants, "duties"),
+    ],
+)
+def test_each_mechanism_of_a_cut_is_needed(monkeypatch, sabotage, breach):
+    sabotage(monkeypatch)
+    assert breach in breaches(CutCourse(4, 3, HOLDER, BOTH, SILENT).run(HOLDER))
+
+
+def add_router(core, name, terms):
+    """A router that knows every core member, and may not reach them."""
+    seeds = [host.address for host in core.machines.values()]
+
+    def build(host, ports):
+        return RouterNode(
+            host.name, host.address, ports, host.zone, seeds, host.starts, terms=terms
+        )
+
+    return Host(core.world, name, "z", f"10.1.0.{len(core.world.hosts)}:7000", build)
+
+
+def core_with_plan(seats, seed=1):
+    core = SimCore(seed, seats=seats).bootstrap(3, seats - 3)
+    assert core.wait_voting(seats)
+    core.world.run_for(3 * SECOND)
+    assert core.put(0, 4, "text", PLAN)[0][0] is None
+    core.world.run_for(SECOND)
+    return core
+
+
+def meet_a_fresh_router(seats):
+    """The router hears a member that is cut off, and no other; answers the router's node, then
+    the core."""
+    core = core_with_plan(seats)
+    others = [name for name in core.machines if name != "core-1"]
+    core.world.cut(["core-1"], others)
+    assert core.put(4, 9, "later", PLAN, "core-2")[0][0] is None
+    core.world.run_for(Terms().contact_us)
+    router = add_router(core, "edge-1", Terms(plan_stale_us=None, seats=seats))
+    core.world.cut(["edge-1"], others)
+    router.start()
+    core.world.run_for(15 * SECOND)
+    return router.node, core
+
+
+@pytest.mark.parametrize("seats", [3, 5])
+def test_a_fresh_router_is_not_given_an_old_configuration_by_a_member_that_is_cut_off(seats):
+    router, core = meet_a_fresh_router(seats)
+    assert (router.image.plan, router.is_ready()) == (None, False)
+    core.world.heal()
+    assert core.world.wait_for(lambda: router.image.mark == 2, 2 * SECOND, TICK_US)
+
+
+def test_without_contact_a_fresh_router_is_given_an_old_configuration(monkeypatch):
+    serve_without_contact(monkeypatch)
+    router, _ = meet_a_fresh_router(3)
+    assert router.image.mark == 1
+
+
+@pytest.mark.parametrize("direction", [BOTH, OUT, IN])
+@pytest.mark.parametrize("stale_us", [None, 1_500_000])
+def test_a_router_cut_off_from_the_core_goes_on_or_closes_as_its_terms_say(stale_us, direction):
+    core = core_with_plan(3)
+    router = add_router(core, "edge-1", Terms(plan_stale_us=stale_us))
+    router.start()
+    assert core.world.wait_for(lambda: router.node.news.is_fresh(), 5 * SECOND, TICK_US)
+    names = list(core.machines)
+    if direction in (BOTH, OUT):
+        core.world.cut(["edge-1"], names, both=False)
+    if direction in (BOTH, IN):
+        core.world.cut(names, ["edge-1"], both=False)
+    core.world.run_for(SECOND)
+    assert core.put(4, 9, "later", PLAN)[0][0] is None
+    core.world.run_for((stale_us or 20 * SECOND) + 2 * TICK_US)
+    assert router.node.news.is_fresh() == (stale_us is None)
+    assert router.node.image.mark == 1
+    core.world.heal()
+    assert core.world.wait_for(lambda: router.node.image.mark == 2, SECOND, TICK_US)
+    assert core.world.wait_for(lambda: router.node.news.is_fresh(), SECOND, TICK_US)
+
+
+def test_links_on_which_both_rounds_take_longer_than_a_shot_still_carry_an_order():
+    core = core_with_plan(3)
+    for one in core.machines:
+        for other in core.machines:
+            if one != other:
+                core.world.slow[(one, other)] = 120_000
+    assert core.put(4, 9, "later", PLAN, "core-1")[0][0] is None
+
+
+def test_a_slow_answer_is_no_silence_and_shows_that_a_majority_can_be_reached():
+    core = core_with_plan(3)
+    names = list(core.machines)
+    core.world.cut(["core-1"], names)
+    assert core.put(4, 9, "later", PLAN, "core-1")[0][0].code == "core_unready"
+    core.world.heal()
+    for name in names[1:]:
+        core.world.slow[("core-1", name)] = core.world.slow[(name, "core-1")] = 100_000
+    proposer = core.machines["core-1"].node.proposer
+    assert proposer.is_cut_off
+    core.put(4, 9, "later", PLAN, "core-1")
+    assert core.world.wait_for(lambda: not proposer.is_cut_off, SECOND, TICK_US)
+    assert core.put(4, 9, "later", PLAN, "core-1")[0][0] is None
+
+
+def test_a_member_that_slept_through_the_bound_hears_the_answers_that_wait():
+    core = core_with_plan(3)
+    host = core.machines["core-1"]
+    told = core.put(4, 9, "later", PLAN, "core-1", wait=False)
+    host.freeze()
+    core.world.run_for(SECOND)
+    host.wake()
+    core.world.run_for(SECOND)
+    assert told and told[0][0] is None
