--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/explore/adapter.py
@@ -0,0 +1,258 @@
+"""The only module of the explorer that touches the insides of the real nodes: how one is built, what its
+messages say, how it is asked, and what it holds. A rename in the nodes is followed here."""
+
+from linkhaven.clockwork import Node, Terms
+from linkhaven.duty import Duty
+from linkhaven.plan import PlanDesk, PlanImage
+from linkhaven.register import Proposer, Seat
+from linkhaven.registry import RegistryNode
+from linkhaven.ring import Ring
+
+SEATS = ("a", "b", "c", "d", "e")
+PLAN = {
+    "groups": {"g": {}},
+    "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}},
+}
+DUTY = "roster"
+DUTY_WON = 1401
+PLAN_KEY = "plan"
+VOTES = {"promise": False, "accepted": True}
+REFUSED_CODES = ("revision_conflict", "revision_old")
+UNCLEAR_CODE = "put_unknown"
+SKIPPED = frozenset(("ports", "terms", "hearers", "paths", "systems", "on_hear", "on_late", "dice"))
+
+
+class Vote:
+    """A yes of a seat, as it leaves it."""
+
+    __slots__ = ("seat", "epoch", "change", "ballot", "is_accept")
+
+    def __init__(self, seat, epoch, change, ballot, is_accept):
+        self.seat = seat
+        self.epoch = epoch
+        self.change = change
+        self.ballot = ballot
+        self.is_accept = is_accept
+
+
+class CoreNode(Node):
+    """The register alone: proposer, acceptor with its rejoin, operators' desk and one duty, all real. The ring
+    only says who has which seat: it judges nobody, as its timers aren't called."""
+
+    __slots__ = ("ring", "proposer", "seat", "image", "plan_desk", "duty")
+
+    def __init__(self, name, address, ports, terms, has_duty, contacts):
+        super().__init__(name, address, ports, terms)
+        self.ring = Ring(self, "registry", "z", [], ports.clock.now_us() + ports.clock.start)
+        self.systems.remove(self.ring.tick)
+        self.proposer = Proposer(self, self.ring)
+        seats = SEATS[: terms.seats]
+        self.seat = Seat(self, None, seats, self.ring, lambda key: None, self._hear_votes)
+        self.seat.occupants.contact = address
+        self.image = PlanImage()
+        self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
+        self.duty = Duty(self, DUTY, self.proposer, self.seat) if has_duty else None
+        if contacts and self.seat.is_empty and not self.seat.seat:
+            self.seat.begin_first(seats[contacts.index(address)], contacts)
+
+    def _hear_votes(self):
+        if self.duty is not None and not self.seat.votes_from_us:
+            self.duty.stand_free()
+
+
+def build_core(seats, has_duty, contacts):
+    """Builds the register alone, the whole of it at its first start."""
+    begun = set()
+
+    def build(machine, ports):
+        is_first = machine.address in contacts and machine.address not in begun
+        begun.add(machine.address)
+        terms = Terms(seats=seats)
+        node = CoreNode(
+            machine.name, machine.address, ports, terms, has_duty, contacts if is_first else ()
+        )
+        introduce(machine, node)
+        return node
+
+    return build
+
+
+def introduce(machine, node):
+    """What hellos would bring about: who starts knows the others that run, and they know it."""
+    others = [
+        other
+        for other in machine.world.machines.values()
+        if other is not machine and other.node is not None
+    ]
+    for other in others:
+        node.ring.hear_members({"fellows": [other.node.ring.me.as_record()], "name": other.name})
+        other.node.ring.hear_members({"fellows": [node.ring.me.as_record()], "name": node.name})
+
+
+def build_registry(seats, contacts, **terms):
+    """Builds the whole core member: ring, register, occupants, duties, desks."""
+    begun = set()
+
+    def build(machine, ports):
+        is_first = machine.address in contacts and machine.address not in begun
+        begun.add(machine.address)
+        seeds = [
+            other.address for other in machine.world.machines.values() if other is not machine
+        ][:seats]
+        return RegistryNode(
+            machine.name,
+            machine.address,
+            ports,
+            "z",
+            seeds or list(contacts),
+            ports.clock.now_us() + machine.starts,
+            None,
+            "10.9.0.1:80",
+            Terms(seats=seats, alone_us=1_000_000, bootstrap=is_first, **terms),
+            contacts=contacts if is_first else (),
+        )
+
+    return build
+
+
+def vote_in(message):
+    """The vote that a message carries, if it is a yes."""
+    is_accept = VOTES.get(message["say"])
+    if is_accept is None or not message["is_yes"]:
+        return None
+    ballot = tuple(message["ballot"])
+    return Vote(message["seat"], message["incarnation"], message["id"], ballot, is_accept)
+
+
+def proposal_in(message):
+    """Change, key, ballot and value of an accept."""
+    if message["say"] != "accept":
+        return None
+    return message["id"], message["key"], tuple(message["ballot"]), message["value"]
+
+
+def mark_of(value):
+    """The number of a value in the order of the register's changes."""
+    if not isinstance(value, dict):
+        return None
+    if "mark" in value:
+        return value["mark"]
+    return (value["fence"], value["renewal"]) if "fence" in value else None
+
+
+def order_in(value):
+    """Which operator's order a value came from."""
+    return value.get("revision"), value.get("document")
+
+
+def fence_won(number, facts):
+    """Duty and fence, where a log event says that a duty was won."""
+    return (facts["duty"], facts["fence"]) if number == DUTY_WON else None
+
+
+def _newest_occupants(world):
+    """For each seat the running machine that has it under the highest epoch."""
+    newest = {}
+    for machine in world.machines.values():
+        if machine.node is None or not machine.node.seat.seat:
+            continue
+        held = newest.get(machine.node.seat.seat)
+        if held is None or machine.node.seat.incarnation > held.node.seat.incarnation:
+            newest[machine.node.seat.seat] = machine
+    return newest
+
+
+def held_marks(world):
+    """For each seat whose newest occupant votes now, the mark of the plan that it accepted last."""
+    seats = [machine.node.seat for machine in _newest_occupants(world).values()]
+    return [(seat.cell(PLAN_KEY).value or {"mark": 0})["mark"] for seat in seats if seat.is_voting]
+
+
+def voting_seats(world):
+    """The seats whose newest occupant votes, is given turns and is cut off from nobody."""
+    cut = {name for link in world.cuts for name in link}
+    return {
+        seat
+        for seat, machine in _newest_occupants(world).items()
+        if machine.runs and machine.node.seat.is_voting and machine.name not in cut
+    }
+
+
+def seat_of(machine):
+    """The seat that a machine has, by its node or else by its disk."""
+    if machine.node is not None:
+        return machine.node.seat.seat
+    return machine.disk.synced.get("seat", "")
+
+
+def is_voting(machine):
+    """Whether the machine's node gives votes."""
+    return machine.node is not None and machine.node.seat.is_voting
+
+
+def put(machine, base, revision, document, done):
+    """An operator's order at a member; done(code, detail, value) hears its answer."""
+
+    def end(trouble, value):
+        done(trouble and trouble.code, trouble and trouble.detail, value)
+
+    machine.node.plan_desk.put_document(base, revision, document, PLAN, end)
+
+
+def read(machine, done):
+    """An operator's read at a member; done(code, value) hears its answer."""
+    machine.node.plan_desk.read_document(lambda trouble, value: done(trouble and trouble.code, value))
+
+
+def leave(machine, done):
+    """A planned leaving: releases its duties and says goodbye."""
+    machine.node.drain(done)
+
+
+def is_dead(machine, message):
+    """Whether delivering an answer could change nothing any more: nobody waits for its ballot, and it brings no
+    news of epochs. Ballots only rise, so such a message stays dead."""
+    if message["say"] not in VOTES or machine is None:
+        return False
+    marks = machine.node.ring.seat_marks
+    if any(epoch > marks.get(seat, 0) for seat, epoch in message["known"].items()):
+        return False
+    change = machine.node.proposer.changes.get(message["id"])
+    return change is None or message["ballot"] < (change.ballot or [0, ""])
+
+
+def canonical(thing, now_us, met=None):
+    """Everything that an object holds, as nested tuples; moments count from now, so that two runs that differ
+    only in when they began look alike. Functions are left out: what a callback will do is told by the order or
+    message that it belongs to."""
+    if thing is None or isinstance(thing, (str, int, float, bool)):
+        return thing
+    if isinstance(thing, (list, tuple)) or type(thing).__name__ == "deque":
+        return tuple([canonical(one, now_us, met) for one in thing])
+    if isinstance(thing, (set, frozenset)):
+        return tuple(sorted((canonical(one, now_us, met) for one in thing), key=repr))
+    met = {} if met is None else met
+    if isinstance(thing, dict):
+        return tuple(
+            sorted(
+                ((repr(key), canonical(value, now_us, met)) for key, value in thing.items()),
+                key=lambda row: row[0],
+            )
+        )
+    if callable(thing):
+        return "function"
+    if id(thing) in met:
+        return ("met", met[id(thing)])
+    met[id(thing)] = len(met)
+    return (type(thing).__name__, tuple(_fields(thing, now_us, met)))
+
+
+def _fields(thing, now_us, met):
+    """Name and value of each slot; a moment that was set, as what is left until it or has passed since."""
+    names = [name for kind in type(thing).__mro__ for name in getattr(kind, "__slots__", ())]
+    for name in names:
+        if name in SKIPPED or name.startswith("__") or not hasattr(thing, name):
+            continue
+        value = getattr(thing, name)
+        is_moment = name.endswith("_us") and type(value) is int and value
+        yield name, value - now_us if is_moment else canonical(value, now_us, met)
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/explore/cases.py
@@ -0,0 +1,194 @@
+"""The cases that are explored: how many members, which orders and reads, which faults and how many of them."""
+
+from . import adapter
+
+ADDRESSES = [f"10.0.0.{place + 1}:7000" for place in range(9)]
+
+
+class Order:
+    """One operator's order: its number, the number that it expects, and the member that it goes to first."""
+
+    __slots__ = ("name", "base", "revision", "member", "after")
+
+    def __init__(self, name, base, revision, member, after=None):
+        self.name = name
+        self.base = base
+        self.revision = revision
+        self.member = member
+        self.after = after
+
+    def choice(self, member=None):
+        """Sent to its member, or again to another."""
+        return ("put", self.name, self.base, self.revision, self.name, member or self.member)
+
+
+class CoreCase:
+    """A small case of the register alone, for the exhaustive search. Cuts, freezes, loss and delay need no choice
+    of their own here: any message may wait for as long as the course lasts, and any member be given no turn."""
+
+    prunes = True
+    drops = ("chosen",)
+    seed = 0
+
+    __slots__ = (
+        "name",
+        "seats",
+        "orders",
+        "reads",
+        "resends",
+        "kinds",
+        "faults",
+        "ticks",
+        "has_duty",
+        "keys",
+    )
+
+    def __init__(
+        self,
+        name,
+        orders=(),
+        reads=(),
+        resends=(),
+        kinds=(),
+        faults=0,
+        ticks=0,
+        has_duty=False,
+        seats=3,
+    ):
+        self.name = name
+        self.seats = seats
+        self.orders = orders
+        self.reads = reads
+        self.resends = resends
+        self.kinds = kinds
+        self.faults = faults
+        self.ticks = ticks
+        self.has_duty = has_duty
+        self.keys = {}
+
+    @property
+    def first(self):
+        """The machines that run from the start."""
+        return [(f"m{place + 1}", ADDRESSES[place]) for place in range(self.seats)]
+
+    def build(self):
+        """What makes a machine's node."""
+        return adapter.build_core(self.seats, self.has_duty, ADDRESSES[: self.seats])
+
+    def prepare(self, run):
+        """The first messages of a start told all they tell."""
+        while run.world.flight:
+            run.world.deliver(next(iter(run.world.flight)))
+
+    def spent(self, run):
+        """Which budgets are used up, as far as the state itself doesn't say."""
+        return [choice for choice in run.course if choice[0] in ("tick", "put", "read")]
+
+    def choices(self, run):
+        """All that may come next."""
+        return [
+            *self._messages(run),
+            *self._operators(run),
+            *self._machines(run),
+            *self._faults(run),
+        ]
+
+    def _deliverable(self, run):
+        for label, message in run.world.flight.items():
+            target = run.world.at(message.target)
+            if target is not None and target.runs:
+                yield label, target
+
+    def _messages(self, run):
+        for label, _ in self._deliverable(run):
+            yield ("deliver", label)
+
+    def _operators(self, run):
+        begun = {choice[1] for choice in run.course if choice[0] in ("put", "read")}
+        sent = [choice for choice in run.course if choice[0] == "put"]
+        for order in self.orders:
+            if order.name not in begun and (order.after is None or self._is_taken(run, order.after)):
+                yield order.choice()
+            elif order.name in begun:
+                for name, member in self.resends:
+                    if name == order.name and order.choice(member) not in sent:
+                        yield order.choice(member)
+        for name, member in self.reads:
+            if name not in begun:
+                yield ("read", name, member)
+
+    def _is_taken(self, run, name):
+        return any(
+            operation.document == name and operation.answer == "taken"
+            for operation in run.ghost.operations
+        )
+
+    def _machines(self, run):
+        ticks = sum(choice[0] == "tick" for choice in run.course)
+        for machine in run.world.machines.values():
+            if machine.node is None:
+                yield ("restart", machine.name)
+            elif ticks < self.ticks:
+                yield ("tick", machine.name)
+            if machine.node is not None and machine.disk.is_held:
+                yield ("sync", machine.name)
+
+    def _faults(self, run):
+        if sum(run.used.values()) >= self.faults:
+            return
+        for kind in self.kinds:
+            yield from getattr(self, f"_{kind}")(run)
+
+    def _crash(self, run):
+        for machine in run.world.machines.values():
+            if machine.node is not None:
+                yield ("crash", machine.name, False)
+                if machine.disk.unsynced:
+                    yield ("crash", machine.name, True)
+        for label, target in self._deliverable(run):
+            for keeps in (False, True):
+                yield ("crash", target.name, keeps, label)
+
+    def _copy(self, run):
+        for label, _ in self._deliverable(run):
+            yield ("copy", label)
+
+    def _slow(self, run):
+        for label, target in self._deliverable(run):
+            if not target.disk.is_held:
+                yield ("slow", label)
+
+    def _wipe(self, run):
+        for machine in run.world.machines.values():
+            if run.may_lose(machine.name):
+                yield ("wipe", machine.name)
+
+    def _replace(self, run):
+        for machine in run.world.machines.values():
+            if run.may_lose(machine.name):
+                yield ("replace", machine.name, f"{machine.name}'", machine.address)
+
+
+RACE = (Order("x", 0, 3, "m1"), Order("y", 0, 5, "m2"))
+ROW = (Order("x", 0, 3, "m1"), Order("y", 3, 5, "m2", after="x"))
+SAME_NUMBER = (Order("x", 0, 3, "m1"), Order("y", 0, 3, "m2"))
+
+
+def core_cases():
+    """The cases that are searched through."""
+    cases = [
+        CoreCase("race", RACE, ticks=1),
+        CoreCase("race of one number", SAME_NUMBER, ticks=1),
+        CoreCase("race, sent again", RACE, resends=(("x", "m3"),)),
+        CoreCase("row, sent again", ROW, resends=(("x", "m3"),)),
+        CoreCase("order and read", RACE[:1], reads=(("r", "m3"), ("s", "m2")), ticks=1),
+        CoreCase("two duties", ticks=3, has_duty=True),
+    ]
+    for kind in ("crash", "copy", "slow", "wipe", "replace"):
+        ticks = 2 if kind in ("wipe", "replace") else 1
+        cases.append(
+            CoreCase(f"order, {kind}", RACE[:1], (("r", "m2"),), (), (kind,), faults=1, ticks=ticks)
+        )
+        cases.append(CoreCase(f"race, {kind}", RACE, (), (), (kind,), faults=1, ticks=ticks))
+        cases.append(CoreCase(f"race, {kind} twice", RACE, (), (), (kind,), faults=2, ticks=ticks))
+    return {case.name: case for case in cases}
