--- a/packages/stage/src/linkhaven/stage/explore/adapter.py
+++ b/packages/stage/src/linkhaven/stage/explore/adapter.py
@@ -201,7 +201,9 @@
 
 def read(machine, done):
     """An operator's read at a member; done(code, value) hears its answer."""
-    machine.node.plan_desk.read_document(lambda trouble, value: done(trouble and trouble.code, value))
+    machine.node.plan_desk.read_document(
+        lambda trouble, value: done(trouble and trouble.code, value)
+    )
 
 
 def leave(machine, done):
--- a/packages/stage/src/linkhaven/stage/explore/cases.py
+++ b/packages/stage/src/linkhaven/stage/explore/cases.py
@@ -107,7 +107,9 @@
         begun = {choice[1] for choice in run.course if choice[0] in ("put", "read")}
         sent = [choice for choice in run.course if choice[0] == "put"]
         for order in self.orders:
-            if order.name not in begun and (order.after is None or self._is_taken(run, order.after)):
+            if order.name not in begun and (
+                order.after is None or self._is_taken(run, order.after)
+            ):
                 yield order.choice()
             elif order.name in begun:
                 for name, member in self.resends:
--- a/packages/stage/src/linkhaven/stage/explore/ghost.py
+++ b/packages/stage/src/linkhaven/stage/explore/ghost.py
@@ -108,7 +108,9 @@
             return
         holder = self.holders.setdefault(won, machine.process)
         if holder != machine.process:
-            raise Breach("one holder of a fence", f"{won} was won by {holder} and {machine.process}")
+            raise Breach(
+                "one holder of a fence", f"{won} was won by {holder} and {machine.process}"
+            )
 
     def begin(self, operation_name, verb, base=0, revision=0, document=None):
         """An operator sent an order or a read."""
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/explore/program.py
@@ -0,0 +1,76 @@
+"""The command `linkhaven-stage explore`."""
+
+import json
+import os
+from concurrent.futures import ProcessPoolExecutor, as_completed
+
+from cleo.helpers import option
+
+from linkhaven.wire.console import CodedCommand
+from linkhaven.wire.settings import misfit
+
+from .cases import core_cases
+from .report import Totals, replay_file, search_case, walk_seed, write_course
+
+MOST_JOBS = 16
+
+
+def _whole(command, name, least, most):
+    text = command.option(name)
+    if not str(text).isdigit() or not least <= int(text) <= most:
+        raise misfit(f"--{name}", f"is not a whole number from {least} to {most}")
+    return int(text)
+
+
+class ExploreCommand(CodedCommand):
+    """Searches the small cases, walks the larger ones, or plays a breach again."""
+
+    name = "explore"
+    description = "Check the core's real nodes under orders of events: small cases exhaustively, larger by seeded walks."
+    options = [
+        option(
+            "states", None, "most states of each small case (0: none)", flag=False, default="20000"
+        ),
+        option("case", None, "only this small case (repeat)", flag=False, multiple=True),
+        option("first", None, "first seed of the walks", flag=False, default="1"),
+        option("walks", None, "how many walks", flag=False, default="50"),
+        option("jobs", None, "processes at once", flag=False, default="1"),
+        option("courses", None, "folder for the courses of breaches", flag=False, default="."),
+        option("replay", None, "play the course of this file again", flag=False),
+    ]
+
+    def act(self):
+        """Prints a line for each case and walk, then the totals."""
+        if self.option("replay"):
+            breach = replay_file(self.option("replay"), self.line)
+            self.line(str(breach) if breach else "no rule broke")
+            return 1 if breach else 0
+        tasks = self._tasks()
+        totals = Totals()
+        with ProcessPoolExecutor(_whole(self, "jobs", 1, MOST_JOBS)) as pool:
+            begun = [pool.submit(*task) for task in tasks]
+            for done in as_completed(begun):
+                self._tell(done.result(), totals)
+        self.show(totals.as_record())
+        return 1 if totals.breached else 0
+
+    def _tasks(self):
+        states = _whole(self, "states", 0, 10**9)
+        first, walks = _whole(self, "first", 0, 10**9), _whole(self, "walks", 0, 10**7)
+        names = self.option("case") or list(core_cases())
+        for name in names:
+            if name not in core_cases():
+                raise misfit("--case", f"is not one of {', '.join(core_cases())}")
+        searches = [(search_case, name, states) for name in names] if states else []
+        return [*searches, *((walk_seed, seed) for seed in range(first, first + walks))]
+
+    def _tell(self, record, totals):
+        totals.add(record)
+        if record["breach"]:
+            stem = record.get("searched", f"walk-{record.get('walked')}").replace(" ", "-")
+            path = os.path.join(self.option("courses"), f"explore-{stem}.json")
+            write_course(path, record)
+            record["kept"] = path
+        self.line(json.dumps({key: value for key, value in record.items() if key != "course"}))
+        for number, choice in enumerate(record["course"] if record["breach"] else (), 1):
+            self.line(f"{number:4} {' '.join(str(part) for part in choice)}")
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/explore/report.py
@@ -0,0 +1,108 @@
+"""What was explored, what broke, and the file that plays a course again."""
+
+import json
+
+from .cases import core_cases
+from .run import play_course
+from .search import search
+from .shrink import shorten
+from .walk import RegistryCase, Walk
+
+CORES = ((3, 0), (3, 1), (3, 2), (5, 0), (5, 1))
+STEPS = 600
+
+
+def search_case(name, most_states):
+    """Searches one case; answers the line of the report."""
+    case = core_cases()[name]
+    found = search(case, most_states)
+    record = found.as_record()
+    if found.breach is not None:
+        record["course"] = shorten(case, found.breach.rule, found.course)
+    return {"searched": name, **record}
+
+
+def walk_seed(seed, steps=STEPS):
+    """One walk, of a core that the seed says; answers the line of the report."""
+    seats, spares = CORES[seed % len(CORES)]
+    walk = Walk(RegistryCase(seats, spares, seed))
+    breach = walk.go(steps)
+    run = walk.run
+    record = {
+        "walked": seed,
+        "case": run.case.name,
+        "choices": len(run.course),
+        "faults": run.used,
+        "answers": run.answers,
+        "breach": breach and str(breach),
+    }
+    if breach is not None:
+        record["course"] = shorten(run.case, breach.rule, run.course)
+    return record
+
+
+class Totals:
+    """Sums of all lines of a report."""
+
+    __slots__ = (
+        "searched",
+        "whole",
+        "states",
+        "transitions",
+        "depth",
+        "walks",
+        "choices",
+        "faults",
+    )
+    __slots__ += ("answers", "breached")
+
+    def __init__(self):
+        self.searched = self.whole = self.states = self.transitions = self.depth = 0
+        self.walks = self.choices = 0
+        self.faults = {}
+        self.answers = {}
+        self.breached = []
+
+    def add(self, record):
+        """Adds one line of a report."""
+        if record["breach"]:
+            self.breached.append(record.get("walked", record.get("searched")))
+        if "searched" in record:
+            self.searched += 1
+            self.whole += record["whole"]
+            self.states += record["states"]
+            self.transitions += record["transitions"]
+            self.depth = max(self.depth, record["depth"])
+            return
+        self.walks += 1
+        self.choices += record["choices"]
+        for sums, part in ((self.faults, record["faults"]), (self.answers, record["answers"])):
+            for name, count in part.items():
+                sums[name] = sums.get(name, 0) + count
+
+    def as_record(self):
+        """The last line of a report."""
+        return {name: getattr(self, name) for name in self.__slots__}
+
+
+def write_course(path, record):
+    """Keeps a breach for `--replay`."""
+    case = {"search": record["searched"]} if "searched" in record else {"walk": record["walked"]}
+    with open(path, "w") as file:
+        json.dump({**case, "breach": record["breach"], "course": record["course"]}, file, indent=1)
+
+
+def replay_file(path, tell):
+    """Plays a kept course again, choice by choice; answers the Breach it ends in, or None."""
+    with open(path) as file:
+        kept = json.load(file)
+    course = [tuple(choice) for choice in kept["course"]]
+    if "search" in kept:
+        case = core_cases()[kept["search"]]
+    else:
+        seed = kept["walk"]
+        case = RegistryCase(*CORES[seed % len(CORES)], seed)
+    run, breach = play_course(case, course)
+    for number, choice in enumerate(run.course, 1):
+        tell(f"{number:4} {' '.join(str(part) for part in choice)}")
+    return breach
--- a/packages/stage/src/linkhaven/stage/explore/walk.py
+++ b/packages/stage/src/linkhaven/stage/explore/walk.py
@@ -42,6 +42,9 @@
 }
 
 
+LOSSES = ("crash", "wipe", "torn", "replace", "leave", "freeze", "cut")
+
+
 class RegistryCase:
     """Whole core members, with spares: ring, register with occupants, duties, operators' desk."""
 
@@ -146,8 +149,14 @@
             self.run.play(("read", f"r{self.reads}", name))
             self.run.play(("round",))
 
+    def _is_weak(self):
+        """One loss more would leave no majority: then most losses wait, so that orders are also acknowledged."""
+        return len(adapter.voting_seats(self.run.world)) <= self.run.case.seats // 2 + 1
+
     def _draw(self, weights):
         kind = self.dice.choices(list(weights), list(weights.values()))[0]
+        if kind in LOSSES and self._is_weak() and self.dice.random() < 0.8:
+            return
         choice = getattr(self, f"_{kind}")()
         if choice is not None:
             self.run.play(choice)
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -7,6 +7,7 @@
 from linkhaven.wire.console import CodedCommand, run_application
 from linkhaven.wire.settings import misfit
 
+from .explore.program import ExploreCommand
 from .fleet import DEPLOYMENTS
 from .loopback import LoadRun, measure_overhead, run_fleet
 from .measure import MEASURES
@@ -223,5 +224,6 @@
             MeasureCommand(),
             OverheadCommand(),
             SlopesCommand(),
+            ExploreCommand(),
         ],
     )
