Runners' answers: one without its request's id is nobody's, reads too

Cause: an answer without Request-Id was believed, though each answer of a runner bears it. A surplus answer (also that of a freed handle, which has none) could so reach the next caller, and a Not-Executed meant for another request could clear a one-time call to be sent again. A read looked at the status before it looked at the id. Ruled out: closing every connection after a failure (dear in new connections).

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -10,7 +10,7 @@
 from linkhaven.platform.callers import PlatformCallers, status_of
 from linkhaven.platform.operator import read_plan
 from linkhaven.platform.programs import SettingsWatch
-from linkhaven.platform.runners import EventReader, Stream, trouble_of
+from linkhaven.platform.runners import EventReader, PlatformRunners, Stream, trouble_of
 from linkhaven.platform.settings import Place
 from linkhaven.schema import CATALOGUE, Trouble
 
@@ -307,6 +307,65 @@
     assert not [one for one in hearer.heard if one[0] in ("begin", "piece", "done", "answer")]
 
 
+@pytest.mark.parametrize("status, more", [(200, EVENTS), (503, {names.NOT_RUN: "1"}), (421, {})])
+@pytest.mark.parametrize("told", [None, "r-2"])
+def test_an_answer_without_its_requests_id_reaches_nobody(status, more, told):
+    part, hearer = stream()
+    headers = {name: value for name, value in more.items() if name != names.REQUEST_ID}
+    part.on_head(status, headers if told is None else {**headers, names.REQUEST_ID: told})
+    part.on_data(b"id: 1\ndata: x\n\n")
+    part.on_end()
+    assert hearer.heard == [("closed",), ("runner_lost", "unknown", True)]
+
+
+class ReadWire:
+    """A wire over which a read is answered at once."""
+
+    def __init__(self, status, headers, body):
+        self.told = status, headers, body
+
+    def open(self, address, method, path, fields, body, hearer, **more):
+        status, headers, data = self.told
+        hearer.on_head(status, headers)
+        hearer.on_data(data)
+        hearer.on_end()
+        return SimpleNamespace(close=lambda: None)
+
+
+@pytest.mark.parametrize("status, not_run", [(200, {}), (503, {names.NOT_RUN: "1"}), (421, {})])
+@pytest.mark.parametrize("told, is_own", [("r-1", True), ("r-2", False), (None, False)])
+def test_a_read_is_answered_under_its_own_id_only(status, not_run, told, is_own):
+    headers = {**not_run, **({names.REQUEST_ID: told} if told else {})}
+    wire = ReadWire(status, headers, b'{"kv_handle":"h"}')
+    node = SimpleNamespace(
+        ports=SimpleNamespace(wire=wire),
+        now_us=lambda: 0,
+        connections_at_most=lambda runner: None,
+    )
+    request = SimpleNamespace(
+        call=SimpleNamespace(headers={}),
+        outside_id="r-1",
+        fields=[],
+        method="POST",
+        path="/",
+        body=b"",
+        run=None,
+        deadline_us=1_000,
+        failed=[],
+        handle=None,
+    )
+    heard = []
+    PlatformRunners(node).prefill(
+        SimpleNamespace(name="i-1", address="10.0.0.1:1"), request, lambda *told: heard.append(told)
+    )
+    ((trouble, handle, _),) = heard
+    if is_own:
+        assert handle == ("h" if status == 200 else None)
+        assert trouble is None or trouble.done == "no"
+    else:
+        assert handle is None and (trouble.code, trouble.done) == ("runner_lost", "unknown")
+
+
 def test_a_stream_that_ends_within_an_event_does_not_look_complete():
     part, hearer = stream()
     part.on_head(200, EVENTS)
