Runners' answers: no success without a seal, no promise that wasn't given

Cause: a 2xx without Response-Seal went to the caller (MIXED), and so did a runner's 503, 429 or 408 without Not-Executed, which tells the caller of a one-time request that it never ran (REFUSED). Ruled out: the same answer under 502, since it would bear the seal of another status (MIXED, new line). Both are now a lost runner: repeatable work is tried again, one-time work hears our own 502. Conclusion: what is passed on is sealed or a failure that promises nothing.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -318,6 +318,23 @@
     assert hearer.heard == [("closed",), ("runner_lost", "unknown", True)]
 
 
+@pytest.mark.parametrize("more", [EVENTS, {names.REQUEST_ID: "r-1"}])
+def test_a_success_without_a_seal_reaches_nobody(more):
+    part, hearer = stream()
+    part.on_head(200, {name: value for name, value in more.items() if name != names.SEAL})
+    part.on_data(b"id: 1\ndata: x\n\n")
+    part.on_end()
+    assert hearer.heard == [("closed",), ("runner_lost", "unknown", True)]
+
+
+@pytest.mark.parametrize("status", [408, 429, 503])
+def test_a_promise_that_the_runner_did_not_give_is_not_passed_on(status):
+    part, hearer = stream()
+    part.on_head(status, {names.REQUEST_ID: "r-1", names.SEAL: "s"})
+    part.on_end()
+    assert hearer.heard == [("closed",), ("runner_lost", "unknown", True)]
+
+
 class ReadWire:
     """A wire over which a read is answered at once."""
 
