Data plane: a model test over the real door, router, adapter and pool, with 15 sabotages

Simulated: sockets, epoll and clock. Real: plug, pool, outlet, door, router node with attempts, queue and budget, the platform's adapters. Judged apart: MIXED, UNASKED, TWICE, REFUSED, DENIED, ROUTE, ORDER, BUDGET (arrivals that may have run), one end for each request, no leaked connection. Conclusion: in the tree with fixed seeds (derandomize), 150 courses.

--- /dev/null
+++ b/tests/connections_world.py
@@ -0,0 +1,802 @@
+"""A simulated TCP world for the data plane: real door, router, runner adapter and pool.
+
+Only the sockets, the epoll and the clock are simulated. Runners and callers are played by the
+test; what they saw is judged by `Judge`, apart from the code under test.
+"""
+
+import errno
+import heapq
+import random
+import select
+import socket
+from collections import Counter
+from types import SimpleNamespace
+
+import h11
+from test_platform import SETTINGS, Place
+
+from linkhaven.clockwork import Ports
+from linkhaven.platform import names
+from linkhaven.platform.callers import PlatformCallers
+from linkhaven.platform.operator import read_plan
+from linkhaven.platform.runners import PlatformRunners
+from linkhaven.router import RouterNode
+from linkhaven.wire import plug
+from linkhaven.wire.door import Door, DoorLimits
+from linkhaven.wire.outlet import Outlet
+from linkhaven.wire.poller import DirectPoller
+
+MS = 1_000
+TICK_US = 20 * MS
+READ, WRITE, ERR, HUP = select.EPOLLIN, select.EPOLLOUT, select.EPOLLERR, select.EPOLLHUP
+DOOR_ADDRESS = "10.0.0.1:80"
+PIECES = 4
+PROMISES = {408, 421, 429, 503}
+HOST = "one.example"
+ROUTES = {
+    "safe": {"route_type": "safe", "max_attempts": 2, "resumable": False},
+    "once": {"route_type": "unsafe", "max_attempts": 2, "resumable": False},
+    "resumable": {"route_type": "streaming", "max_attempts": 3, "resumable": True},
+    "single": {"route_type": "streaming", "max_attempts": 2, "resumable": False},
+}
+REPEATABLE = {"safe", "resumable"}
+
+
+class RuleBrokenError(AssertionError):
+    """A rule of the data plane was broken; the message begins with its name."""
+
+    count = 0
+
+    def __init__(self, told):
+        super().__init__(told)
+        RuleBrokenError.count += 1
+
+
+def require(condition, rule, told=""):
+    if not condition:
+        raise RuleBrokenError(f"{rule}: {told}")
+
+
+class End:
+    """One end of a simulated TCP connection."""
+
+    def __init__(self):
+        self.rx = bytearray()
+        self.peer = None
+        self.room = None
+        self.is_eof = self.is_reset = self.is_closed = False
+
+    def can_send(self):
+        peer = self.peer
+        return peer is not None and (peer.room is None or len(peer.rx) < peer.room)
+
+    def send(self, data):
+        if self.is_reset:
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
+        peer = self.peer
+        if peer.is_closed:
+            self.is_reset = True
+            return len(data)
+        if not self.can_send():
+            raise BlockingIOError
+        room = len(data) if peer.room is None else peer.room - len(peer.rx)
+        peer.rx += data[:room]
+        return min(room, len(data))
+
+    def recv(self, most, flags=0):
+        if self.rx:
+            data = bytes(self.rx[:most])
+            if not flags & socket.MSG_PEEK:
+                del self.rx[:most]
+            return data
+        if self.is_reset:
+            raise ConnectionResetError(errno.ECONNRESET, "reset")
+        if self.is_eof:
+            return b""
+        raise BlockingIOError
+
+    def close(self, by_reset=False):
+        if self.is_closed:
+            return
+        self.is_closed = True
+        if self.peer is None:
+            return
+        if by_reset or self.rx:
+            self.peer.is_reset = True
+        else:
+            self.peer.is_eof = True
+
+    def forget(self):
+        """Closes without a word: the next bytes sent here are answered by a reset."""
+        self.is_closed = True
+
+
+def pair():
+    one, other = End(), End()
+    one.peer, other.peer = other, one
+    return one, other
+
+
+class SimSocket:
+    """The system's side of a connection, or its listener."""
+
+    def __init__(self, net):
+        self.net = net
+        self.end = None
+        self.address = None
+        self.error = 0
+        self.waiting = []
+        self.is_listening = self.by_reset = False
+        self.number = net.add(self)
+
+    def fileno(self):
+        return self.number
+
+    def setblocking(self, is_blocking):
+        pass
+
+    def setsockopt(self, level, option, value):
+        if option == socket.SO_LINGER:
+            self.by_reset = True
+
+    def getsockopt(self, level, option):
+        return self.error
+
+    def connect_ex(self, address):
+        self.net.connect(self, "%s:%d" % address)
+        return errno.EINPROGRESS
+
+    def bind(self, address):
+        self.address = address
+
+    def listen(self, backlog):
+        self.is_listening = True
+
+    def getsockname(self):
+        return self.address
+
+    def accept(self):
+        if not self.waiting:
+            raise BlockingIOError
+        sock = SimSocket(self.net)
+        sock.end = self.waiting.pop(0)
+        return sock, ("10.9.9.9", 1)
+
+    def send(self, data):
+        return self.end.send(bytes(data))
+
+    def recv(self, most, flags=0):
+        return self.end.recv(most, flags)
+
+    def shutdown(self, how):
+        self.end.peer.is_eof = True
+
+    def close(self):
+        self.net.remove(self)
+        if self.end is not None:
+            self.end.close(self.by_reset)
+
+    def ready(self):
+        if self.is_listening:
+            return READ if self.waiting else 0
+        if self.error:
+            return READ | WRITE | ERR | HUP
+        if self.end is None:
+            return 0
+        mask = READ if self.end.rx or self.end.is_eof else 0
+        if self.end.is_reset:
+            return mask | READ | WRITE | ERR | HUP
+        return mask | (WRITE if self.end.can_send() else 0)
+
+
+class Net:
+    """What stands in the place of the module `socket` and of the kernel's epoll."""
+
+    def __init__(self):
+        self.sockets = {}
+        self.serial = 10
+        self.masks = {}
+        self.runners = {}
+        self.pending = []
+        self.is_turned_round = False
+        self.module = SimpleNamespace(
+            socket=lambda family, kind: SimSocket(self),
+            **{name: getattr(socket, name) for name in dir(socket) if name.isupper()},
+        )
+
+    def add(self, sock):
+        self.serial += 1
+        self.sockets[self.serial] = sock
+        return self.serial
+
+    def remove(self, sock):
+        self.sockets.pop(sock.number, None)
+
+    def connect(self, sock, address):
+        runner = self.runners.get(address)
+        if runner is None:
+            sock.error = errno.ECONNREFUSED
+        elif runner.is_dark:
+            self.pending.append((sock, address))
+        else:
+            sock.end, other = pair()
+            runner.take(other)
+
+    def connect_pending(self, address):
+        for sock, wanted in [entry for entry in self.pending if entry[1] == address]:
+            self.pending.remove((sock, wanted))
+            if sock.number in self.sockets:
+                self.connect(sock, wanted)
+
+    def open_count(self):
+        return sum(not sock.is_listening for sock in self.sockets.values())
+
+    # the calls of an epoll
+
+    def register(self, number, mask):
+        assert number in self.sockets and number not in self.masks
+        self.masks[number] = mask
+
+    def modify(self, number, mask):
+        assert number in self.masks
+        self.masks[number] = mask
+
+    def unregister(self, number):
+        del self.masks[number]
+
+    def poll(self, timeout):
+        ready = []
+        for number, mask in self.masks.items():
+            seen = self.sockets[number].ready() & (mask | ERR | HUP)
+            if seen:
+                ready.append((number, seen))
+        return ready[::-1] if self.is_turned_round else ready
+
+
+class SimPoller(DirectPoller):
+    """The real poller's turn over the simulated epoll; a fault in a deed is kept."""
+
+    def __init__(self, net):
+        self._poller = net
+        self.deeds = {}
+        self.put_off = []
+        self.faults = []
+
+    def fire(self, event, *channels):
+        self.faults.append(event.args[1])
+
+
+class SimClock:
+    def __init__(self):
+        self.us = 1_000_000_000
+        self.agenda = []
+        self.serial = 0
+
+    def now_us(self):
+        return self.us
+
+    def call_in(self, delay_us, deed):
+        self.serial += 1
+        heapq.heappush(self.agenda, (self.us + delay_us, self.serial, deed))
+
+    def run_due(self):
+        while self.agenda and self.agenda[0][0] <= self.us:
+            heapq.heappop(self.agenda)[2]()
+
+
+class Asked:
+    """One request of a caller, and all that runners and its caller saw of it."""
+
+    def __init__(self, id, kind, body, resumed_at, is_read):
+        self.id = id
+        self.kind = kind
+        self.method = "POST" if body else "GET"
+        self.path = f"/{kind}/{id}"
+        self.body = body
+        self.resumed_at = resumed_at
+        self.is_read = is_read
+        self.arrivals = []
+        self.status = None
+        self.seal = None
+        self.data = b""
+        self.end = None
+
+    @property
+    def is_streaming(self):
+        return self.kind in ("resumable", "single")
+
+    @property
+    def is_one_time(self):
+        return self.kind not in REPEATABLE
+
+    def fields(self):
+        fields = [("Host", HOST), ("Request-Id", self.id), ("Deadline-Remaining", "4000")]
+        if self.is_read:
+            fields += [("Token-Usage", "100,10"), ("Prompt-Prefix", f"{self.id}:100")]
+        if self.resumed_at:
+            fields.append(("Last-Event-Id", str(self.resumed_at)))
+        return fields
+
+    def write(self, is_chunked):
+        head = f"{self.method} {self.path} HTTP/1.1\r\n"
+        head += "".join(f"{name}: {value}\r\n" for name, value in self.fields())
+        if not self.body:
+            return head.encode() + b"\r\n"
+        if not is_chunked:
+            return head.encode() + b"Content-Length: %d\r\n\r\n" % len(self.body) + self.body
+        parts = [self.body[at : at + 100] for at in range(0, len(self.body), 100)]
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+        return head.encode() + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+
+    def events(self, after, most=PIECES):
+        return [
+            b"id: %d\ndata: %b %d\n\n" % (number, self.id.encode(), number)
+            for number in range(after + 1, most + 1)
+        ]
+
+    def runs(self):
+        return [arrival for arrival in self.arrivals if arrival.may_have_run()]
+
+
+class Arrival:
+    """One request as it came whole to a runner."""
+
+    def __init__(self, runner, connection, method, path, headers, body):
+        self.runner = runner
+        self.connection = connection
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.asked = None
+        self.is_turned_away = False
+        self.written = None
+
+    @property
+    def is_prefill(self):
+        return self.headers.get("serving-phase") == "prefill"
+
+    def may_have_run(self):
+        return not self.is_prefill and not self.is_turned_away
+
+
+class SimRunner:
+    """A runner at an address; the test says when and how it answers."""
+
+    def __init__(self, world, name, address, phase):
+        self.world = world
+        self.name = name
+        self.address = address
+        self.phase = phase
+        self.is_dark = False
+        self.connections = []
+        self.owed = []
+
+    def take(self, end):
+        end.room = self.world.room
+        end.unread = b""
+        self.connections.append(end)
+
+    def read(self):
+        if self.is_dark:
+            return
+        for end in list(self.connections):
+            if end.is_closed:
+                self.connections.remove(end)
+                continue
+            if end.room is None and end.rx:
+                end.unread += end.recv(1 << 20)
+                self._take_requests(end)
+            if end.is_reset or end.is_eof and not end.rx:
+                self.drop(end)
+
+    def drop(self, end, by_reset=False):
+        end.close(by_reset)
+        self.connections.remove(end)
+        self.owed = [arrival for arrival in self.owed if arrival.connection is not end]
+
+    def _take_requests(self, end):
+        while b"\r\n\r\n" in end.unread:
+            head, _, rest = end.unread.partition(b"\r\n\r\n")
+            first, *lines = head.decode().split("\r\n")
+            headers = {
+                name.lower(): value.strip()
+                for name, _, value in (line.partition(":") for line in lines)
+            }
+            length = int(headers.get("content-length", 0))
+            if len(rest) < length:
+                return
+            body, end.unread = rest[:length], rest[length:]
+            method, path, _ = first.split(" ")
+            arrival = Arrival(self, end, method, path, headers, body)
+            self.world.judge.arrive(arrival)
+            if arrival.asked is None:
+                end.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+            elif headers.get("expected-instance") != self.name:
+                arrival.is_turned_away = True
+                end.send(self.world.answer(arrival, 421, b"", instance=self.name))
+            else:
+                self.owed.append(arrival)
+
+
+class Caller:
+    """One connection of a caller; its requests are answered in order."""
+
+    def __init__(self, world):
+        self.world = world
+        self.end, other = pair()
+        world.listener.waiting.append(other)
+        self.waiting = []
+        self.http = None
+        self.is_over = False
+        self.has_left = False
+
+    def ask(self, asked, is_chunked):
+        self.waiting.append(asked)
+        try:
+            self.end.send(asked.write(is_chunked))
+        except ConnectionResetError:
+            pass
+
+    def leave(self, by_reset):
+        self.has_left = True
+        self.read()
+        self.is_over = True
+        self.end.close(by_reset)
+        for asked in self.waiting:
+            asked.end = asked.end or "left"
+
+    def read(self):
+        if self.is_over:
+            return
+        data = b""
+        while self.end.rx:
+            data += self.end.recv(1 << 20)
+        if data:
+            self._take(data)
+        if self.end.is_reset or self.end.is_eof:
+            self._close()
+
+    def _take(self, data):
+        while data:
+            require(self.waiting, "MIXED", f"bytes where no request waits: {data!r}")
+            if self.http is None:
+                self.http = h11.Connection(h11.CLIENT)
+                asked = self.waiting[0]
+                self.http.send(
+                    h11.Request(method=asked.method, target="/", headers=[("host", "-")])
+                )
+                self.http.send(h11.EndOfMessage())
+            self.http.receive_data(data)
+            data = b""
+            if self._read_events():
+                data = self.http.trailing_data[0]
+                self.http = None
+
+    def _read_events(self):
+        asked = self.waiting[0]
+        try:
+            while True:
+                event = self.http.next_event()
+                if event in (h11.NEED_DATA, h11.PAUSED):
+                    return False
+                if isinstance(event, h11.Response):
+                    headers = {name.decode(): value.decode() for name, value in event.headers}
+                    self.world.judge.answer_begins(asked, event.status_code, headers)
+                elif isinstance(event, h11.Data):
+                    asked.data += bytes(event.data)
+                    self.world.judge.answer_goes_on(asked)
+                elif isinstance(event, h11.EndOfMessage):
+                    self.waiting.pop(0)
+                    self.world.judge.answer_ends(asked)
+                    return True
+                else:
+                    return False
+        except h11.RemoteProtocolError as fault:
+            raise RuleBrokenError(f"MIXED: bytes that are no answer: {fault}") from fault
+
+    def _close(self):
+        self.is_over = True
+        if self.http is not None and self.waiting:
+            try:
+                if not self.end.is_reset:
+                    self.http.receive_data(b"")
+                    if self._read_events():
+                        self.http = None
+            except RuleBrokenError:
+                pass
+        for asked in self.waiting:
+            asked.end = asked.end or "cut"
+        self.end.close()
+
+
+class Judge:
+    """What runners and callers saw, held against the rules."""
+
+    def __init__(self):
+        self.asked = {}
+        self.seals = {}
+        self.handles = {}
+        self.counts = Counter()
+
+    def arrive(self, arrival):
+        asked = self.asked.get(arrival.headers.get("request-id"))
+        if asked is None:
+            require(arrival.path.startswith(names.HANDLE_PATH), "UNASKED", arrival.path)
+            return
+        arrival.asked = asked
+        is_as_sent = (arrival.method, arrival.path, arrival.body) == (
+            asked.method,
+            asked.path,
+            asked.body,
+        )
+        require(is_as_sent, "UNASKED", f"{arrival.method} {arrival.path} {arrival.body!r}")
+        require("expected-instance" in arrival.headers, "ROUTE", "no runner was named")
+        source = arrival.headers.get("kv-source")
+        if source is not None:
+            owner = self.handles.get(source.rpartition("/")[2])
+            require(owner in (None, asked.id), "MIXED", "another request's memory")
+        earlier = asked.runs()
+        asked.arrivals.append(arrival)
+        if arrival.is_prefill:
+            return
+        self.counts["sends"] += 1
+        self.counts["further sends"] += bool(earlier)
+        require(not (asked.is_one_time and earlier), "TWICE", asked.id)
+        require(asked.status not in PROMISES, "REFUSED", f"{asked.id} runs later")
+
+    def check_runs(self):
+        for asked in self.asked.values():
+            most = ROUTES[asked.kind]["max_attempts"]
+            require(len(asked.runs()) <= most, "BUDGET", f"{asked.id}: {len(asked.runs())} runs")
+
+    def answer_begins(self, asked, status, headers):
+        require(asked.status is None, "MIXED", "a second answer")
+        asked.status, asked.seal = status, headers.get("response-seal")
+        told = headers.get("request-id")
+        require(told in (None, asked.id), "MIXED", f"{asked.id} got an answer to {told}")
+        self.counts[f"{'runner' if asked.seal else 'own'} {status // 100}xx"] += 1
+        if asked.seal is not None:
+            require(asked.seal in self.seals, "MIXED", "a seal that no runner gave")
+            owner, given, _ = self.seals[asked.seal]
+            require(owner is asked, "MIXED", f"{asked.id} got the answer of {owner.id}")
+            require(given == status, "MIXED", f"{status} under the seal of a {given}")
+        elif status < 300:
+            raise RuleBrokenError(f"MIXED: a {status} without a seal")
+        require(asked.seal or status in PROMISES or status >= 500, "DENIED", str(status))
+        if status in PROMISES:
+            require(not asked.runs(), "REFUSED", f"{asked.id} may have run and got {status}")
+
+    def _expected(self, asked):
+        body = self.seals[asked.seal][2]
+        return b"".join(asked.events(asked.resumed_at)) if body is None else body
+
+    def answer_goes_on(self, asked):
+        if asked.seal is None:
+            return
+        expected = self._expected(asked)
+        rule = "ORDER" if self.seals[asked.seal][2] is None else "MIXED"
+        require(expected.startswith(asked.data), rule, f"{asked.id} got {asked.data!r}")
+
+    def answer_ends(self, asked):
+        require(asked.end is None, "END", "an answer after its end")
+        asked.end = "whole"
+        self.counts["whole"] += 1
+        if asked.seal is not None:
+            is_whole = asked.data == self._expected(asked)
+            require(is_whole, "MIXED", f"{asked.id} ends early and looks whole: {asked.data!r}")
+
+
+class World:
+    """One router with its door and pools, and the runners and callers around it."""
+
+    def __init__(self):
+        self.net = Net()
+        self.clock = SimClock()
+        self.poller = SimPoller(self.net)
+        self.real_socket, plug.socket = plug.socket, self.net.module
+        self.judge = Judge()
+        self.room = None
+        self.serial = 0
+        self.due_us = self.clock.us
+        self.runners = []
+        self.callers = []
+        self.outlet = Outlet(self.clock, self.poller, "10.0.0.1:7000", lambda message: None)
+        wire = SimpleNamespace(
+            tell=lambda address, message: None,
+            open=self.outlet.open,
+            soon=self.outlet.soon,
+            renew=lambda address: None,
+        )
+        ports = Ports(self.clock, wire, None, random.Random(7), lambda number, **facts: None)
+        place = Place(SETTINGS)
+        self.node = RouterNode(
+            "edge-1",
+            "10.0.0.1:7000",
+            ports,
+            "a",
+            place.seeds,
+            1,
+            terms=place.terms,
+            callers=PlatformCallers(),
+            desk_of=PlatformRunners,
+        )
+        self.door = Door(
+            DOOR_ADDRESS, self.node.serve_request, DoorLimits(), self.poller, self.clock
+        )
+        self.listener = self.door.listener.sock
+        self._take_plan()
+        self.list_serial = 0
+        self.renew_runners()
+
+    def _take_plan(self):
+        routes = [
+            {
+                "name": f"r-{kind}",
+                "hostname": HOST,
+                "path_prefix": f"/{kind}/",
+                "timeout_ms": 4000,
+                "target_latency_ms": 800,
+                "priority": 1,
+                "target_service": "pool-1",
+                "target_gap_ms": 300,
+                **route,
+            }
+            for kind, route in ROUTES.items()
+        ]
+        service = {"name": "pool-1", "health_path": "/health", "max_connections": 360}
+        document = {"revision": 1, "route_rules": routes, "services": [service]}
+        self.node.image.take({"mark": 1, "plan": read_plan(document, 0.2, 50)})
+        self.node.extra.share = 1.0
+        self.node.extra.take_part(50, 1, 1 << 60)
+
+    def renew_runners(self):
+        """The platform's list as it is now: each address with the runner that stands there."""
+        self.list_serial += 1
+        for place, phase in enumerate(("decode", "decode", "prefill")):
+            self.place_runner(f"10.1.0.{place + 1}:8080", phase)
+        records = [
+            {
+                "name": runner.name,
+                "address": runner.address,
+                "zone": "a",
+                "incarnation": 1,
+                "pool": "pool-1",
+                "slots": 64,
+                "phase": runner.phase,
+                "queued": 0,
+                "running": 0,
+                "kv_used": 0,
+                "kv_total": 1_000_000,
+                "is_leaving": False,
+                "is_listed": True,
+                "is_dark": False,
+                "mark": 0,
+                "fence": 0,
+                "age_us": 0,
+            }
+            for runner in self.runners
+        ]
+        document = {"fence": 1, "serial": self.list_serial, "age_us": 0, "runners": records}
+        self.node.roster.take(document, self.clock.us)
+
+    def place_runner(self, address, phase, how="reset"):
+        former = self.net.runners.get(address)
+        if former is not None:
+            self.runners.remove(former)
+            for end in list(former.connections):
+                end.forget() if how == "forget" else former.drop(end, how == "reset")
+        self.serial += 1
+        runner = SimRunner(self, f"i-{self.serial}", address, phase)
+        self.net.runners[address] = runner
+        self.runners.append(runner)
+        self.net.connect_pending(address)
+        return runner
+
+    # what runners write
+
+    def answer(self, arrival, status, body, instance=None, **more):
+        """A whole answer by its length; `more` changes or leaves out fields."""
+        fields = {"Request-Id": arrival.asked.id, "Content-Length": str(len(body))}
+        if instance is not None:
+            fields["Instance-Id"] = instance
+        if status == 421 or more.pop("is_not_run", False):
+            fields["Not-Executed"] = "1"
+        elif more.pop("is_sealed", True):
+            fields["Response-Seal"] = self.seal(arrival.asked, status, body)
+        for name, value in more.items():
+            fields[name.replace("_", "-").title()] = value
+        lines = [f"{name}: {value}" for name, value in fields.items() if value is not None]
+        head = f"HTTP/1.1 {status} Told\r\n" + "".join(f"{line}\r\n" for line in lines)
+        return head.encode() + b"\r\n" + body
+
+    def seal(self, asked, status, body):
+        self.serial += 1
+        seal = f"s-{self.serial}"
+        self.judge.seals[seal] = (asked, status, body)
+        return seal
+
+    def stream_head(self, asked, **more):
+        fields = {
+            "Request-Id": asked.id,
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+            "Response-Seal": self.seal(asked, 200, None),
+            **{name.replace("_", "-").title(): value for name, value in more.items()},
+        }
+        lines = [f"{name}: {value}\r\n" for name, value in fields.items() if value is not None]
+        return ("HTTP/1.1 200 OK\r\n" + "".join(lines) + "\r\n").encode()
+
+    # time
+
+    def turn(self):
+        self.clock.run_due()
+        if self.clock.us >= self.due_us:
+            self.due_us = self.clock.us + TICK_US
+            self.node.tick()
+            self.outlet.look(self.clock.us)
+            self.door.look(self.clock.us)
+        self.poller.turn(0)
+        require(not self.poller.faults, "FAULT", repr(self.poller.faults))
+
+    def settle(self):
+        """Turns until nothing more happens by itself at this moment."""
+        for _ in range(200):
+            self.turn()
+            for runner in list(self.runners):
+                runner.read()
+            for caller in self.callers:
+                caller.read()
+            is_quiet = not self.poller.put_off and not self.net.poll(0)
+            if is_quiet and not any(end.rx for end in self._ends()):
+                return
+        raise RuleBrokenError("FAULT: the loop never comes to rest")
+
+    def _ends(self):
+        runners = [
+            end
+            for runner in self.runners
+            if not runner.is_dark
+            for end in runner.connections
+            if end.room is None
+        ]
+        return runners + [caller.end for caller in self.callers if not caller.is_over]
+
+    def run_for(self, span_us):
+        end_us = self.clock.us + span_us
+        while self.clock.us < end_us:
+            self.clock.us += min(100 * MS, end_us - self.clock.us)
+            self.settle()
+
+    # what must hold at each moment and at the end
+
+    def check(self):
+        self.judge.check_runs()
+        open_connections = 0
+        for pool in self.outlet.pools.values():
+            open_connections += len(pool.open)
+            for connection in pool.open:
+                exchange = connection.exchange
+                is_in_use = exchange is not None and not exchange.is_over
+                is_idle = exchange is None and connection in pool.idle
+                require(is_in_use != is_idle, "LEAK", "neither idle nor in use")
+        open_connections += len(self.door.connections)
+        require(self.net.open_count() == open_connections, "LEAK", "a socket nobody holds")
+
+    def finish(self):
+        """No one answers any more; each request must hear its end, and nothing be left open."""
+        self.check()
+        deepest = max((len(caller.waiting) for caller in self.callers), default=0)
+        self.run_for((1_000 + 4_200 * deepest) * MS)
+        for asked in self.judge.asked.values():
+            require(asked.end is not None, "END", f"{asked.id} hears nothing")
+        require(not self.node.requests, "END", "requests without an end")
+        for caller in self.callers:
+            if not caller.is_over:
+                caller.leave(False)
+        self.run_for(6_000 * MS)
+        self.check()
+        require(self.net.open_count() == 0, "LEAK", f"{self.net.open_count()} sockets left")
+
+    def close(self):
+        plug.socket = self.real_socket
--- /dev/null
+++ b/tests/test_connections_model.py
@@ -0,0 +1,486 @@
+"""Random courses over the real door, router, runner adapter and pool in a simulated world.
+
+No sleeps and no sockets: `connections_world` plays the kernel, the clock, the runners and the
+callers, and judges what they saw. Each mechanism taken out (`test_..._is_found`) breaks a rule.
+"""
+
+import pytest
+from connections_world import MS, PIECES, ROUTES, Asked, Caller, RuleBrokenError, World
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from linkhaven.platform import callers, runners
+from linkhaven.router import attempts, node, request
+from linkhaven.wire import door, plug, pool
+
+BOUNDED = settings(
+    max_examples=150,
+    stateful_step_count=25,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+    print_blob=False,
+)
+SEARCH = settings(BOUNDED, max_examples=400, phases=[Phase.generate], report_multiple_bugs=False)
+
+PICK = st.integers(0, 999)
+WHOLE = ["whole", "whole", "whole", "chunked", "closing", "short life", "no life", "interim"]
+FAILED = ["500", "504", "503 bare", "429 bare", "408 bare", "503 not run", "429 not run"]
+SPOILED = [
+    "foreign id",
+    "foreign not run",
+    "no id",
+    "no id not run",
+    "no seal",
+    "cut",
+    "cut by reset",
+    "garbage",
+    "surplus",
+    "silent close",
+    "silent reset",
+]
+
+
+class DataPlane(RuleBasedStateMachine):
+    """Callers ask, runners answer in all manners, connections die, runners and time go by."""
+
+    def __init__(self):
+        super().__init__()
+        self.world = World()
+        self.serial = 0
+        self.broken_before = RuleBrokenError.count
+
+    def teardown(self):
+        try:
+            if RuleBrokenError.count == self.broken_before:
+                self.world.finish()
+        finally:
+            self.world.close()
+
+    @initialize(is_turned_round=st.booleans())
+    def begin(self, is_turned_round):
+        self.world.net.is_turned_round = is_turned_round
+        self.world.settle()
+
+    # callers
+
+    @rule(
+        kind=st.sampled_from(sorted(ROUTES)),
+        size=st.sampled_from([0, 0, 7, 350]),
+        resumed_at=st.sampled_from([0, 0, 2]),
+        is_read=st.booleans(),
+        is_chunked=st.booleans(),
+        pick=PICK,
+        is_new=st.booleans(),
+    )
+    def ask(self, kind, size, resumed_at, is_read, is_chunked, pick, is_new):
+        self.serial += 1
+        is_stream = kind in ("resumable", "single")
+        asked = Asked(
+            f"r{self.serial:04d}",
+            kind,
+            b"%04d-" % self.serial * (size // 5),
+            resumed_at if kind == "resumable" else 0,
+            is_read and is_stream,
+        )
+        self.world.judge.asked[asked.id] = asked
+        open_callers = [caller for caller in self.world.callers if not caller.is_over]
+        if is_new or not open_callers:
+            self.world.callers.append(Caller(self.world))
+            caller = self.world.callers[-1]
+        else:
+            caller = open_callers[pick % len(open_callers)]
+        caller.ask(asked, is_chunked)
+        self.world.settle()
+
+    # runners that answer
+
+    def _owed(self):
+        return [arrival for runner in self.world.runners for arrival in runner.owed]
+
+    def _connections(self):
+        return [
+            (runner, end)
+            for runner in self.world.runners
+            for end in runner.connections
+            if not end.is_closed
+        ]
+
+    @precondition(lambda self: self._owed())
+    @rule(pick=PICK, how=st.sampled_from(WHOLE))
+    def answer_well(self, pick, how):
+        self.answer(pick, how, 0)
+
+    @precondition(lambda self: self._owed())
+    @rule(pick=PICK, how=st.sampled_from(FAILED))
+    def answer_failed(self, pick, how):
+        self.answer(pick, how, 0)
+
+    @precondition(lambda self: self._owed())
+    @rule(pick=PICK, how=st.sampled_from(SPOILED), at=st.integers(0, 400))
+    def answer_spoiled(self, pick, how, at):
+        self.answer(pick, how, at)
+
+    def answer(self, pick, how, at):
+        owed = self._owed()
+        arrival = owed[pick % len(owed)]
+        arrival.runner.owed.remove(arrival)
+        self._write(arrival, how, at)
+        self.world.settle()
+
+    def _write(self, arrival, how, at):
+        end, asked = arrival.connection, arrival.asked
+        others = [one for one in self.world.judge.asked if one != asked.id] or ["r-none"]
+        if how in ("500", "504", "503 bare", "429 bare", "408 bare"):
+            return end.send(self.world.answer(arrival, int(how[:3]), b"failed"))
+        if how in ("503 not run", "429 not run"):
+            arrival.is_turned_away = True
+            return end.send(self.world.answer(arrival, int(how[:3]), b"", is_not_run=True))
+        if how == "foreign not run":
+            return end.send(
+                self.world.answer(
+                    arrival, 503, b"", is_not_run=True, request_id=others[at % len(others)]
+                )
+            )
+        if how == "no id not run":
+            return end.send(self.world.answer(arrival, 503, b"", is_not_run=True, request_id=None))
+        if how == "garbage":
+            end.send(b"\x00nonsense\r\n\r\n"[: 1 + at % 13])
+            return arrival.runner.drop(end)
+        if how in ("silent close", "silent reset"):
+            return arrival.runner.drop(end, how == "silent reset")
+        data = self._success(arrival, how, others[at % len(others)])
+        if how in ("cut", "cut by reset"):
+            end.send(data[: at % len(data)])
+            self.world.settle()
+            if end in arrival.runner.connections:
+                arrival.runner.drop(end, how == "cut by reset")
+            return
+        end.send(data)
+        if how == "closing" and end in arrival.runner.connections:
+            arrival.runner.drop(end)
+
+    def _success(self, arrival, how, other):
+        more = {
+            "closing": {"connection": "close"},
+            "short life": {"keep_alive": "timeout=1"},
+            "no life": {"keep_alive": "timeout=0"},
+            "foreign id": {"request_id": other},
+            "no id": {"request_id": None},
+        }.get(how, {})
+        asked = arrival.asked
+        if arrival.is_prefill:
+            handle = f"h{asked.id}x{len(self.world.judge.handles)}"
+            self.world.judge.handles[handle] = asked.id
+            body = b'{"kv_handle":"%b","token_count":100,"revision":1}' % handle.encode()
+            data = self.world.answer(arrival, 200, body, is_sealed=False, **more)
+        elif asked.is_streaming:
+            after = int(arrival.headers.get("last-event-id", 0))
+            if how == "no seal":
+                more = {"response_seal": None}
+            data = self.world.stream_head(asked, **more)
+            data += b"".join(chunk(event) for event in asked.events(after)) + b"0\r\n\r\n"
+        elif how == "chunked":
+            head = self.world.answer(
+                arrival,
+                200,
+                f"{asked.id} whole".encode(),
+                content_length=None,
+                transfer_encoding="chunked",
+            )
+            data = head.replace(f"{asked.id} whole".encode(), b"")
+            data += chunk(f"{asked.id} whole".encode()) + b"0\r\n\r\n"
+        else:
+            body = f"{asked.id} whole".encode()
+            data = self.world.answer(arrival, 200, body, is_sealed=how != "no seal", **more)
+        if how == "interim":
+            data = b"HTTP/1.1 103 Early\r\nRequest-Id: x\r\n\r\n" + data
+        if how == "surplus":
+            data += data
+        return data
+
+    @precondition(lambda self: any(one.asked.is_streaming for one in self._owed()))
+    @rule(
+        pick=PICK,
+        pieces=st.integers(0, PIECES),
+        rest=st.integers(0, 40),
+        end=st.sampled_from(["goes on", "goes on", "goes on", "ends", "close", "reset"]),
+    )
+    def stream(self, pick, pieces, rest, end):
+        """A head or some more events, a part of one, and perhaps an end before the last."""
+        owed = [one for one in self._owed() if one.asked.is_streaming and not one.is_prefill]
+        if not owed:
+            return
+        arrival = owed[pick % len(owed)]
+        asked, connection = arrival.asked, arrival.connection
+        data = b""
+        if arrival.written is None:
+            arrival.written = int(arrival.headers.get("last-event-id", 0))
+            data = self.world.stream_head(asked)
+        upto = min(PIECES, arrival.written + pieces)
+        data += b"".join(chunk(event) for event in asked.events(arrival.written, upto))
+        arrival.written = upto
+        if end == "goes on":
+            connection.send(data)
+            return self.world.settle()
+        arrival.runner.owed.remove(arrival)
+        if end == "ends":
+            data += b"".join(chunk(event) for event in asked.events(upto)) + b"0\r\n\r\n"
+            connection.send(data)
+            return self.world.settle()
+        event = b"".join(asked.events(upto))
+        if event:
+            data += chunk(event)[:rest]
+        connection.send(data)
+        self.world.settle()
+        if connection in arrival.runner.connections:
+            arrival.runner.drop(connection, end == "reset")
+        self.world.settle()
+
+    # what goes wrong between
+
+    @precondition(lambda self: self._connections() and self.world.judge.asked)
+    @rule(
+        pick=PICK,
+        which=PICK,
+        how=st.sampled_from(["success", "500", "not run", "no id", "prefill"]),
+    )
+    def late_surplus(self, pick, which, how):
+        """A second answer to any request, on a connection that stands idle or serves another."""
+        connections = self._connections()
+        runner, end = connections[pick % len(connections)]
+        arrivals = [
+            arrival
+            for asked in self.world.judge.asked.values()
+            for arrival in asked.arrivals
+            if arrival.connection is end
+        ]
+        if not arrivals:
+            return
+        arrival = arrivals[which % len(arrivals)]
+        if arrival in runner.owed or any(
+            one.connection is end and one.written for one in runner.owed
+        ):
+            return
+        if how == "success" and arrival.asked.is_streaming:
+            data = self._success(arrival, "whole", "")
+        else:
+            data = {
+                "success": lambda: self._success(arrival, "whole", ""),
+                "500": lambda: self.world.answer(arrival, 500, b"late"),
+                "not run": lambda: self.world.answer(arrival, 503, b"", is_not_run=True),
+                "no id": lambda: self.world.answer(arrival, 200, b"late", request_id=None),
+                "prefill": lambda: self.world.answer(arrival, 200, b"{}", is_sealed=False),
+            }[how]()
+        end.send(data)
+        self.world.settle()
+
+    @rule(
+        what=st.sampled_from(["lose", "lose", "lose", "narrow", "dark", "replace", "leave"]),
+        pick=PICK,
+        how=st.sampled_from(["close", "reset", "forget"]),
+        room=st.sampled_from([0, 60, 200]),
+    )
+    def trouble(self, what, pick, how, room):
+        if what == "narrow":
+            self.world.room = room
+        elif what == "dark":
+            runner = self.world.runners[pick % len(self.world.runners)]
+            runner.is_dark = True
+        elif what == "replace":
+            former = self.world.runners[pick % len(self.world.runners)]
+            self.world.place_runner(former.address, former.phase, how)
+        elif what == "leave":
+            self._leave(pick, how == "reset")
+        else:
+            self._lose_connection(pick, how)
+        self.world.settle()
+
+    def _leave(self, pick, by_reset):
+        callers = [caller for caller in self.world.callers if not caller.is_over]
+        if callers:
+            callers[pick % len(callers)].leave(by_reset)
+
+    def _lose_connection(self, pick, how):
+        connections = self._connections()
+        if not connections:
+            return
+        runner, end = connections[pick % len(connections)]
+        if how != "forget":
+            return runner.drop(end, how == "reset")
+        runner.connections.remove(end)
+        runner.owed = [one for one in runner.owed if one.connection is not end]
+        end.forget()
+
+    @rule(what=st.sampled_from(["wide", "bright", "listed", "all"]))
+    def mend(self, what):
+        """Troubles end: bytes go through, silent runners speak, the list is true."""
+        if what in ("wide", "all"):
+            self.world.room = None
+            for _, end in self._connections():
+                end.room = None
+        if what in ("bright", "all"):
+            for runner in self.world.runners:
+                runner.is_dark = False
+                self.world.net.connect_pending(runner.address)
+        if what in ("listed", "all"):
+            self.world.renew_runners()
+        self.world.settle()
+
+    @rule(span_ms=st.sampled_from([20, 100, 700, 1_100, 2_500]))
+    def wait(self, span_ms):
+        self.world.run_for(span_ms * MS)
+
+    @invariant()
+    def nothing_is_broken(self):
+        self.world.check()
+
+
+@pytest.fixture(autouse=True)
+def real_sockets_afterwards(monkeypatch):
+    monkeypatch.setattr(plug, "socket", plug.socket)
+
+
+def chunk(data):
+    return b"%x\r\n%b\r\n" % (len(data), data)
+
+
+def test_no_course_breaks_a_rule():
+    run_state_machine_as_test(DataPlane, settings=BOUNDED)
+
+
+# Each mechanism taken out: the same machine must find the rule that breaks.
+
+
+def believe_any_id(monkeypatch):
+    monkeypatch.setattr(runners, "is_answer_to", lambda headers, request_id: True)
+
+
+def pass_on_any_answer(monkeypatch):
+    monkeypatch.setattr(runners, "unfit_answer", lambda status, headers: None)
+
+
+def believe_any_end(monkeypatch):
+    def take_close(self, has_begun, is_eof):
+        if not self.is_over:
+            self.close()
+            self.hearer.on_end() if self.is_answered else self.hearer.on_trouble(has_begun)
+
+    monkeypatch.setattr(pool.Exchange, "take_close", take_close)
+
+
+def end_cut_answers_whole(monkeypatch):
+    monkeypatch.setattr(door.DoorCall, "cut", door.DoorCall.finish)
+
+
+def send_again_after_a_reset(monkeypatch):
+    take_close = pool.Exchange.take_close
+    monkeypatch.setattr(
+        pool.Exchange, "take_close", lambda self, has_begun, is_eof: take_close(self, False, is_eof)
+    )
+
+
+def forget_what_was_begun(monkeypatch):
+    monkeypatch.setattr(request.Request, "is_one_time", property(lambda self: False))
+
+
+def promise_always(monkeypatch):
+    monkeypatch.setattr(callers, "status_of", lambda trouble: 503)
+
+
+def change_the_status(monkeypatch):
+    answer = callers.PlatformCallers.answer
+    monkeypatch.setattr(
+        callers.PlatformCallers,
+        "answer",
+        lambda self, request, status, headers, body: answer(
+            self, request, 502 if status == 500 else status, headers, body
+        ),
+    )
+
+
+def try_without_bound(monkeypatch):
+    monkeypatch.setattr(attempts.Attempts, "_has_attempts", lambda self, request, cost: True)
+
+
+def forget_deadlines(monkeypatch):
+    monkeypatch.setattr(node.RouterNode, "_keep_deadlines", lambda self, now_us: None)
+
+
+def forget_to_close(monkeypatch):
+    monkeypatch.setattr(pool.Pool, "leave", lambda self, connection: None)
+
+
+def take_requests_at_once(monkeypatch):
+    def on_data(self, data):
+        if self.is_closing:
+            return
+        self.call = None
+        self._take(data)
+
+    monkeypatch.setattr(door.DoorConnection, "_on_data", on_data)
+
+
+def join_any_pieces(monkeypatch):
+    monkeypatch.setattr(runners.PlatformRunners, "follows", lambda self, request, piece: True)
+    fields = runners.PlatformRunners._fields
+
+    def without_place(self, runner, request, *more):
+        return [
+            field for field in fields(self, runner, request, *more) if field[0] != "last-event-id"
+        ]
+
+    monkeypatch.setattr(runners.PlatformRunners, "_fields", without_place)
+
+
+def name_no_runner(monkeypatch):
+    fields = runners.PlatformRunners._fields
+
+    def without_runner(self, runner, request, *more):
+        return [
+            field
+            for field in fields(self, runner, request, *more)
+            if field[0] != "expected-instance"
+        ]
+
+    monkeypatch.setattr(runners.PlatformRunners, "_fields", without_runner)
+
+
+def keep_no_pause(monkeypatch):
+    """Idle connections for ever: what the runner forgot is sent on."""
+    monkeypatch.setattr(pool.Pool, "close_lapsed", lambda self, now_us: None)
+
+
+@pytest.mark.parametrize(
+    "take_out, rule",
+    [
+        (believe_any_id, "MIXED|REFUSED|TWICE"),
+        (pass_on_any_answer, "MIXED|REFUSED"),
+        (believe_any_end, "MIXED"),
+        (end_cut_answers_whole, "MIXED"),
+        (send_again_after_a_reset, "TWICE"),
+        (forget_what_was_begun, "TWICE"),
+        (promise_always, "REFUSED"),
+        (change_the_status, "MIXED"),
+        (try_without_bound, "BUDGET"),
+        (forget_deadlines, "END"),
+        (forget_to_close, "LEAK"),
+        (take_requests_at_once, "MIXED"),
+        (join_any_pieces, "ORDER"),
+        (name_no_runner, "ROUTE"),
+        (keep_no_pause, "LEAK"),
+    ],
+)
+def test_a_mechanism_taken_out_is_found(take_out, rule, monkeypatch):
+    take_out(monkeypatch)
+    with pytest.raises(RuleBrokenError, match=f"^({rule}): "):
+        run_state_machine_as_test(DataPlane, settings=SEARCH)
