Ring: what follows from who is up is kept until that changes; gossip tells a digest first

Cause: each beat heard sorted all names anew, each look asked for every name's watchers, seats() and live() walked all names at each call, and each second a whole list went each way. Change: order, watchers, watched names, live lists and the seats' table are kept until membership or a fact of it changes. Gossip sends a hash of who is up (start, address, seat); only unequal lists are told, both ways; each tenth gossip is the whole list, for what the hash leaves out (marks, who is down).

--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -6,6 +6,7 @@
 
 WATCHERS = 3
 GOSSIP_US = 1_000_000
+WHOLE_EVERY = 10
 SEEK_US = 100_000
 SEEK_FOR_US = 5_000_000
 FORGET_US = 60_000_000
@@ -78,6 +79,13 @@
         "mark_of",
         "seat_marks",
         "order",
+        "watcher_names",
+        "watched",
+        "live_by_kind",
+        "seat_table",
+        "seat_key",
+        "digest",
+        "gossips",
         "raises_own",
         "sought_us",
         "seek_until_us",
@@ -93,13 +101,16 @@
         self.on_standing = []
         self.on_mark = []
         self.seat_marks = {}
-        self.order = None
+        self.seat_table = self.seat_key = self.digest = None
+        self.gossips = 0
+        self._forget_order()
         self.raises_own = True
         self.beat_us = self.gossip_us = self.sought_us = 0
         self.seek_until_us = node.now_us() + SEEK_FOR_US
         node.hearers.update(
             hello=self.hear_hello,
             members=self.hear_members,
+            digest=self.hear_digest,
             beat=self.hear_beat,
             verdict=self.hear_verdict,
             bye=self.hear_bye,
@@ -113,12 +124,24 @@
         if fellow is not None:
             fellow.spoke_us = self.node.now_us()
 
+    def _forget_order(self):
+        """Who is up or has left changed: what was worked out from that is worked out anew."""
+        self.order = None
+        self.watched = None
+        self.digest = None
+        self.watcher_names = {}
+        self.live_by_kind = {}
+
     def live(self, kind=None):
-        return [
-            fellow
-            for fellow in self.fellows.values()
-            if fellow.is_up and not fellow.has_left and kind in (None, fellow.kind)
-        ]
+        """Those that are up and have not left; the caller must not change the list."""
+        found = self.live_by_kind.get(kind)
+        if found is None:
+            found = self.live_by_kind[kind] = [
+                fellow
+                for fellow in self.fellows.values()
+                if fellow.is_up and not fellow.has_left and kind in (None, fellow.kind)
+            ]
+        return found
 
     def add_seeds(self, addresses):
         self.seeds += [
@@ -133,16 +156,22 @@
         self.me.incarnation += 1
         self.me.seat, self.me.seat_incarnation = seat, seat_incarnation
         self.me.mark = self.mark_of()
+        self.seat_table = None
         if seat:
             self.learn_seats({seat: seat_incarnation})
         for fellow in self.live():
             self.node.tell(fellow.address, "members", fellows=[self.me.as_record()])
 
     def seats(self):
-        return {
-            seat: (fellow.address, max(fellow.seat_incarnation, self.seat_marks.get(seat, 0)))
-            for seat, fellow in self.seat_holders().items()
-        }
+        """Each seat's address and newest incarnation; the caller must not change the table."""
+        key = (self.me.seat, self.me.seat_incarnation, self.me.incarnation)
+        if self.seat_table is None or self.seat_key != key:
+            self.seat_key = key
+            self.seat_table = {
+                seat: (fellow.address, max(fellow.seat_incarnation, self.seat_marks.get(seat, 0)))
+                for seat, fellow in self.seat_holders().items()
+            }
+        return self.seat_table
 
     def seat_holders(self):
         found = {}
@@ -163,6 +192,7 @@
         for seat, incarnation in known.items():
             if incarnation > self.seat_marks.get(seat, 0):
                 self.seat_marks[seat] = incarnation
+                self.seat_table = None
         if (
             self.raises_own
             and self.me.seat in known
@@ -172,12 +202,14 @@
 
     def watchers_of(self, name):
         """The next names on the ring after this one's place, of those that are up."""
+        found = self.watcher_names.get(name)
+        if found is None:
+            found = self.watcher_names[name] = self._find_watchers(name)
+        return found
+
+    def _find_watchers(self, name):
         if self.order is None:
-            names = [
-                fellow.name
-                for fellow in self.fellows.values()
-                if fellow.is_up and not fellow.has_left
-            ]
+            names = [fellow.name for fellow in self.live()]
             self.order = sorted((place_of(other), other) for other in (*names, self.node.name))
         start = bisect_left(self.order, (place_of(name), name))
         found = []
@@ -206,6 +238,25 @@
         if message.get("is_asking"):
             self.node.tell(message["back"], "members", fellows=self._records())
 
+    def _members_digest(self):
+        """A hash of who is up, in which start and on which seat; equal lists need no telling."""
+        key = (self.me.incarnation, self.me.seat, self.me.seat_incarnation)
+        if self.digest is None or self.digest[0] != key:
+            rows = sorted(
+                f"{fellow.name} {fellow.incarnation} {fellow.address} {fellow.seat} "
+                f"{fellow.seat_incarnation}"
+                for fellow in (self.me, *self.live())
+            )
+            told = hashlib.blake2b("\n".join(rows).encode(), digest_size=8).hexdigest()
+            self.digest = (key, told)
+        return self.digest[1]
+
+    def hear_digest(self, message):
+        """Whose list differs is told the whole of this one, and tells its own."""
+        self._take(message["fellow"], is_first_hand=True)
+        if message["digest"] != self._members_digest():
+            self.node.tell(message["back"], "members", fellows=self._records(), is_asking=True)
+
     def hear_beat(self, message):
         fellow = self._take(message["fellow"], is_first_hand=True)
         if fellow is None:
@@ -230,16 +281,19 @@
             if is_known and fellow.address == address:
                 self.node.ports.wire.renew(address)
             fellow = self.fellows[name] = Fellow(name, incarnation)
-            self.order = None
+            self._forget_order()
             self._set_facts(fellow, address, kind, zone, seat)
             fellow.seat_incarnation = seat_incarnation
             self.node.ports.log(1101, fellow=name, incarnation=incarnation, is_known=is_known)
             self._spread(fellow)
         if is_first_hand:
             self._set_facts(fellow, address, kind, zone, seat)
-            fellow.has_left = False
-            self.order = None
-        fellow.seat_incarnation = max(fellow.seat_incarnation, seat_incarnation)
+            if fellow.has_left:
+                fellow.has_left = False
+                self._forget_order()
+        if seat_incarnation > fellow.seat_incarnation:
+            fellow.seat_incarnation = seat_incarnation
+            self.seat_table = self.digest = None
         if seat:
             self.learn_seats({seat: fellow.seat_incarnation})
         if mark > fellow.mark:
@@ -249,7 +303,12 @@
         return fellow
 
     def _set_facts(self, fellow, address, kind, zone, seat):
-        fellow.address, fellow.kind, fellow.zone, fellow.seat = address, kind, zone, seat
+        facts = (address, kind, zone, seat)
+        if facts == (fellow.address, fellow.kind, fellow.zone, fellow.seat):
+            return
+        fellow.address, fellow.kind, fellow.zone, fellow.seat = facts
+        self.seat_table = self.digest = None
+        self.live_by_kind = {}
 
     def _spread(self, fellow):
         for hear in self.on_standing:
@@ -283,7 +342,7 @@
         if is_up == fellow.is_up:
             return
         fellow.is_up = is_up
-        self.order = None
+        self._forget_order()
         fellow.down_us = 0 if is_up else self.node.now_us()
         self.node.ports.log(
             1101 if is_up else 1102, fellow=fellow.name, incarnation=fellow.incarnation
@@ -308,8 +367,8 @@
         if fellow is None:
             return
         fellow.has_left = True
-        self.order = None
         fellow.is_up = False
+        self._forget_order()
         fellow.down_us = self.node.now_us()
         self._spread(fellow)
 
@@ -353,8 +412,9 @@
             self.node.tell(self.fellows[name].address, "beat", fellow=record)
 
     def _watch(self, now_us):
+        watched = self._find_watched()
         for fellow in self.fellows.rows():
-            if fellow.has_left or not self._is_mine_to_watch(fellow):
+            if fellow.has_left or fellow.name not in watched:
                 fellow.heard_us = None
                 continue
             if fellow.heard_us is None:
@@ -364,11 +424,16 @@
             ):
                 self._judge(fellow, True)
         for fellow in self.fellows.rows():
-            if fellow.is_up and any(fellow.verdicts.values()):
+            if fellow.is_up and fellow.verdicts and any(fellow.verdicts.values()):
                 self._weigh(fellow)
 
-    def _is_mine_to_watch(self, fellow):
-        return self.node.name in self.watchers_of(fellow.name)
+    def _find_watched(self):
+        """The names that this node watches, until it hears of a change."""
+        if self.watched is None:
+            self.watched = {
+                name for name in self.fellows if self.node.name in self.watchers_of(name)
+            }
+        return self.watched
 
     def _gossip(self, now_us):
         self.me.mark = self.mark_of()
@@ -376,13 +441,26 @@
             self.node.tell(seed, "hello", fellow=self.me.as_record())
         fellows = self.live() or self.fellows.rows()
         if fellows:
-            other = fellows[self.node.ports.dice.randrange(len(fellows))]
+            self._tell_list(fellows[self.node.ports.dice.randrange(len(fellows))])
+        self._call_downs(now_us)
+
+    def _tell_list(self, other):
+        """The list's digest; now and then the list itself, for what the digest leaves out."""
+        self.gossips += 1
+        if self.gossips % WHOLE_EVERY == 1:
             self.node.tell(other.address, "members", fellows=self._records(), is_asking=True)
+            return
+        self.node.tell(
+            other.address, "digest", fellow=self.me.as_record(), digest=self._members_digest()
+        )
+
+    def _call_downs(self, now_us):
         downs = [fellow for fellow in self.fellows.values() if not fellow.is_up]
         for fellow in downs:
             if now_us - fellow.down_us > FORGET_US:
                 self.fellows.drop(fellow.name)
-                self.order = None
+                self._forget_order()
+                self.seat_table = None
         if downs:
             other = downs[self.node.ports.dice.randrange(len(downs))]
             self.node.tell(other.address, "hello", fellow=self.me.as_record())
