Ticks: a router with nothing waiting rests 50 ms between ticks, 20 ms otherwise

Cause: every process woke each 20 ms and ran all its systems; 80 routers alone 4,000 times a second. Change: a node says after a tick how long the next may be off (`rest_us`); the router says 50 ms, the tick of the simulated world, unless it is closed, drains, or a request stands in a queue. Calls put off (`call_in`) keep their times. Seats keep 20 ms. Ruled out: longer rests; streams are late after `transit_max_ms` (200). Runs: tests/test_ticks.py 8 passed.

--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -112,6 +112,10 @@
             if not call.is_ended and not call.is_begun:
                 call.answer_trouble(trouble)
 
+    def rest_us(self):
+        """How long after this tick the next may follow; a node with nothing to wait for says more than 0."""
+        return 0
+
     def tick(self):
         now_us = self.now_us()
         late_us = now_us - self.ticked_us
--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -135,6 +135,10 @@
                         Trouble("credit_spent", retry_us=wait_us, group=book.name, wait_us=wait_us),
                     )
 
+    def is_waiting(self):
+        """Whether any group's queue holds a request."""
+        return any(book.queue for book in self.groups.values())
+
     def wait_us(self, group):
         """How long a request that joins the group's queue now would wait, by credit and by pace."""
         book = self.groups.get(group)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -19,6 +19,7 @@
 RATE_US = 1_000_000
 CLOSED_US = 1_000_000
 CLOSED_MOST_US = 30_000_000
+REST_US = 50_000
 
 
 def room_for_others(plan, group):
@@ -274,6 +275,12 @@
         request.note(self.now_us(), "queued")
         self.wake_queue()
 
+    def rest_us(self):
+        """Requests that wait are looked at with each short tick; all else is moved by what comes in."""
+        if not self.is_open or self.credit.is_waiting() or self.is_draining:
+            return 0
+        return REST_US
+
     def wake_queue(self):
         self.credit.serve(self.attempts.begin)
 
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -99,6 +99,7 @@
         if self.web is not None:
             self.web.look_for_room()
             self._close_idle(now_us)
+        return max(self.ticker.tick_us, self.node.rest_us())
 
     def _close_idle(self, now_us):
         if now_us - self.looked_us < LOOK_US:
--- a/packages/wire/src/linkhaven/wire/ticker.py
+++ b/packages/wire/src/linkhaven/wire/ticker.py
@@ -11,7 +11,9 @@
 
 
 class Ticker(BaseComponent):
-    """The loop's clock: monotonic time, the tick, and calls put off to later."""
+    """The loop's clock: monotonic time, the tick, and calls put off to later.
+
+    `on_tick` may give the microseconds until the next tick; without them it follows after `tick_us`."""
 
     channel = "ticker"
 
@@ -52,4 +54,6 @@
             heapq.heappop(self.agenda)[2]()
         if now_us >= self.due_us:
             self.due_us = now_us + self.tick_us
-            self.on_tick()
+            rest_us = self.on_tick()
+            if rest_us is not None:
+                self.due_us = now_us + rest_us
--- /dev/null
+++ b/tests/test_ticks.py
@@ -0,0 +1,68 @@
+"""The pace of the loop's ticks: short while requests wait, longer while nothing does."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from linkhaven.router import RouterNode
+from linkhaven.router.node import REST_US
+from linkhaven.wire import ticker as ticker_module
+from linkhaven.wire.ticker import TICK_US, Ticker
+
+TRANSIT_US = 200_000
+
+
+class Time:
+    """Time that moves only when told."""
+
+    def __init__(self, monkeypatch):
+        self.now_us = 1_000_000
+        monkeypatch.setattr(ticker_module, "monotonic_us", lambda: self.now_us)
+
+
+def ticks_within(ticker, time, span_us, step_us=1_000):
+    ticks = []
+    ticker.on_tick = lambda on_tick=ticker.on_tick: ticks.append(time.now_us) or on_tick()
+    for _ in range(span_us // step_us):
+        ticker.turn()
+        time.now_us += step_us
+    return ticks
+
+
+@pytest.mark.parametrize("rest_us, pace_us", [(None, TICK_US), (50_000, 50_000), (20_000, 20_000)])
+def test_a_tick_says_when_the_next_follows(monkeypatch, rest_us, pace_us):
+    time = Time(monkeypatch)
+    ticker = Ticker(lambda: rest_us)
+    ticks = ticks_within(ticker, time, 1_000_000)
+    assert {after - before for before, after in zip(ticks, ticks[1:], strict=False)} == {pace_us}
+
+
+def test_calls_put_off_keep_their_time_within_a_long_rest(monkeypatch):
+    time = Time(monkeypatch)
+    ticker, called = Ticker(lambda: 50_000), []
+    ticker.turn()
+    ticker.call_in(7_000, lambda: called.append(time.now_us))
+    assert ticker.time_left() == pytest.approx(0.007)
+    ticks_within(ticker, time, 20_000)
+    assert called == [1_007_000]
+
+
+@pytest.mark.parametrize(
+    "is_open, is_waiting, is_draining, rest_us",
+    [
+        (True, False, False, REST_US),
+        (True, True, False, 0),
+        (False, False, False, 0),
+        (True, False, True, 0),
+    ],
+)
+def test_a_router_rests_only_while_nothing_waits_for_its_ticks(
+    is_open, is_waiting, is_draining, rest_us
+):
+    router = SimpleNamespace(
+        is_open=is_open,
+        is_draining=is_draining,
+        credit=SimpleNamespace(is_waiting=lambda: is_waiting),
+    )
+    assert RouterNode.rest_us(router) == rest_us
+    assert REST_US <= TRANSIT_US // 4
