--- a/packages/credit/src/linkhaven/credit/desk.py
+++ b/packages/credit/src/linkhaven/credit/desk.py
@@ -172,7 +172,8 @@
             book.refused += 1
 
     def tell_usage(self):
-        return {
+        """What each group did here; one that did nothing is not named."""
+        told = {
             book.name: {
                 "spent": book.spent,
                 "refused": book.refused,
@@ -181,6 +182,7 @@
             }
             for book in self.groups.values()
         }
+        return {name: usage for name, usage in told.items() if any(usage.values())}
 
     def has_credit(self, book, request, now_us):
         if not book.is_capped:
--- a/packages/credit/src/linkhaven/credit/extra.py
+++ b/packages/credit/src/linkhaven/credit/extra.py
@@ -21,6 +21,7 @@
         "until_us",
         "pressure",
         "asked_us",
+        "refused_us",
     )
 
     def __init__(self, node):
@@ -34,6 +35,7 @@
         self.until_us = 0
         self.pressure = []
         self.asked_us = None
+        self.refused_us = None
         node.systems.append(self.tick)
 
     def take_plan(self, plan):
@@ -76,6 +78,10 @@
             "grant": self.grant,
         }
 
+    def is_pressed(self):
+        """Whether an extra shot was wanted lately that this router's part did not allow."""
+        return self.refused_us is not None and self.node.now_us() - self.refused_us < PRESSURE_US
+
     def earn(self, pool=None):
         self.asked_us = self.node.now_us()
         self.tick(self.asked_us)
@@ -93,6 +99,7 @@
         bucket = self._bucket_of(pool)
         if bucket.level < cost + keep:
             self.refused += 1
+            self.refused_us = now_us
             return False
         bucket.level -= cost
         self.spent[why] = self.spent.get(why, 0) + cost
--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -6,6 +6,7 @@
 from .overlay import overlay_of
 
 READ_US = 100_000
+URGENT_US = 100_000
 
 KEY = "plan"
 
@@ -13,9 +14,9 @@
 class Ask:
     """One open ask of a router: what it holds, what it heard of, and whether it wants the body here."""
 
-    __slots__ = ("back", "id", "mark", "heard", "wants_plan", "facts", "until_us")
+    __slots__ = ("back", "id", "mark", "heard", "wants_plan", "facts", "until_us", "urgent_us")
 
-    def __init__(self, message, until_us):
+    def __init__(self, message, until_us, urgent_us):
         self.back = message["back"]
         self.id = message["id"]
         self.mark = message["mark"]
@@ -23,6 +24,7 @@
         self.wants_plan = message["wants_plan"]
         self.facts = message
         self.until_us = until_us
+        self.urgent_us = urgent_us
 
 
 class NewsDesk:
@@ -36,6 +38,7 @@
         "bodies",
         "asks",
         "extras",
+        "is_urgent",
         "on_ask",
         "is_reading",
         "read_us",
@@ -51,6 +54,7 @@
         self.bodies = bodies
         self.asks = {}
         self.extras = []
+        self.is_urgent = lambda facts: False
         self.on_ask = []
         self.is_reading = False
         self.read_us = 0
@@ -60,11 +64,12 @@
         node.systems.append(self.tick)
 
     def hear_ask(self, message):
-        self.asked_us = self.node.now_us()
+        now_us = self.asked_us = self.node.now_us()
         self.seat.directory.learn_seats(message["known"])
         for hear in self.on_ask:
             hear(message)
-        ask = Ask(message, self.node.now_us() + self.node.terms.news_hold_us)
+        hold_us = message.get("hold_us", self.node.terms.news_hold_us)
+        ask = Ask(message, now_us + hold_us, now_us + min(URGENT_US, hold_us))
         if message["mark"] > self.held_mark():
             self.image.hear_mark(message["mark"])
         self.asks[ask.back] = ask
@@ -141,9 +146,13 @@
         if not self._is_newest_known() and self.seat.is_voting:
             self._read(now_us)
         for ask in list(self.asks.values()):
-            if now_us >= ask.until_us:
+            if now_us >= ask.until_us or self._is_urgent(ask, now_us):
                 self._answer(ask)
 
+    def _is_urgent(self, ask, now_us):
+        """Whether a router that asked for a long hold has to hear something before its end."""
+        return "hold_us" in ask.facts and now_us >= ask.urgent_us and self.is_urgent(ask.facts)
+
     def _read(self, now_us):
         if self.is_reading or now_us - self.read_us < READ_US:
             return
--- a/packages/plan/src/linkhaven/plan/reader.py
+++ b/packages/plan/src/linkhaven/plan/reader.py
@@ -10,9 +10,11 @@
 
 from linkhaven.clockwork import read_json
 
+from .pace import AskPace
 from .packing import BodyMismatch, open_body
 
 LATE_US = 350_000
+DUTY_PARTS = ("roster", "steward", "shares")
 
 
 @lru_cache(maxsize=1024)
@@ -24,11 +26,13 @@
 class Told:
     """The ask at one seat, and what its answers confirmed."""
 
-    __slots__ = ("id", "sent_us", "confirmed_us", "incarnation", "quiet_us")
+    __slots__ = ("id", "sent_us", "hold_us", "asked", "confirmed_us", "incarnation", "quiet_us")
 
     def __init__(self, now_us):
         self.id = None
         self.sent_us = 0
+        self.hold_us = 0
+        self.asked = None
         self.confirmed_us = None
         self.incarnation = 0
         self.quiet_us = now_us
@@ -62,9 +66,11 @@
         "confirmed_us",
         "lacking",
         "held",
+        "pace",
+        "is_pressed",
     )
 
-    def __init__(self, node, directory, image, majority=None):
+    def __init__(self, node, directory, image, majority=None, count_routers=lambda: 1):
         """Hears news and asks for more from here on."""
         self.node = node
         self.directory = directory
@@ -77,6 +83,8 @@
         self.confirmed_us = None
         self.lacking = None
         self.held = None
+        self.pace = AskPace(node.terms, count_routers)
+        self.is_pressed = lambda: False
         node.hearers["news"] = self.hear_news
         node.systems.append(self.tick)
 
@@ -97,13 +105,15 @@
 
     # Asking
 
-    def _ask(self, seat, address, now_us, wants_plan=None):
+    def _ask(self, seat, place, now_us, wants_plan=None):
         told = self.told.get(seat)
         if told is None:
             told = self.told[seat] = Told(now_us)
         self.serial += 1
         told.id = f"{self.serial}"
         told.sent_us = now_us
+        told.asked = place
+        told.hold_us = self.pace.hold_us(seat, self.is_pressed(), now_us)
         if wants_plan is None:
             wants_plan = self._is_source(seat, now_us)
         if wants_plan and self.lacking is not None:
@@ -117,9 +127,11 @@
                 seat: incarnation for seat, (_, incarnation) in self.directory.seats().items()
             },
         }
+        if told.hold_us != self.node.terms.news_hold_us:
+            facts["hold_us"] = told.hold_us
         for add in self.facts:
-            add(facts)
-        self.node.tell(address, "ask", **facts)
+            add(facts, seat)
+        self.node.tell(place[0], "ask", **facts)
 
     def _is_source(self, seat, now_us):
         """Whether this seat's answers are to bring the body: the nearest that isn't silent."""
@@ -129,8 +141,10 @@
 
     def _is_silent(self, seat, now_us):
         told = self.told.get(seat)
-        longest_us = self.node.terms.news_hold_us + LATE_US
-        return told is not None and now_us - told.quiet_us > longest_us
+        if told is None:
+            return False
+        longest_us = max(self.node.terms.news_hold_us, told.hold_us) + LATE_US
+        return now_us - told.quiet_us > longest_us
 
     def _by_nearness(self):
         """Seats in this router's zone come first; beyond that routers spread over the seats."""
@@ -140,16 +154,24 @@
 
     def tick(self, now_us):
         """Asks again where an answer is overdue, and elsewhere for a body that doesn't come."""
-        for seat, (address, _) in self.directory.seats().items():
+        is_pressed = self.is_pressed()
+        for seat, place in self.directory.seats().items():
             told = self.told.get(seat)
-            if (
-                told is None
-                or told.id is None
-                or now_us - told.sent_us > self.node.terms.news_hold_us + LATE_US
-            ):
-                self._ask(seat, address, now_us)
+            if told is None or self._is_due(seat, told, place, is_pressed, now_us):
+                self._ask(seat, place, now_us)
         self._chase(now_us)
 
+    def _is_due(self, seat, told, place, is_pressed, now_us):
+        """No answer is awaited from the seat, or none can come any more, or it would come late."""
+        if told.id is None or now_us - told.sent_us > told.hold_us + LATE_US:
+            return True
+        least_us = self.node.terms.news_hold_us
+        if told.hold_us == least_us or now_us - told.sent_us < least_us:
+            return False
+        if told.asked != place:
+            return True
+        return is_pressed and self.pace.hold_us(seat, True, now_us) < told.hold_us
+
     def _chase(self, now_us):
         lacking, seats = self.lacking, self.directory.seats()
         if lacking is None or now_us < lacking.ask_us:
@@ -162,7 +184,7 @@
         if not untried:
             lacking.tried.clear()
         seat = (untried or tellers)[0]
-        self._ask(seat, seats[seat][0], now_us, wants_plan=True)
+        self._ask(seat, seats[seat], now_us, wants_plan=True)
 
     # Hearing
 
@@ -181,8 +203,9 @@
         for hear in self.on_news:
             hear(message, told.sent_us)
         told.id = None
+        self.pace.note_news(message["seat"], message, DUTY_PARTS, now_us)
         if known is not None:
-            self._ask(message["seat"], known[0], now_us)
+            self._ask(message["seat"], known, now_us)
 
     def _hear_current(self, message, told):
         mark = message["mark"]
--- a/packages/registry/src/linkhaven/registry/changes.py
+++ b/packages/registry/src/linkhaven/registry/changes.py
@@ -16,7 +16,7 @@
 class RosterChanges:
     """The serials at which each runner's record, its figures and its place last changed."""
 
-    __slots__ = ("whole", "records", "figures", "refreshed_us", "gone")
+    __slots__ = ("whole", "records", "figures", "refreshed_us", "gone", "newest")
 
     def __init__(self):
         """Nothing is known yet: no difference can be told."""
@@ -24,7 +24,7 @@
 
     def begin(self, serial):
         """A list that has nothing in common with those before it."""
-        self.whole = serial
+        self.whole = self.newest = serial
         self.records = {}
         self.figures = {}
         self.refreshed_us = {}
@@ -36,7 +36,7 @@
 
     def note_record(self, name, serial):
         """The runner's record changed otherwise than by its figures."""
-        self.records[name] = serial
+        self.records[name] = self.newest = serial
 
     def note_list(self, before, runners, serial):
         """Compares a new list with the records before it; tells whether anything changed."""
@@ -44,14 +44,14 @@
         for name, runner in runners.items():
             held = before.get(name)
             if held is None or _standing(held) != _standing(runner.as_record(0)):
-                self.records[name] = serial
+                self.note_record(name, serial)
                 is_changed = True
         for name in runners:
             self.gone.pop(name, None)
         for name in [name for name in before if name not in runners]:
             for table in (self.records, self.figures, self.refreshed_us):
                 table.pop(name, None)
-            self.gone[name] = serial
+            self.gone[name] = self.newest = serial
             is_changed = True
         if len(self.gone) > GONE_MOST:
             self._forget_gone()
@@ -68,7 +68,7 @@
         """A report that says what the one before said is told again now and then, for its age."""
         after = runner.as_record(0)
         if before is None or _standing(before) != _standing(after):
-            self.records[runner.name] = serial
+            self.note_record(runner.name, serial)
         elif (
             _figures(before) != _figures(after)
             or now_us - self.refreshed_us.get(runner.name, 0) >= REFRESH_US
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -114,6 +114,7 @@
         self.keeper.on_ready = self.news.answer_all
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
+        self.bursar.on_won = self.news.answer_all
         self.ring.on_mark.append(self._hear_mark)
         self.views = Views(self)
         self.news.on_ask += [
@@ -126,6 +127,7 @@
             self._hear_usage,
         ]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
+        self.news.is_urgent = self._is_urgent
         self.hearers["image"] = self._hear_image
         self.systems += [self._adopt_image, self._watch_edge, self._leave_in_time]
         self.paths.update(
@@ -307,6 +309,17 @@
             }
         self.steward.add_news(facts)
 
+    def _is_urgent(self, ask):
+        """Whether the asker lacks an order of the steward, or what happened to a runner."""
+        steward = self.duties["steward"]
+        place = (steward.fence, self.steward.serial)
+        if steward.is_held() and place > tuple(ask.get("steward") or (0, 0)):
+            return True
+        rank = self._roster_rank()
+        if rank is None or not self.keeper.is_ready():
+            return False
+        return (rank, self.keeper.changes.newest) > tuple(ask.get("roster") or (0, 0))
+
     def _roster_rank(self):
         """The fence while the duty is held. While its holder is quiet a deputy stands between that fence and the next."""
         duty = self.duties["roster"]
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -88,7 +88,7 @@
         self.ring = Ring(self, "router", zone, seeds, incarnation, mark_of=lambda: self.image.mark)
         self.ring.on_mark.append(lambda mark, fellow: self.image.hear_mark(mark))
         self.proposer = Proposer(self, self.ring, majority)
-        self.news = NewsReader(self, self.ring, self.image, majority)
+        self.news = NewsReader(self, self.ring, self.image, majority, self._count_routers)
         self.roster = Roster(self)
         self.desk = desk_of(self)
         self.keys = Keys(self, self.proposer)
@@ -117,6 +117,7 @@
         self.on_end = []
         self.image.on_new.append(self._take_plan)
         self.news.facts.append(self._add_facts)
+        self.news.is_pressed = self._is_pressed
         self.news.on_news.append(self._hear_news)
         self.roster.on_new.append(self.wake_queue)
         self.hearers["want_image"] = self._hear_want_image
@@ -166,14 +167,27 @@
         """This router's even part of what all runners read, until its own queue has shown its pace."""
         return self.pairing.reading_pace() // (1 + len(self.ring.live("router")))
 
-    def _add_facts(self, facts):
-        facts["credit"] = self.credit.tell_demand()
+    def _count_routers(self):
+        return 1 + len(self.ring.live("router"))
+
+    def _is_pressed(self):
+        """Whether this router waits for a larger share than it has."""
+        return self.extra.is_pressed() or self.credit.is_waiting()
+
+    def _add_facts(self, facts, seat):
+        """What a seat is told: its duties' holders hear what only these need."""
+        now_us, pace = self.now_us(), self.news.pace
+        is_roster = pace.is_teller(seat, "roster", now_us)
+        if pace.is_teller(seat, "shares", now_us):
+            facts["credit"] = self.credit.tell_demand()
+            facts["extra"] = self.extra.tell_want()
         facts["usage"] = self.credit.tell_usage()
-        facts["extra"] = self.extra.tell_want()
-        facts["evidence"] = self.roster.tell_evidence()
+        is_keeping = is_roster or pace.is_teller(seat, "steward", now_us)
+        facts["evidence"] = self.roster.tell_evidence(is_keeping)
         facts["rates"] = [*self.rates, self.pairing.estimator.seen_rate()]
         facts["roster"] = self.roster.place
-        if self.pairing.is_large():
+        facts["steward"] = self.steward_place
+        if is_roster and self.pairing.is_large():
             facts["views"] = self.pairing.own_views()
         grants = [self.extra.grant, *(book.grant for book in self.credit.groups.values())]
         facts["fences"] = {
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -265,11 +265,18 @@
         self.evidence[(runner.name, runner.incarnation, "leaving")] = self.node.now_us()
         runner.is_leaving = True
 
-    def tell_evidence(self):
+    def tell_evidence(self, is_keeping=True):
+        """Its own word on runners; to a seat that keeps no list only who leaves, which it remembers."""
         now_us = self.node.now_us()
         for key, seen_us in list(self.evidence.items()):
             if now_us - seen_us > DARK_US:
                 del self.evidence[key]
+        if not is_keeping:
+            return [
+                [*key, now_us - seen_us]
+                for key, seen_us in self.evidence.items()
+                if key[2] == "leaving"
+            ]
         alive = [
             [runner.name, runner.incarnation, "alive", now_us - runner.alive_us]
             for runner in self.runners.values()
--- /dev/null
+++ b/tests/test_ask_pace.py
@@ -0,0 +1,53 @@
+"""How long seats hold a router's asks, by the fleet's size, the terms and the duties."""
+
+import pytest
+
+from linkhaven.clockwork import Terms
+from linkhaven.plan.pace import HOLDER_US, LONGEST_US, SMALL_FLEET, AskPace
+
+PARTS = ("roster", "steward", "shares")
+
+
+def pace_of(routers, **terms):
+    return AskPace(Terms(**terms), lambda: routers)
+
+
+@pytest.mark.parametrize("routers", [1, 3, SMALL_FLEET])
+def test_a_small_fleet_asks_at_full_pace(routers):
+    pace = pace_of(routers)
+    assert {pace.hold_us(seat, False, 0) for seat in "abc"} == {Terms().news_hold_us}
+
+
+@pytest.mark.parametrize("routers", [18, 40, 80, 340])
+@pytest.mark.parametrize("stale_us", [None, 1_500_000, 900_000])
+@pytest.mark.parametrize("lease_us", [3_000_000, 1_200_000])
+def test_a_hold_stays_within_a_third_of_what_it_must_renew(routers, stale_us, lease_us):
+    terms = Terms(plan_stale_us=stale_us, lease_us=lease_us)
+    pace = AskPace(terms, lambda: routers)
+    longest_us = pace.longest_us()
+    assert terms.news_hold_us <= longest_us <= LONGEST_US
+    assert longest_us * 3 <= max(3 * terms.news_hold_us, lease_us)
+    if stale_us is not None:
+        assert longest_us * 3 <= max(3 * terms.news_hold_us, stale_us)
+
+
+def test_the_seats_that_matter_are_asked_more_often_at_a_large_fleet():
+    pace = pace_of(80, plan_stale_us=None)
+    pace.note_news("a", {"roster": {}, "steward": {}}, PARTS, 0)
+    pace.note_news("b", {"shares": {}}, PARTS, 0)
+    assert pace.hold_us("c", False, 0) == pace.longest_us() == LONGEST_US
+    assert pace.hold_us("a", False, 0) == LONGEST_US // 2
+    assert pace.hold_us("b", False, 0) == LONGEST_US
+    assert pace.hold_us("b", True, 0) == Terms().news_hold_us
+    assert pace.hold_us("c", True, 0) == LONGEST_US
+
+
+def test_while_no_seat_tells_a_part_any_may():
+    pace = pace_of(80)
+    assert all(pace.is_teller(seat, "roster", 0) for seat in "abc")
+    pace.note_news("a", {"roster": {}}, PARTS, 0)
+    assert [seat for seat in "abc" if pace.is_teller(seat, "roster", 0)] == ["a"]
+    pace.note_news("b", {"roster": {}}, PARTS, 0)
+    pace.note_news("a", {}, PARTS, 0)
+    assert [seat for seat in "abc" if pace.is_teller(seat, "roster", 0)] == ["b"]
+    assert all(pace.is_teller(seat, "roster", HOLDER_US) for seat in "abc")
