A new quota holder ends long holds one by one; a demand that ended counts as none

Found on the way: the kept sum of demands left a rest of rounding, and an idle fleet then got a fifth of its even parts. Ruled out: the refresh of reports (1 s for 2 s: no change), facts told to duty holders only (told to all: no change), the bursar's sums (its decisions are the old ones).

--- a/packages/credit/src/linkhaven/credit/outstanding.py
+++ b/packages/credit/src/linkhaven/credit/outstanding.py
@@ -81,14 +81,18 @@
 
 
 class Demand:
-    """What each router asked for lately, and the sum of it."""
+    """What each router asked for lately, and the sum of it.
 
-    __slots__ = ("told", "total", "quiet_us")
+    The sum is kept as amounts come and go. It is exactly 0 while nobody asks for anything: what
+    rounding leaves behind would else be taken for a demand that one router has alone."""
+
+    __slots__ = ("told", "total", "asking", "quiet_us")
 
     def __init__(self, quiet_us):
         """A router that was not heard for `quiet_us` asks for nothing."""
         self.told = {}
         self.total = 0.0
+        self.asking = 0
         self.quiet_us = quiet_us
 
     def note(self, router, amount, now_us):
@@ -96,10 +100,12 @@
         self._drop(router)
         self.told[router] = (amount, now_us)
         self.total += amount
+        self.asking += amount > 0
 
     def _drop(self, router):
         amount, _ = self.told.pop(router, (0.0, 0))
-        self.total -= amount
+        self.asking -= amount > 0
+        self.total = self.total - amount if self.asking else 0.0
 
     def forget_quiet(self, now_us):
         """Drops the routers that have been quiet; the first in the table were heard longest ago."""
@@ -108,8 +114,6 @@
             if now_us - self.told[router][1] < self.quiet_us:
                 break
             self._drop(router)
-        if not self.told:
-            self.total = 0.0
 
     def of(self, router):
         """What the router asked for, or None if it is not among those heard lately."""
--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -106,6 +106,15 @@
             if self._has_news(ask):
                 self._answer(ask)
 
+    def shorten_holds(self):
+        """Ends long holds soon, each at its own moment: answered together, routers would go on
+        asking together, and place by the same news at the same time."""
+        now_us, usual_us = self.node.now_us(), self.node.terms.news_hold_us
+        for ask in self.asks.values():
+            if "hold_us" in ask.facts:
+                soon_us = now_us + self.node.ports.dice.randrange(usual_us)
+                ask.until_us = min(ask.until_us, soon_us)
+
     def answer_all(self):
         for ask in list(self.asks.values()):
             self._answer(ask)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -114,7 +114,7 @@
         self.keeper.on_ready = self.news.answer_all
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
-        self.bursar.on_won = self.news.answer_all
+        self.bursar.on_won = self.news.shorten_holds
         self.ring.on_mark.append(self._hear_mark)
         self.views = Views(self)
         self.news.on_ask += [
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -85,3 +85,19 @@
     assert (demand.total, demand.of("router-2")) == (20.0, None)
     demand.forget_quiet(8 * SECOND)
     assert (demand.total, demand.of("router-1")) == (0.0, None)
+
+
+def test_a_demand_that_ended_leaves_nothing_behind():
+    """A rest of rounding would give an idle fleet a fifth of its even parts."""
+    demand = Demand(LEASE_US)
+    dice = random.Random(5)
+    for _ in range(200):
+        for router in range(7):
+            demand.note(router, dice.random() * 1_000, SECOND)
+    for router in range(7):
+        demand.note(router, 0.0, SECOND)
+    assert demand.total == 0.0
+    demand.note(3, 8.5, SECOND)
+    assert demand.total == 8.5
+    demand.forget_quiet(SECOND + LEASE_US)
+    assert (demand.total, demand.told) == (0.0, {})
