Disk: a header with format and node, a checksum a record, and refusals that name what was found

Cause: a file of no bytes was read as a new one; another node's folder and another release's were read as one's own; a record was only checked to be a list. Names were left to lmdb's first start. Now: the file is made under another name, synced, renamed, and the folder synced; its header says format and node, each value has a checksum with its key. disk_corrupt, disk_format, disk_foreign, events 1212 and 1213. On the platform a torn or foreign file is set aside and the member counts as one that lost its disk; one of another format never is. Ruled out: refusing for ever on the platform (nobody types commands there, the member would stay lost); setting another format aside (a release that goes out everywhere would drop whole disks). Before: LmdbDisk took a file of 0 bytes as new, and a copied folder as its own.

--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -4,7 +4,7 @@
 
 from linkhaven.plan import check_plan, diff_plans
 from linkhaven.schema import Trouble
-from linkhaven.wire import Shell
+from linkhaven.wire import Shell, make_log
 from linkhaven.wire.console import (
     PLACE_OPTIONS,
     CodedCommand,
@@ -13,7 +13,7 @@
     run_application,
 )
 
-from .disk import LmdbDisk
+from .disk import open_disk
 from .node import RegistryNode
 
 REGISTRY_OPTION = option(
@@ -45,7 +45,15 @@
 
     def act(self):
         settings = self.read_core()
-        disk = LmdbDisk(settings["data"], settings["data_bytes"])
+        log_path = settings["log"].get("file")
+        disk = open_disk(
+            settings["data"],
+            settings["data_bytes"],
+            settings["name"],
+            lambda *number, **facts: make_log(settings["name"], settings["log"]["level"], log_path)(
+                *number, **facts
+            ),
+        )
 
         def build(ports, incarnation):
             return RegistryNode(
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -18,6 +18,8 @@
     1209: ("info", "node waits as a spare for a vacant seat"),
     1210: ("info", "member leaves and offers its seat to a spare"),
     1211: ("info", "spare reads the state of a leaving member"),
+    1212: ("error", "data folder was refused: torn, of another format, or another node's"),
+    1213: ("error", "refused data was set aside; the member counts as one that lost its disk"),
     1301: ("info", "plan chosen"),
     1302: ("warning", "plan put conflicted"),
     1303: ("warning", "plan put ended without a majority"),
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -169,6 +169,16 @@
         "no",
         "The data folder holds what this program did not write whole; move it away and start the seat empty, it rebuilds from the others.",
     ),
+    "disk_format": (
+        503,
+        "no",
+        "The data folder is whole, but of another format; start the release that wrote it, or move the folder away on one member at a time, each once the others vote.",
+    ),
+    "disk_foreign": (
+        503,
+        "no",
+        "The data folder belongs to another node; give this node its own, or move it away and start empty, it rebuilds from the others.",
+    ),
     "settings_invalid": (
         500,
         "no",
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -144,3 +144,213 @@
         open_disk(tmp_path / "data")
     assert caught.value.code == "disk_corrupt"
     assert file.read_bytes() == before
+
+
+def filled(folder, node="core-1"):
+    """A folder with some records, closed."""
+    disk, clock = open_disk(folder, node=node)
+    disk.write(
+        {"seat": "a", "incarnation": 3, "cell/plan": [[2, "n"], [2, "n"], {"mark": 4}, 0]},
+        lambda is_kept: None,
+    )
+    clock.run()
+    disk.close()
+    return folder / "data.mdb"
+
+
+def put_raw(folder, key, stored):
+    with lmdb.open(str(folder)) as env, env.begin(write=True) as txn:
+        if stored is None:
+            txn.delete(key)
+        else:
+            txn.put(key, stored)
+
+
+def cut_to(length):
+    def spoil(file):
+        file.write_bytes(file.read_bytes()[:length])
+
+    return spoil
+
+
+def zero_head(file):
+    file.write_bytes(b"\0" * 8_192 + file.read_bytes()[8_192:])
+
+
+def lose_header(file):
+    with lmdb.open(str(file.parent)) as env, env.begin(write=True) as txn:
+        for key in [bytes(key) for key, _ in txn.cursor()]:
+            txn.delete(key)
+
+
+def flip_record(file):
+    put_raw(file.parent, b"seat", module.pack_value(b"seat", "a")[:-2] + b'b"')
+
+
+def move_record(file):
+    """A good value under another key."""
+    put_raw(file.parent, b"seat", module.pack_value(b"incarnation", 3))
+
+
+SPOILS = [cut_to(0), cut_to(100), cut_to(4_096), cut_to(8_192), zero_head, lose_header]
+SPOILS += [flip_record, move_record, spoil_head]
+
+
+@pytest.mark.parametrize("spoil", SPOILS)
+def test_no_spoilt_folder_is_read_as_empty(tmp_path, spoil):
+    file = filled(tmp_path / "data")
+    spoil(file)
+    with pytest.raises(Trouble) as caught:
+        module.LmdbDisk(str(tmp_path / "data"), node="core-1")
+    assert caught.value.code == "disk_corrupt"
+
+
+@pytest.mark.parametrize("spoil", SPOILS)
+def test_a_member_that_repairs_itself_sets_a_spoilt_folder_aside_and_says_so(tmp_path, spoil):
+    file, told = filled(tmp_path / "data"), []
+    spoil(file)
+    before = file.read_bytes()
+    disk = module.open_disk(
+        str(tmp_path / "data"),
+        1 << 20,
+        "core-1",
+        lambda number, **facts: told.append((number, facts.get("code"))),
+        sets_aside=True,
+    )
+    assert told == [(1212, "disk_corrupt"), (1213, None)]
+    assert disk.load() == {}
+    assert (tmp_path / "data" / "data.mdb.refused").read_bytes() == before
+    disk.close()
+
+
+def test_a_set_aside_file_that_would_fill_the_disk_is_removed(tmp_path):
+    file = filled(tmp_path / "data")
+    spoil_head(file)
+    module.open_disk(str(tmp_path / "data"), 96_000, "core-1", lambda *a, **f: None, True).close()
+    assert not (tmp_path / "data" / "data.mdb.refused").exists()
+
+
+def test_a_folder_of_another_node_is_refused_with_its_code(tmp_path):
+    filled(tmp_path / "data", node="core-7")
+    with pytest.raises(Trouble) as caught:
+        module.LmdbDisk(str(tmp_path / "data"), node="core-1")
+    assert caught.value.code == "disk_foreign"
+    assert caught.value.detail["held"] == "core-7"
+
+
+@pytest.mark.parametrize("held", [0, 2])
+@pytest.mark.parametrize("sets_aside", [False, True])
+def test_a_folder_of_another_format_is_refused_and_never_set_aside(tmp_path, held, sets_aside):
+    file, told = filled(tmp_path / "data"), []
+    header = {"format": held, "node": "core-1"}
+    stored = module.pack_value(b"!header", header) if held else None
+    put_raw(tmp_path / "data", b"!header", stored)
+    before = file.read_bytes()
+    with pytest.raises(Trouble) as caught:
+        module.open_disk(
+            str(tmp_path / "data"),
+            1 << 20,
+            "core-1",
+            lambda number, **facts: told.append(number),
+            sets_aside,
+        )
+    assert caught.value.code == "disk_format"
+    assert caught.value.detail["held"] == held
+    assert told == [1212]
+    assert file.read_bytes() == before
+
+
+class Recorded(Exception):
+    """A loss of power at this call."""
+
+
+@pytest.mark.parametrize("call", ["rename", "sync_folder"])
+def test_a_first_start_that_loses_power_before_its_name_is_synced_starts_anew(
+    tmp_path, monkeypatch, call
+):
+    """Made, renamed and synced: each step kept or lost by itself leaves no file, or a whole one."""
+    folder = tmp_path / "data"
+    folder.mkdir()
+
+    def lose_power(*given):
+        raise Recorded
+
+    with monkeypatch.context() as patch:
+        patch.setattr(module.os if call == "rename" else module, call, lose_power)
+        with pytest.raises(Recorded):
+            module.LmdbDisk(str(folder), node="core-1")
+    names = set(os.listdir(folder))
+    assert names == {"data.mdb.new"} if call == "rename" else names == {"data.mdb"}
+    disk = module.LmdbDisk(str(folder), node="core-1")
+    assert disk.load() == {}
+    assert set(os.listdir(folder)) == {"data.mdb", "lock.mdb"}
+    disk.close()
+
+
+def kept_both(folder):
+    (folder / "data.mdb.new").write_bytes((folder / "data.mdb").read_bytes())
+
+
+def torn_new(folder):
+    (folder / "data.mdb.new").write_bytes(b"\0" * 5_000)
+
+
+def no_lock(folder):
+    (folder / "lock.mdb").unlink()
+
+
+def empty_lock(folder):
+    (folder / "lock.mdb").write_bytes(b"")
+
+
+def torn_lock(folder):
+    (folder / "lock.mdb").write_bytes(os.urandom(8_192))
+
+
+def old_refused(folder):
+    (folder / "data.mdb.refused").write_bytes(b"left by an earlier day")
+
+
+@pytest.mark.parametrize(
+    "change", [kept_both, torn_new, no_lock, empty_lock, torn_lock, old_refused]
+)
+def test_a_name_kept_or_lost_by_itself_beside_the_data_changes_nothing(tmp_path, change):
+    folder = tmp_path / "data"
+    filled(folder)
+    change(folder)
+    disk = module.LmdbDisk(str(folder), node="core-1")
+    assert disk.load()["incarnation"] == 3
+    assert not (folder / "data.mdb.new").exists()
+    disk.close()
+
+
+def test_a_rename_aside_that_was_lost_is_made_again(tmp_path):
+    """Power was lost between the rename of the refused file and its folder's sync: it stands as before."""
+    file = filled(tmp_path / "data")
+    spoil_head(file)
+    before = file.read_bytes()
+    module.set_aside(str(tmp_path / "data"), 1 << 20)
+    os.rename(tmp_path / "data" / "data.mdb.refused", file)
+    told = []
+    disk = module.open_disk(
+        str(tmp_path / "data"), 1 << 20, "core-1", lambda *a, **f: told.append(a[0]), True
+    )
+    assert told == [1212, 1213]
+    assert (tmp_path / "data" / "data.mdb.refused").read_bytes() == before
+    disk.close()
+
+
+def test_what_a_restart_reads_is_what_is_in_force_whatever_the_number_of_changes(tmp_path):
+    sizes = []
+    for changes in (10, 400):
+        folder = tmp_path / f"data-{changes}"
+        disk, clock = open_disk(folder, most_bytes=32 << 20)
+        for turn in range(changes):
+            cell = [[turn, "n"], [turn, "n"], {"mark": turn, "document": "p" * 20_000}, 0]
+            disk.write({"cell/plan": cell}, lambda is_kept: None)
+            clock.run()
+        sizes.append((len(str(disk.load())), os.path.getsize(folder / "data.mdb")))
+        disk.close()
+    (read, held), (read_long, held_long) = sizes
+    assert read_long - read < 20
+    assert held_long < 2 * held, sizes
