Seats: a proposal for another seat at one's address neither fences nor gets a vote

Cause: a member that hands its seat over and takes another one later has its old seat's address in the list of who was away meanwhile. That one's proposals for the old seat named a higher incarnation; the member took it for its own, fenced itself and dropped its disk. Before: test_a_proposal_for_another_seat... fails for prepare and accept. After: passes. Conclusion: the seat stands in the proposal and is checked before the incarnation.

--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -312,6 +312,8 @@
     def _may_vote(self, message, say):
         if self.standing != VOTING:
             return self._refuse(message, say, self.standing)
+        if message["seat"] != self.seat:
+            return self._refuse(message, say, "seat")
         if message["incarnation"] > self.incarnation:
             self._hear_newer(message["incarnation"])
             return self._refuse(message, say, self.standing)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -87,7 +87,8 @@
         if self.spares():
             deeds += [self.leave, self.leave]
         deed = self.dice.choice(deeds)
-        if deed != self.add and not self.may_lose_one():
+        is_planned = deed == self.leave and self.fit() and not self.leaving
+        if deed != self.add and not is_planned and not self.may_lose_one():
             return
         deed()
 
--- a/tests/test_seats.py
+++ b/tests/test_seats.py
@@ -289,3 +289,32 @@
     core.world.run_for(3 * SECOND)
     assert core.voting() == {"a": "core-1", "b": "core-2", "c": "core-3"}
     assert held(core) == 7
+
+
+@pytest.mark.parametrize("say", ["prepare", "accept"])
+def test_a_proposal_for_another_seat_at_this_address_neither_fences_nor_gets_a_vote(say):
+    """The address had another seat's occupant before; who was away still sends that seat's
+    proposals there."""
+    core = started(11)
+    acked(core, 0, 3)
+    seat = core.machines["core-2"].node.seat
+    core.machines["core-2"].node.hear(
+        {
+            "say": say,
+            "id": "x/1",
+            "name": "core-1",
+            "back": "10.0.0.1:7000",
+            "key": "plan",
+            "ballot": [900, "core-1"],
+            "value": {"mark": 9},
+            "seat": "c",
+            "incarnation": seat.incarnation + 3,
+            "known": {"a": 1, "b": 1, "c": seat.incarnation + 3},
+        }
+    )
+    assert seat.is_voting
+    assert seat.cell("plan").promise < [900, "core-1"]
+    core.world.run_for(SECOND)
+    assert core.voting() == {"a": "core-1", "b": "core-2", "c": "core-3"}
+    assert seat.incarnation == 1
+    assert held(core) == 3
