Core status: members by their own word, who learns and how far, which loss could be borne

Cause: GET /v1/core told one seat's standing and where it last heard the others; an operator could not see from it whether one more machine may be stopped. Pages of a rejoin or a hand-over say how many records are left.

--- a/packages/plan/src/linkhaven/plan/bodies.py
+++ b/packages/plan/src/linkhaven/plan/bodies.py
@@ -78,6 +78,7 @@
         seat.on_retired.append(self._forget_disk)
         self._guard("accept", self._values_of_accept)
         self._guard("rejoin_page", self._values_of_page)
+        self._guard("holders_late", self._values_of_late)
         node.hearers.update(want_bodies=self._hear_want, bodies=self._hear_bodies)
         node.systems.append(self._tick)
 
@@ -214,6 +215,10 @@
         cell = message["cells"].get(KEY)
         return [cell[2]] if cell else []
 
+    def _values_of_late(self, message):
+        cell = message["cells"].get(KEY)
+        return [cell[1]] if cell else []
+
     def when_held(self, digests, go_on, give_up, hint=None):
         """Goes on now, or as soon as all bodies have come; asks `hint` first, then every seat in turn."""
         lacking = [digest for digest in digests if digest not in self.held]
--- a/packages/register/src/linkhaven/register/leaving.py
+++ b/packages/register/src/linkhaven/register/leaving.py
@@ -30,7 +30,7 @@
 from .rejoin import REJOINING, VOTING, WAITING
 
 RESEND_US = 100_000
-PATIENCE_US = 700_000
+PATIENCE_US = 1_500_000
 
 
 class LeavingState(Enum):
--- a/packages/register/src/linkhaven/register/rejoin.py
+++ b/packages/register/src/linkhaven/register/rejoin.py
@@ -46,6 +46,7 @@
         "has_met_no_vote",
         "is_anew",
         "recorded",
+        "left",
         "moved_wait_us",
     )
 
@@ -66,6 +67,7 @@
         self.asked_back = None
         self.has_met_no_vote = self.is_anew = False
         self.recorded = None
+        self.left = {}
         self.moved_wait_us = 0
         node.hearers.update(
             rejoin=self.hear_rejoin,
@@ -81,6 +83,7 @@
         self.seat.standing = REJOINING
         self.notes = self.recorded = None
         self.cursors = {}
+        self.left = {}
         self.told = {}
         self.started_us = self.moved_us = self.node.now_us()
 
@@ -342,6 +345,7 @@
             after=after,
             since=since,
             version=version,
+            left=len(keys) - place - len(page),
             last=page[-1] if len(keys) > place + PAGE else None,
             are_claims_open=seat.are_claims_open,
             cells={key: seat.cells[key].as_record()[:3] for key in page if key in seat.cells},
@@ -360,6 +364,7 @@
         if name in self.told and self.told[name]["start"] != message["start"]:
             return self.begin_anew()
         self.cursors[name] = None
+        self.left[name] = message["left"]
         self.moved_us = self.node.now_us()
         changed = self.seat.merge(message["cells"])
         notes = self.notes
--- a/packages/register/src/linkhaven/register/successor.py
+++ b/packages/register/src/linkhaven/register/successor.py
@@ -20,7 +20,7 @@
 from .rejoin import LEARNING, SPARE
 
 RESEND_US = 100_000
-PATIENCE_US = 1_000_000
+PATIENCE_US = 2_000_000
 
 
 class SuccessorState(Enum):
@@ -45,7 +45,7 @@
         "cursor",
         "since",
         "version",
-        "read",
+        "left",
         "start",
         "terms",
         "moved_us",
@@ -69,7 +69,8 @@
         self.state = SuccessorState.IDLE
         self.leaver = None
         self.cursor = ""
-        self.since = self.version = self.read = 0
+        self.since = self.version = 0
+        self.left = None
         self.start = None
         self.moved_us = self.sent_us = 0
 
@@ -128,7 +129,7 @@
         if not message["after"]:
             self.version = message["version"]
         self.cursor = None
-        self.read += len(message["cells"])
+        self.left = message["left"]
         offer = self.offer
 
         def go_on(is_kept):
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -10,6 +10,7 @@
 from .contact import Contact
 from .gate import KeyGate
 from .keeper import RosterKeeper
+from .status import CoreStatus
 from .steward import Steward
 from .views import Views
 
@@ -51,6 +52,7 @@
         "unreleased",
         "has_left_seat",
         "rewritten",
+        "status",
         "contact",
     )
 
@@ -117,6 +119,7 @@
         self.bursar.on_won = self.news.shorten_holds
         self.ring.on_mark.append(self._hear_mark)
         self.views = Views(self)
+        self.status = CoreStatus(self, self._core_facts)
         self.news.on_ask += [
             self.views.hear_ask,
             self.keeper.hear_evidence,
@@ -132,7 +135,7 @@
         self.systems += [self._adopt_image, self._watch_edge, self._leave_in_time]
         self.paths.update(
             {
-                ("GET", "/v1/core"): self.serve_core,
+                ("GET", "/v1/core"): self.status.serve,
                 ("GET", "/v1/groups"): self.serve_groups,
                 ("POST", "/v1/core/restore"): self.serve_restore,
                 ("GET", "/v1/standing"): self.serve_standing,
@@ -369,38 +372,35 @@
         if self.on_drained is not None and now_us >= self.leave_by_us:
             self._leave()
 
-    def serve_core(self, call):
+    def _core_facts(self):
         seats = self.ring.seats()
-        call.answer_json(
-            200,
-            {
-                "seat": self.seat.seat,
-                "standing": self.seat.standing,
-                "incarnation": self.seat.incarnation,
-                "claims": len(self.seat.claims),
-                "are_claims_open": self.seat.are_claims_open,
-                "is_empty": self.seat.is_empty,
-                "is_failing": self.seat.is_failing,
-                "why": self.seat.rejoin.wait_reason,
-                "mark": self.news.held_mark(),
-                "highest_mark": self.image.highest,
-                "seats": {
-                    seat: {"address": address, "incarnation": incarnation}
-                    for seat, (address, incarnation) in seats.items()
-                },
-                "heard": {
-                    seat: {"is_voting": state["is_voting"], "is_empty": state["is_empty"]}
-                    for seat, state in self.seat.rejoin.told.items()
-                },
-                "duties": {
-                    name: {
-                        "held": duty.is_held(),
-                        **(duty.holder() or {"holder": None, "fence": 0, "renewal": 0}),
-                    }
-                    for name, duty in self.duties.items()
-                },
+        return {
+            "seat": self.seat.seat,
+            "standing": self.seat.standing,
+            "incarnation": self.seat.incarnation,
+            "claims": len(self.seat.claims),
+            "are_claims_open": self.seat.are_claims_open,
+            "is_empty": self.seat.is_empty,
+            "is_failing": self.seat.is_failing,
+            "why": self.seat.rejoin.wait_reason,
+            "mark": self.news.held_mark(),
+            "highest_mark": self.image.highest,
+            "seats": {
+                seat: {"address": address, "incarnation": incarnation}
+                for seat, (address, incarnation) in seats.items()
             },
-        )
+            "heard": {
+                seat: {"is_voting": state["is_voting"], "is_empty": state["is_empty"]}
+                for seat, state in self.seat.rejoin.told.items()
+            },
+            "duties": {
+                name: {
+                    "held": duty.is_held(),
+                    **(duty.holder() or {"holder": None, "fence": 0, "renewal": 0}),
+                }
+                for name, duty in self.duties.items()
+            },
+        }
 
     def serve_restore(self, call):
         if not self.seat.restore():
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -291,7 +291,7 @@
 
 class CoreStatusCommand(CodedCommand):
     name = "core status"
-    description = "Show a seat's standing, the other seats and the holders of the duties."
+    description = "Show the core's members, who learns and how far, which loss could be borne, and the duties."
     options = [REGISTRY_OPTION]
 
     def act(self):
