News: a value that was read at a majority is opened before it is taken

Cause: a seat that does not know its value chosen reads it at a majority; what it read names its plan by digest, and was taken as if the plan stood in it: LH1005, KeyError('plan'), and the seat told its routers nothing. Before: test_a_leaving_member_votes_until_its_successor_does with "no LH1005": 7 of 8 failed.

--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -170,8 +170,10 @@
 
         def done(outcome, value):
             self.is_reading = False
-            if outcome == "chosen":
-                self.image.take(value)
-                self.spread()
+            if outcome != "chosen":
+                return
+            if self.image.is_news(value) and self.bodies.has_plan(value):
+                self.image.take(self.bodies.with_plan(value))
+            self.spread()
 
         self.proposer.read(KEY, done)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -9,6 +9,7 @@
 SECOND = 1_000_000
 STEP = 10_000
 TICK = 50_000 + STEP
+FAULT = 1005
 PLAN = {
     "groups": {"g": {}},
     "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}},
@@ -98,6 +99,7 @@
     core.world.run_for(SECOND)
     assert len(core.voting()) == seats
     assert held(core, "core-9") == 3
+    assert not [event for event in core.world.events if event[2] == FAULT]
 
 
 @pytest.mark.parametrize("seed", range(1, 7))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -12,6 +12,7 @@
 STEP = 10_000
 SEEDS = int(os.environ.get("MEMBERSHIP_SEEDS", "12"))
 SILENT_AT_MOST_US = 5 * SECOND
+FAULT = 1005
 PLAN = {
     "groups": {"g": {}},
     "kinds": {"k": {"group": "g", "ttft_us": 1, "tpot_us": 1, "deadline_us": 9}},
@@ -229,6 +230,8 @@
         self.order()
         self.order()
         assert self.acked == self.tried, (self.acked, self.tried, self.log)
+        faults = [event for event in self.world.events if event[2] == FAULT]
+        assert not faults, faults[:3]
 
     def standings(self):
         return {
