Register: a promise names the ballot alone where the proposer's own seat holds its value

Cause: every promise carried the whole value with its history of orders, to a proposer that nearly always holds that very ballot. Rows of the history named each document twice. Now: a prepare says which ballot its own seat holds; a promise with that ballot has no value. Rows are mark, number and 16 digits of the digest, and the revision only for puts of our own.

--- a/packages/plan/src/linkhaven/plan/bodies.py
+++ b/packages/plan/src/linkhaven/plan/bodies.py
@@ -11,7 +11,7 @@
 
 from linkhaven.clockwork import read_json
 
-from .packing import BodyMismatch, open_body, pack_body, write_plan
+from .packing import BodyMismatchError, open_body, pack_body, write_plan
 from .taken import digest_of
 
 KEY = "plan"
@@ -149,7 +149,7 @@
             return True
         try:
             open_body(digest, packed)
-        except BodyMismatch as fault:
+        except BodyMismatchError as fault:
             self.node.ports.log(1304, digest=digest, why=str(fault))
             return False
         self._hold(digest, packed)
--- a/packages/plan/src/linkhaven/plan/desk.py
+++ b/packages/plan/src/linkhaven/plan/desk.py
@@ -6,14 +6,12 @@
 from .overlay import lay_overlay, overlay_group, overlay_kind, overlay_of, overlay_without_group
 from .taken import (
     TakenOrder,
-    digest_of,
-    digest_of_document,
+    digest_of_order,
+    digest_of_ordered,
     extend_history,
     find_order,
     knows_mark,
     knows_revision,
-    order_of_document,
-    order_of_put,
 )
 
 KEY = "plan"
@@ -105,9 +103,9 @@
 
 def is_document_taken(value, revision, document):
     """Also of a value that an earlier version of this program wrote, without a history."""
-    taken = find_order(value, order_of_document(revision))
+    taken = find_order(value, revision)
     if taken is not None:
-        return taken.digest == digest_of(document)
+        return taken.digest == digest_of_order(document)
     return (
         value is not None
         and value.get("revision") == revision
@@ -120,7 +118,7 @@
     held = (value or {}).get("revision") or 0
     if held == base:
         return Trouble("revision_old", given=revision, revision=held) if revision <= held else None
-    is_found = find_order(value, order_of_document(revision)) is not None
+    is_found = find_order(value, revision) is not None
     may_be_taken = base < revision <= held and not is_found
     if may_be_taken and not knows_revision(value, revision):
         return Trouble("put_unknown", put_id=f"revision-{revision}")
@@ -129,7 +127,7 @@
 
 def is_put_taken(value, put_id, digest):
     """Also of a value that an earlier version of this program wrote, without a history."""
-    taken = find_order(value, order_of_put(put_id))
+    taken = find_order(value, put_id)
     if taken is not None:
         return taken.digest == digest
     return value is not None and "taken" not in value and value["put_id"] == put_id
@@ -138,7 +136,7 @@
 def refuse_put(value, expect, put_id):
     """Why a put that the history has no row of isn't taken now; None where it may be."""
     mark = value["mark"] if value else 0
-    if find_order(value, order_of_put(put_id)) is not None:
+    if find_order(value, put_id) is not None:
         return Trouble("put_id_used", put_id=put_id)
     if mark == expect:
         return None
@@ -147,10 +145,10 @@
     return Trouble("mark_conflict", expect=expect, mark=mark)
 
 
-def digest_of_order(call, ordered):
+def digest_of_put(call, ordered):
     """What a native order asks for: where, and its document without the mark and the id."""
     asked = {key: ordered[key] for key in ordered if key not in ("expect", "put_id")}
-    return digest_of_document([call.method, call.path.partition("?")[0], asked])
+    return digest_of_ordered([call.method, call.path.partition("?")[0], asked])
 
 
 class PlanDesk:
@@ -245,7 +243,7 @@
 
         done(trouble, taken): `taken` has the mark and the revision that the order got, now or when it came before."""
         put_id = f"revision-{revision}"
-        order, digest = order_of_document(revision), digest_of(document)
+        digest = digest_of_order(document)
         names, texts = name_bodies(plan, document)
         send = self._sender_of(texts)
 
@@ -260,7 +258,7 @@
             except Trouble as trouble:
                 return "stop", trouble
             mark = (value["mark"] if value else 0) + 1
-            taken = TakenOrder(mark, order, digest, revision)
+            taken = TakenOrder(mark, revision, digest, revision)
             send(value)
             return "set", {
                 "mark": mark,
@@ -276,7 +274,7 @@
             if outcome != "chosen":
                 return done(outcome_trouble(outcome, value, put_id), None)
             self._take_image(value)
-            taken = find_order(value, order)
+            taken = find_order(value, revision)
             mark = taken.mark if taken is not None else value["mark"]
             done(None, {"mark": mark, "revision": revision})
 
@@ -331,7 +329,7 @@
 
         `ordered` is what was asked for, by which the order is known when it is sent again. Where the
         bodies of the value that is edited are missing here, they are gathered and it begins anew."""
-        order, digest = order_of_put(put_id), digest_of_order(call, ordered)
+        digest = digest_of_put(call, ordered)
         lacking = []
 
         def step(value):
@@ -343,7 +341,7 @@
             if needs_bodies and value is not None and not self.bodies.has(value):
                 lacking.append(value)
                 return "stop", lacking_body()
-            return self._edited(value, edit, put_id, TakenOrder(expect + 1, order, digest, 0))
+            return self._edited(value, edit, put_id, TakenOrder(expect + 1, put_id, digest, 0))
 
         def again(is_held):
             if not is_held or tries <= 1:
@@ -357,7 +355,7 @@
             if outcome != "chosen":
                 return call.answer_trouble(outcome_trouble(outcome, value, put_id))
             self._take_image(value)
-            taken = find_order(value, order)
+            taken = find_order(value, put_id)
             mark = taken.mark if taken is not None else value["mark"]
             call.answer_json(200, {"mark": mark, "put_id": put_id})
 
--- a/packages/plan/src/linkhaven/plan/packing.py
+++ b/packages/plan/src/linkhaven/plan/packing.py
@@ -10,7 +10,7 @@
 MOST_BODY_BYTES = 64 << 20
 
 
-class BodyMismatch(ValueError):
+class BodyMismatchError(ValueError):
     """A packed body that can't be opened, or whose text has another digest than its name."""
 
 
@@ -20,15 +20,15 @@
 
 
 def open_body(digest, packed):
-    """The text with this digest; raises BodyMismatch for anything else."""
+    """The text with this digest; raises BodyMismatchError for anything else."""
     try:
         opener = zlib.decompressobj()
         raw = opener.decompress(base64.b64decode(packed, validate=True), MOST_BODY_BYTES)
         text = raw.decode()
     except (zlib.error, binascii.Error, ValueError, TypeError) as fault:
-        raise BodyMismatch(repr(fault)) from None
+        raise BodyMismatchError(repr(fault)) from None
     if not opener.eof or digest_of(text) != digest:
-        raise BodyMismatch(f"it is not the text named {digest}")
+        raise BodyMismatchError(f"it is not the text named {digest}")
     return text
 
 
--- a/packages/plan/src/linkhaven/plan/reader.py
+++ b/packages/plan/src/linkhaven/plan/reader.py
@@ -11,7 +11,7 @@
 from linkhaven.clockwork import read_json
 
 from .pace import AskPace
-from .packing import BodyMismatch, open_body
+from .packing import BodyMismatchError, open_body
 
 LATE_US = 350_000
 DUTY_PARTS = ("roster", "steward", "shares")
@@ -222,7 +222,7 @@
         digest = value["bodies"]["plan"]
         try:
             plan = read_json(open_body(digest, body))
-        except BodyMismatch as fault:
+        except BodyMismatchError as fault:
             return self.node.ports.log(1304, digest=digest, why=str(fault))
         if not self.image.take({**value, "plan": plan}):
             return
--- a/packages/plan/src/linkhaven/plan/taken.py
+++ b/packages/plan/src/linkhaven/plan/taken.py
@@ -11,6 +11,7 @@
 
 KEPT_ORDERS = 128
 DIGEST_DIGITS = 24
+ORDER_DIGITS = 16
 
 
 def digest_of(text):
@@ -18,37 +19,45 @@
     return hashlib.sha256(text.encode()).hexdigest()[:DIGEST_DIGITS]
 
 
-def digest_of_document(document):
-    """The digest of a document in JSON, however its members are ordered."""
-    return digest_of(json.dumps(document, sort_keys=True, separators=(",", ":")))
+def digest_of_order(text):
+    """Tells two orders under one number or id apart; shorter, since each vote carries many."""
+    return digest_of(text)[:ORDER_DIGITS]
 
 
-def order_of_document(revision):
-    return f"revision/{revision}"
-
-
-def order_of_put(put_id):
-    return f"put/{put_id}"
+def digest_of_ordered(document):
+    """The same of a document in JSON, however its members are ordered."""
+    return digest_of_order(json.dumps(document, sort_keys=True, separators=(",", ":")))
 
 
 class TakenOrder:
-    """One change that was acknowledged, or may have been."""
+    """One change that was acknowledged, or may have been.
+
+    `order` is what its sender calls it: the number of a document, or the id of a put of our own."""
 
     __slots__ = ("mark", "order", "digest", "revision")
 
     def __init__(self, mark, order, digest, revision):
+        """`revision` is the sender's number of the document that is in force after it."""
         self.mark = mark
         self.order = order
         self.digest = digest
         self.revision = revision
 
     def as_row(self):
+        """As short as it can be: each vote carries all rows."""
+        if self.order == self.revision:
+            return [self.mark, self.order, self.digest]
         return [self.mark, self.order, self.digest, self.revision]
 
 
+def read_row(mark, order, digest, revision=None):
+    """What as_row wrote."""
+    return TakenOrder(mark, order, digest, order if revision is None else revision)
+
+
 def read_history(value):
     """The orders that a value of the plan key remembers, oldest first."""
-    return [TakenOrder(*row) for row in (value or {}).get("taken", ())]
+    return [read_row(*row) for row in (value or {}).get("taken", ())]
 
 
 def extend_history(value, taken):
--- a/packages/register/src/linkhaven/register/proposer.py
+++ b/packages/register/src/linkhaven/register/proposer.py
@@ -23,6 +23,7 @@
         "ballot",
         "votes",
         "accepted",
+        "held",
         "highest",
         "value",
         "result",
@@ -46,6 +47,7 @@
         self.ballot = None
         self.votes = set()
         self.accepted = {}
+        self.held = (None, None)
         self.highest = None
         self.value = None
         self.result = None
@@ -66,7 +68,10 @@
 
     A change to which no majority has answered for `silent_us` ends then; one that is contested or
     slow goes on until its deadline. Once a change ended so, the node is cut off, and later
-    changes wait a third of that, until a majority has answered anything."""
+    changes wait a third of that, until a majority has answered anything.
+
+    `held_of(key)` says what this node's own seat, if it has one, accepted last: the ballot and the
+    value. A promise then names that ballot without the value: one ballot never has two values."""
 
     __slots__ = (
         "node",
@@ -79,6 +84,7 @@
         "is_cut_off",
         "reached",
         "ticked_us",
+        "held_of",
     )
 
     def __init__(self, node, directory, majority=None, silent_us=None):
@@ -93,6 +99,7 @@
         self.is_cut_off = False
         self.reached = set()
         self.ticked_us = node.now_us()
+        self.held_of = lambda key: (None, None)
         node.hearers["promise"] = self.hear_promise
         node.hearers["accepted"] = self.hear_accepted
         node.systems.append(self.tick)
@@ -126,7 +133,8 @@
         change.highest = None
         change.value = None
         change.shot_us = now_us + SHOT_US
-        self._tell_seats("prepare", change)
+        change.held = self.held_of(change.key)
+        self._tell_seats("prepare", change, held=change.held[0])
 
     def _tell_seats(self, say, change, **facts):
         seats = self.directory.seats()
@@ -194,7 +202,8 @@
         accepted = message["accepted"]
         if accepted and (change.highest is None or accepted > change.highest):
             change.highest = accepted
-            change.value = message["value"]
+            ballot, value = change.held
+            change.value = value if accepted == ballot else message["value"]
         change.votes.add((message["seat"], message["incarnation"]))
         change.accepted[message["seat"]] = accepted
         if len(change.votes) >= self.majority:
--- a/packages/register/src/linkhaven/register/seat.py
+++ b/packages/register/src/linkhaven/register/seat.py
@@ -360,7 +360,8 @@
         if ballot <= cell.promise:
             return self._refuse(message, "promise", "ballot", highest=cell.promise)
         cell.promise = ballot
-        accepted, value = cell.accepted, cell.value
+        accepted = cell.accepted
+        value = None if accepted == message.get("held") else cell.value
         self._keep(message, "promise", key, cell, accepted=accepted, value=value)
 
     def hear_accept(self, message):
@@ -401,6 +402,11 @@
 
         self.node.ports.disk.write({f"cell/{key}": cell.as_record()}, answer)
 
+    def held_of(self, key):
+        """The ballot that this seat accepted last, and its value."""
+        cell = self.cell(key)
+        return cell.accepted, cell.value
+
     def hear_chosen(self, message):
         cell = self.cells.get(message["key"])
         if cell is None or cell.accepted != message["ballot"]:
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -98,6 +98,7 @@
         self.seat.holders.on_stuck = self._rewrite
         self.contacts = sorted(contacts)
         self.gate = KeyGate(self, self.seat, self.ring, self.image)
+        self.proposer.held_of = self.seat.held_of
         self.bodies = BodyStore(self, self.seat)
         self.plan_desk = PlanDesk(self, self.proposer, self.bodies, self.image)
         self.contact = Contact(self, self.seat, self.ring, self.image)
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -6,7 +6,7 @@
 
 from linkhaven.clockwork import Terms
 from linkhaven.plan.bodies import KEPT_BODIES, BodyStore, digests_of
-from linkhaven.plan.packing import BodyMismatch, open_body, pack_body
+from linkhaven.plan.packing import BodyMismatchError, open_body, pack_body
 from linkhaven.plan.taken import digest_of
 from linkhaven.register.seat import Cell
 from linkhaven.router import RouterNode
@@ -263,6 +263,24 @@
     assert not watch.bare
 
 
+def test_a_promise_names_the_ballot_alone_where_the_proposer_holds_its_value():
+    core = started()
+    assert is_taken(put(core, 1))
+    told, hear = [], core.machines["core-2"].node.hearers["promise"]
+
+    def keep(message):
+        told.append(message)
+        hear(message)
+
+    core.machines["core-2"].node.hearers["promise"] = keep
+    assert is_taken(put(core, 2, "core-2"))
+    assert core.read("core-2")[1]["document"] == "text 2"
+    of_plan = [message for message in told if message.get("accepted")]
+    assert len(of_plan) >= 4 and all(message["value"] is None for message in of_plan)
+    core.machines["core-2"].node.seat.cells["plan"].accepted = None
+    assert core.read("core-2")[1]["document"] == "text 2"
+
+
 # Bodies that are wrong or gone
 
 
@@ -280,7 +298,7 @@
     )
     assert digest not in host.node.bodies.held
     assert len(events(core, 1304)) == 1
-    with pytest.raises(BodyMismatch):
+    with pytest.raises(BodyMismatchError):
         open_body(digest, packed)
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -5,7 +5,7 @@
 
 from linkhaven.clockwork import Call
 from linkhaven.plan import check_plan, effective_plan, fill_plan
-from linkhaven.plan.taken import KEPT_ORDERS, TakenOrder, extend_history
+from linkhaven.plan.taken import KEPT_ORDERS, TakenOrder, digest_of_order, extend_history
 from linkhaven.registry import program
 from linkhaven.stage.core import SimCore
 from linkhaven.stage.fleet import LICENSING, SimFleet
@@ -316,10 +316,10 @@
 def test_the_history_of_the_longest_row_of_orders_stays_small():
     rows = []
     for mark in range(1, 3 * KEPT_ORDERS):
-        taken = TakenOrder(mark, f"revision/{10_000 + mark}", "0" * 32, 10_000 + mark)
+        taken = TakenOrder(mark, 10_000 + mark, digest_of_order(str(mark)), 10_000 + mark)
         rows = extend_history({"taken": rows}, taken)
     assert len(rows) == KEPT_ORDERS
-    assert len(json.dumps(rows)) < 10_000
+    assert len(json.dumps(rows)) < 5_000
 
 
 def put_whole(core, expect, put_id, plan, name="core-2", path="/v1/plan", part=None):
