Leaving: a member goes at its bound by a timer, not at the tick after it

After: tests/test_leaving.py 138 passed; with the guard against an earlier begin's timer, those of the bound, spares and stops again.

--- a/packages/register/src/linkhaven/register/leaving.py
+++ b/packages/register/src/linkhaven/register/leaving.py
@@ -82,14 +82,20 @@
         self.on_gone = on_gone
         self.began_us = self.node.now_us()
         self.state = LeavingState.CHOOSING
+        self.node.ports.clock.call_in(self.node.terms.drain_us, self._go_at_bound)
         self._choose(self.began_us)
 
+    def _go_at_bound(self):
+        """By a timer of its own: a tick after the bound would be late by up to a tick."""
+        if self.state in (LeavingState.STAYING, LeavingState.GONE):
+            return
+        if self.node.now_us() - self.began_us >= self.node.terms.drain_us:
+            self._go()
+
     def tick(self, now_us):
-        """Send again what was not answered, and go at the bound."""
+        """Send again what was not answered."""
         if self.state in (LeavingState.STAYING, LeavingState.GONE):
             return
-        if now_us - self.began_us >= self.node.terms.drain_us:
-            return self._go()
         if self.state == LeavingState.CHOOSING:
             return self._choose(now_us)
         if self.state == LeavingState.OFFERING and now_us - self.moved_us >= PATIENCE_US:
