--- a/packages/duty/src/linkhaven/duty/duty.py
+++ b/packages/duty/src/linkhaven/duty/lease.py
@@ -238,7 +238,7 @@
                 self.node.ports.log(1401, duty=self.name, fence=fence)
                 self.on_won()
 
-        self.proposer.change(self.key, step, done, is_patient=True)
+        self.proposer.change(self.key, step, done)
 
     def _rest(self):
         reach = CONTEST_US * 2
