Duty: the lease by its name, its record as a type; the registry's own messages are typed

The register's value is the same map. `want_image`, `image`, `want_keys` and `keys` are types at the seats; an image without a whole number as its mark is refused at the edge. Behaviour and the order of dice are as before. Ruled out: one state variable for a lease; its flags are asked by four other packages at this time. Tests: tests/test_lease.py is new (there were none of a duty by itself). test_sabotage and test_recovery_speed name the same things by their new names, nothing else in them changed. Found while writing test_lease: who steps down in the very tick in which it won stands back for one lease less, as before this change; left as it is.

--- a/packages/duty/src/linkhaven/duty/__init__.py
+++ b/packages/duty/src/linkhaven/duty/__init__.py
@@ -1,3 +1,6 @@
-from .duty import Duty
+"""Leases on the duties of the core: who does a duty, until when, and under which fencing token."""
 
-__all__ = ["Duty"]
+from .lease import Lease
+from .messages import LeaseRecord
+
+__all__ = ["Lease", "LeaseRecord"]
--- a/packages/duty/src/linkhaven/duty/lease.py
+++ b/packages/duty/src/linkhaven/duty/lease.py
@@ -1,15 +1,49 @@
+"""The lease on one duty: election, renewal, expiry and release.
+
+A lease is a key of the register that holds a `LeaseRecord`. Its invariants:
+
+- The holder counts its lease from before it asked for it, and by its own clock, so it ends its work
+  no later than any other node may begin (`test_a_lease_ends_a_lease_time_after_it_was_asked_for`).
+- Another node asks for the lease only after it has itself seen the same record for a whole lease
+  and a margin, counted in time that it lived through
+  (`test_a_leap_of_the_clock_is_no_wait_for_a_holder`).
+- Each new holder has a higher fence than all before, also after the core lost what it knew
+  (`test_a_new_holder_has_a_fence_above_any_that_was_observed`).
+"""
+
 import math
 
+from .messages import LeaseRecord, read_record, write_record
+
 MARGIN_US = 200_000
-CONTEST_US = 50_000
+"""What another node waits beyond the lease, for clocks that run at different speeds."""
+
+ELECTION_SPREAD_US = 100_000
+"""Contenders spread their first try over this time."""
+
+RETRY_LEAST_US = 50_000
+"""After a lost election a contender rests for this and a random part of the spread."""
+
 RANK_US = 120_000
+"""How much later each next rank asks for a vacant lease."""
+
 STEP_AT_MOST_US = 250_000
+"""The longest step between two ticks that counts as time lived through."""
+
+RENEWALS_A_LEASE = 3
+QUIET_SHARE = (8, 15)
+"""The part of a lease without a renewal after which its holder counts as quiet."""
 
+NOTHING_SEEN = (0, 0)
 
-class Duty:
-    """A duty in the register: {holder, fence, renewal}. Held for a grant that is counted
-    from before it was asked for; contested only after a whole grant without renewal, or once its holder has
-    released it. `life_of` tells which start of a node runs: 0 where it is down, None where that isn't known."""
+
+class Lease:
+    """The lease on a duty at one node, which holds it or stands ready to.
+
+    `incarnation_of` tells which start of a node runs: 0 where it is down, None where that isn't
+    known. A holder that is down, or runs another start, makes the duty quiet at once, but its lease
+    is waited for all the same.
+    """
 
     __slots__ = (
         "node",
@@ -18,25 +52,25 @@
         "proposer",
         "seat",
         "fence",
-        "granted_us",
-        "asked_us",
-        "is_asking",
-        "seen",
-        "seen_us",
-        "grant_us",
+        "renewal",
+        "expires_us",
+        "requested_us",
+        "is_requesting",
+        "last_seen",
+        "last_seen_us",
+        "lease_us",
         "renew_us",
         "quiet_us",
-        "contest_us",
+        "election_from_us",
         "on_won",
         "on_lapsed",
-        "renewal",
-        "floor",
+        "least_fence",
         "rank_us",
-        "vacant_us",
+        "waited_us",
         "ticked_us",
         "is_vacant",
-        "life",
-        "life_of",
+        "holder_incarnation",
+        "incarnation_of",
         "is_succession",
         "is_closed",
     )
@@ -44,6 +78,7 @@
     def __init__(
         self, node, name, proposer, seat, rank=0, on_won=lambda: None, on_lapsed=lambda: None
     ):
+        """Stand ready for the duty `name`; lower ranks ask for it first."""
         self.node = node
         self.name = name
         self.key = f"duty/{name}"
@@ -52,89 +87,75 @@
         self.on_won = on_won
         self.on_lapsed = on_lapsed
         self.set_rank(rank)
-        self.grant_us = node.terms.lease_us
-        self.renew_us = self.grant_us // 3
-        self.quiet_us = self.grant_us * 8 // 15
+        self.lease_us = node.terms.lease_us
+        self.renew_us = self.lease_us // RENEWALS_A_LEASE
+        self.quiet_us = self.lease_us * QUIET_SHARE[0] // QUIET_SHARE[1]
         self.fence = None
         self.renewal = 0
-        self.floor = 0
-        self.granted_us = 0
-        self.asked_us = 0
-        self.is_asking = False
-        self.seen = None
-        self.seen_us = self.ticked_us = node.now_us()
-        self.vacant_us = self.grant_us + MARGIN_US
-        self.contest_us = 0
+        self.least_fence = 0
+        self.expires_us = 0
+        self.requested_us = 0
+        self.is_requesting = False
+        self.last_seen = None
+        self.last_seen_us = self.ticked_us = node.now_us()
+        self.waited_us = self.lease_us + MARGIN_US
+        self.election_from_us = 0
         self.is_vacant = False
-        self.life = None
-        self.life_of = lambda name: None
+        self.holder_incarnation = None
+        self.incarnation_of = lambda name: None
         self.is_succession = False
         self.is_closed = False
         node.systems.append(self.tick)
-        node.on_late.append(self.wake)
+        node.on_late.append(self.on_late_tick)
+
+    # what others ask of it
 
     def set_rank(self, rank):
+        """How many other nodes go first for this duty."""
         self.rank_us = rank * RANK_US
 
-    def stand_free(self):
-        """Nobody can have held it: it may be asked for at once."""
-        self.vacant_us = self.grant_us + MARGIN_US
-        self.contest_us = 0
+    def record(self):
+        """The record as this node's seat has it, or None."""
+        return read_record(self.seat.cell(self.key).value)
 
     def is_held(self):
-        return self.fence is not None and self.node.now_us() < self.granted_us
+        """Whether this node holds the lease now."""
+        return self.fence is not None and self.node.now_us() < self.expires_us
 
     def is_quiet(self):
-        """Nobody renewed for a while, or the holder is gone: who may soon hold the duty can make ready."""
-        if not self.seat.is_voting or self.is_closed:
-            return False
-        return (
-            self.is_vacant
-            or self._is_holder_gone()
-            or self.node.now_us() - self.seen_us > self.quiet_us
-        )
-
-    def stand_vacant(self):
-        """No living holder is known, though its grant may not have run out."""
-        self.observe(self.holder(), self.node.now_us())
-        self.is_vacant = True
+        """Whether nobody renewed for a while, or the holder is gone.
 
-    def _is_holder_gone(self):
-        holder = self.holder()
-        if holder is None or holder["holder"] is None:
+        A node that may soon hold the duty can make ready then.
+        """
+        if not self.seat.is_voting or self.is_closed:
             return False
-        if holder["holder"] == self.node.name:
-            return self.fence is None and not self.is_asking
-        life = self.life_of(holder["holder"])
-        if self.life is None:
-            self.life = life
-        return life is not None and life != self.life or life == 0
-
-    def holder(self):
-        return self.seat.cell(self.key).value
+        if self.is_vacant or self._is_holder_gone():
+            return True
+        return self.node.now_us() - self.last_seen_us > self.quiet_us
 
-    def hear_fence(self, fence):
-        """Somebody was told a fence: this duty's must be above it, also after the core lost what it knew."""
-        self.floor = max(self.floor, math.ceil(fence))
+    def allow_election_now(self):
+        """Nobody can have held the lease: it may be asked for at once."""
+        self.waited_us = self.lease_us + MARGIN_US
+        self.election_from_us = 0
 
-    def wake(self, now_us):
-        if self.fence is not None:
-            self._lapse()
+    def assume_vacant(self):
+        """No living holder is known, though its lease may not have run out."""
+        self._observe(self.record(), self.node.now_us())
+        self.is_vacant = True
 
-    def _lapse(self):
-        self.node.ports.log(1402, duty=self.name, fence=self.fence)
-        self.fence = None
-        self.on_lapsed()
+    def observe_fence(self, fence):
+        """Somebody was told a fence: the next one must be above it, whatever the core forgot."""
+        self.least_fence = max(self.least_fence, math.ceil(fence))
 
-    def give_up(self):
-        """The holder can't do the duty: it lets it lapse and stands back for one grant."""
+    def step_down(self):
+        """The holder can't do the duty: it lets the lease lapse and stands back for another."""
         if self.fence is None:
             return
         self._lapse()
-        self._wait_anew(self.node.now_us() + self.grant_us)
+        self._wait_anew(self.node.now_us() + self.lease_us)
 
     def release(self, done):
-        """The holder stops: after its last deed it tells that a successor needn't wait for the grant to run out."""
+        """The holder stops: a successor needn't wait for its lease to run out."""
         self.is_closed = True
         if self.fence is None:
             return done()
@@ -142,105 +163,141 @@
         self._lapse()
 
         def step(value):
-            if not value or value["fence"] != fence or value["holder"] != self.node.name:
+            record = read_record(value)
+            if not record or record.fence != fence or record.holder != self.node.name:
                 return "stop", value
-            return "set", {"holder": None, "fence": fence, "renewal": value["renewal"] + 1}
+            return "set", write_record(LeaseRecord(None, fence, record.renewal + 1))
 
         self.proposer.change(self.key, step, lambda outcome, value: done())
 
-    def observe(self, value, now_us):
-        seen = value and (value["fence"], value["renewal"])
-        if (seen or (0, 0)) <= (self.seen or (0, 0)):
-            return
-        self.seen = seen
-        self.seen_us = now_us
-        self._wait_anew(now_us)
-        self.is_vacant = value["holder"] is None
-        if self.is_vacant:
-            self.vacant_us = self.grant_us + MARGIN_US
-            self.contest_us = now_us + self.rank_us
-            return
-        self.life = self.life_of(value["holder"])
+    # what time does to it
 
-    def _wait_anew(self, now_us):
-        self.vacant_us = 0
-        self.contest_us = (
-            now_us
-            + self.grant_us
-            + MARGIN_US
-            + self.rank_us
-            + self.node.ports.dice.randrange(CONTEST_US * 2)
-        )
-
-    def _count_wait(self, now_us):
-        """Only time that this node lived through counts against a holder: a leap of the clock is no wait."""
-        self.vacant_us += max(0, min(now_us - self.ticked_us, STEP_AT_MOST_US))
-        self.ticked_us = now_us
+    def on_late_tick(self, now_us):
+        """After a pause of this process nothing is known of the lease."""
+        if self.fence is not None:
+            self._lapse()
 
     def tick(self, now_us):
+        """Observe the record, then renew the lease, let it lapse, or ask for it."""
         self._count_wait(now_us)
         if not self.seat.is_voting:
-            if self.fence is not None:
-                self._lapse()
-            self.seen_us = now_us
-            self.is_vacant = False
-            self._wait_anew(now_us)
-            return
-        self.observe(self.seat.cell(self.key).value, now_us)
-        if self.fence is not None and now_us >= self.granted_us:
+            return self._stand_by(now_us)
+        self._observe(self.record(), now_us)
+        if self.fence is not None and now_us >= self.expires_us:
             self._lapse()
-        if self.is_asking or self.is_closed:
+        if self.is_requesting or self.is_closed:
             return
         if self.fence is not None:
-            if self.floor > self.fence:
-                self._ask(now_us, self.floor + 1, 0)
-            elif now_us - self.asked_us >= self.renew_us:
-                self._ask(now_us, self.fence, self.renewal + 1)
-            return
-        if now_us < self.contest_us or now_us < self.seat.votes_from_us + self.rank_us:
+            return self._renew_if_due(now_us)
+        if self._may_stand(now_us):
+            seen_fence, _ = self.last_seen or NOTHING_SEEN
+            self._request(now_us, max(seen_fence, self.least_fence) + 1, 0)
+
+    def _stand_by(self, now_us):
+        """A seat without votes holds no lease, and waits for a whole one once it votes."""
+        if self.fence is not None:
+            self._lapse()
+        self.last_seen_us = now_us
+        self.is_vacant = False
+        self._wait_anew(now_us)
+
+    def _renew_if_due(self, now_us):
+        if self.least_fence > self.fence:
+            self._request(now_us, self.least_fence + 1, 0)
+        elif now_us - self.requested_us >= self.renew_us:
+            self._request(now_us, self.fence, self.renewal + 1)
+
+    def _may_stand(self, now_us):
+        if now_us < self.election_from_us or now_us < self.seat.votes_from_us + self.rank_us:
+            return False
+        return self.waited_us >= self.lease_us + MARGIN_US
+
+    def _count_wait(self, now_us):
+        self.waited_us += max(0, min(now_us - self.ticked_us, STEP_AT_MOST_US))
+        self.ticked_us = now_us
+
+    def _wait_anew(self, now_us):
+        self.waited_us = 0
+        spread_us = self.node.ports.dice.randrange(ELECTION_SPREAD_US)
+        self.election_from_us = now_us + self.lease_us + MARGIN_US + self.rank_us + spread_us
+
+    def _lapse(self):
+        self.node.ports.log(1402, duty=self.name, fence=self.fence)
+        self.fence = None
+        self.on_lapsed()
+
+    # what it sees of others
+
+    def _is_holder_gone(self):
+        record = self.record()
+        if record is None or record.holder is None:
+            return False
+        if record.holder == self.node.name:
+            return self.fence is None and not self.is_requesting
+        incarnation = self.incarnation_of(record.holder)
+        if self.holder_incarnation is None:
+            self.holder_incarnation = incarnation
+        if incarnation is None:
+            return False
+        return incarnation == 0 or incarnation != self.holder_incarnation
+
+    def _observe(self, record, now_us):
+        if record is None or record.version <= (self.last_seen or NOTHING_SEEN):
             return
-        if self.vacant_us < self.grant_us + MARGIN_US:
+        self.last_seen = record.version
+        self.last_seen_us = now_us
+        self._wait_anew(now_us)
+        self.is_vacant = record.holder is None
+        if self.is_vacant:
+            self.waited_us = self.lease_us + MARGIN_US
+            self.election_from_us = now_us + self.rank_us
             return
-        held = self.seen or (0, 0)
-        self._ask(now_us, max(held[0], self.floor) + 1, 0)
+        self.holder_incarnation = self.incarnation_of(record.holder)
 
-    def _ask(self, now_us, fence, renewal):
-        self.is_asking = True
-        self.asked_us = now_us
-        expected = (self.fence, self.renewal) if self.fence is not None else self.seen
-        wanted = {"holder": self.node.name, "fence": fence, "renewal": renewal}
-        is_succession = self.is_vacant and bool(self.seen)
+    # the election
+
+    def _request(self, now_us, fence, renewal):
+        """Ask the register for the lease, or for its renewal, counted from now."""
+        self.is_requesting = True
+        self.requested_us = now_us
+        expected = (self.fence, self.renewal) if self.fence is not None else self.last_seen
+        wanted = LeaseRecord(self.node.name, fence, renewal)
+        is_succession = self.is_vacant and bool(self.last_seen)
 
         def step(value):
-            if value == wanted:
+            record = read_record(value)
+            if record == wanted:
                 return "keep", None
-            found = value and (value["fence"], value["renewal"])
-            if found != expected:
+            if (record and record.version) != expected:
                 return "stop", value
-            return "set", wanted
+            return "set", write_record(wanted)
 
         def done(outcome, value):
-            self.is_asking = False
+            self.is_requesting = False
             if outcome == "stopped":
-                self.observe(value, self.node.now_us())
+                self._observe(read_record(value), self.node.now_us())
             if self.is_closed:
                 return
-            if outcome != "chosen" or value != wanted:
+            if outcome != "chosen" or read_record(value) != wanted:
                 return self._rest()
-            if self.node.now_us() >= now_us + self.grant_us:
-                return
-            is_new = self.fence != fence
-            self.fence = fence
-            self.renewal = renewal
-            self.granted_us = now_us + self.grant_us
-            if is_new:
-                self.is_succession = is_succession
-                self.node.ports.log(1401, duty=self.name, fence=fence)
-                self.on_won()
+            self._hold(wanted, now_us + self.lease_us, is_succession)
 
-        self.proposer.change(self.key, step, done)
+        self.proposer.change(self.key, step, done, is_patient=True)
+
+    def _hold(self, record, expires_us, is_succession):
+        """The register chose this node's record; an answer that came too late is no lease."""
+        if self.node.now_us() >= expires_us:
+            return
+        is_new = self.fence != record.fence
+        self.fence = record.fence
+        self.renewal = record.renewal
+        self.expires_us = expires_us
+        if is_new:
+            self.is_succession = is_succession
+            self.node.ports.log(1401, duty=self.name, fence=record.fence)
+            self.on_won()
 
     def _rest(self):
-        reach = CONTEST_US * 2
-        rested_us = self.node.now_us() + CONTEST_US + self.node.ports.dice.randrange(reach)
-        self.contest_us = max(self.contest_us, rested_us)
+        spread_us = self.node.ports.dice.randrange(ELECTION_SPREAD_US)
+        rested_us = self.node.now_us() + RETRY_LEAST_US + spread_us
+        self.election_from_us = max(self.election_from_us, rested_us)
--- a/packages/registry/src/linkhaven/registry/gate.py
+++ b/packages/registry/src/linkhaven/registry/gate.py
@@ -1,3 +1,5 @@
+from .messages import Keys, WantKeys
+
 ASK_US = 250_000
 SETTLE_US = 2_000_000
 TOLD = [0, "told"]
@@ -16,7 +18,7 @@
         self.places = {}
         self.asked_us = 0
         self.was_behind = False
-        node.hearers["keys"] = self.hear_keys
+        node.on_message(Keys, self.on_keys)
         node.systems.append(self.tick)
 
     def _start(self):
@@ -36,7 +38,7 @@
             self.seat.open_claims()
 
     def _ask(self, address, place):
-        self.node.tell(address, "want_keys", start=self._start(), place=place)
+        self.node.send(address, WantKeys(self._start(), place))
 
     def _has_heard_enough(self, routers, now_us):
         """All routers that run; and of a fleet that served before, most of those that the plan counts."""
@@ -51,23 +53,24 @@
         answered = sum(place is None for place in self.places.values())
         return answered > self.image.plan["fleet"]["routers"] // 2
 
-    def hear_keys(self, message):
-        name, place = message["name"], message["place"]
-        if (
-            message["start"] != self._start()
-            or self.seat.are_claims_open
-            or self.places.get(name) != place
-        ):
+    def on_keys(self, message):
+        """Keep a page of a router's keys, and ask for the next one once that is synced."""
+        name, place = message.sender, message.place
+        if not self._awaits_keys_from(name, place, message.start):
             return
         self.places[name] = -1
-        changed = self.seat.merge({key: [[0, ""], TOLD, {"by": by}] for key, by in message["keys"]})
+        changed = self.seat.merge({key: [[0, ""], TOLD, {"by": by}] for key, by in message.keys})
 
         def go_on(is_kept):
             if not is_kept:
                 self.places[name] = place
                 return
-            self.places[name] = None if message["is_last"] else place + len(message["keys"])
-            if not message["is_last"]:
-                self._ask(message["back"], self.places[name])
+            self.places[name] = None if message.is_last else place + len(message.keys)
+            if not message.is_last:
+                self._ask(message.reply_to, self.places[name])
 
         self.node.ports.disk.write(changed, go_on)
+
+    def _awaits_keys_from(self, router, place, start):
+        is_asking = start == self._start() and not self.seat.are_claims_open
+        return is_asking and self.places.get(router) == place
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -1,6 +1,8 @@
+from msgspec.structs import asdict
+
 from linkhaven.clockwork import Node
 from linkhaven.credit import Bursar
-from linkhaven.duty import Duty
+from linkhaven.duty import Lease, LeaseRecord
 from linkhaven.plan import BodyStore, NewsDesk, PlanDesk, PlanImage, write_plan
 from linkhaven.register import Proposer, Seat, default_terms
 from linkhaven.ring import Ring
@@ -10,6 +12,7 @@
 from .contact import Contact
 from .gate import KeyGate
 from .keeper import RosterKeeper
+from .messages import Image, WantImage
 from .status import CoreStatus
 from .steward import Steward
 from .views import Views
@@ -20,6 +23,7 @@
 UNASKED_US = 700_000
 SEATS = ("a", "b", "c", "d", "e")
 DEPUTY = {"a": 0.3, "b": 0.5, "c": 0.7, "d": 0.8, "e": 0.9}
+NO_LEASE = LeaseRecord(holder=None, fence=0, renewal=0)
 DUTIES = ("steward", "bursar", "roster")
 
 
@@ -105,15 +109,15 @@
         self.news = NewsDesk(self, self.seat, self.proposer, self.image, self.bodies)
         self.news.has_contact = self.contact.is_held
         self.desk = desk_of(self)
-        self.duties = {duty: Duty(self, duty, self.proposer, self.seat) for duty in DUTIES}
+        self.duties = {duty: Lease(self, duty, self.proposer, self.seat) for duty in DUTIES}
         for duty in self.duties.values():
-            duty.life_of = self._life_of
+            duty.incarnation_of = self._incarnation_of
         self._rank_duties()
         self.duties["roster"].on_won = self.news.answer_all
         self.keeper = RosterKeeper(
             self, self.desk, platform, (self.duties["roster"], self.duties["steward"])
         )
-        self.keeper.on_blind = self.duties["roster"].give_up
+        self.keeper.on_blind = self.duties["roster"].step_down
         self.keeper.on_ready = self.news.answer_all
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
         self.bursar = Bursar(self, self.duties["bursar"], self.image)
@@ -132,7 +136,7 @@
         ]
         self.news.extras += [self._add_roster, self.bursar.add_shares]
         self.news.is_urgent = self._is_urgent
-        self.hearers["image"] = self._hear_image
+        self.on_message(Image, self._on_image)
         self.systems += [self._adopt_image, self._watch_edge, self._leave_in_time]
         self.paths.update(
             {
@@ -182,11 +186,11 @@
         self.keeper.begin_serials(self.seat.incarnation)
         if not self.seat.votes_from_us:
             for duty in self.duties.values():
-                duty.stand_free()
+                duty.allow_election_now()
         elif self.seat.rejoin.has_met_no_vote:
-            self.duties["roster"].stand_vacant()
+            self.duties["roster"].assume_vacant()
 
-    def _life_of(self, name):
+    def _incarnation_of(self, name):
         fellow = self.ring.fellows.get(name)
         if fellow is None:
             return None
@@ -195,12 +199,12 @@
     def _hear_mark(self, mark, fellow):
         self.image.hear_mark(mark)
         if fellow.kind == "router" and self._is_behind(mark):
-            self.tell(fellow.address, "want_image")
+            self.send(fellow.address, WantImage())
 
     def _hear_asked_mark(self, message):
         if self._is_behind(message["mark"]):
             self.gate.was_behind = True
-            self.tell(message["back"], "want_image")
+            self.send(message["back"], WantImage())
 
     def _hear_usage(self, message):
         now_us = self.now_us()
@@ -245,18 +249,18 @@
 
     def _hear_fences(self, message):
         for name, fence in message["fences"].items():
-            self.duties[name].hear_fence(fence)
+            self.duties[name].observe_fence(fence)
 
     def _is_behind(self, mark):
         value = self.seat.cell("plan").value
         return self.seat.is_voting and mark > (value["mark"] if value else 0)
 
-    def _hear_image(self, message):
+    def _on_image(self, message):
         """What a router holds: the value that news brought it, and the body of its plan."""
-        value = message["value"]
-        if not self.bodies.take(value["bodies"]["plan"], message["body"]):
+        value = message.value
+        if not self.bodies.take(value["bodies"]["plan"], message.body):
             return
-        if self.told_image is None or value["mark"] > self.told_image["mark"]:
+        if self.told_image is None or message.mark > self.told_image["mark"]:
             self.told_image = {**value, "plan": self.bodies.plan_of(value)}
 
     def _adopt_image(self, now_us):
@@ -299,7 +303,7 @@
         ):
             return
         for duty in self.duties.values():
-            duty.give_up()
+            duty.step_down()
 
     def _add_roster(self, ask, facts):
         rank = self._roster_rank()
@@ -331,8 +335,8 @@
             return duty.fence
         if not duty.is_quiet():
             return None
-        last = duty.holder()
-        return (last["fence"] if last else 0) + DEPUTY[self.seat.seat]
+        last = duty.record()
+        return (last.fence if last else 0) + DEPUTY[self.seat.seat]
 
     def drain(self, on_drained):
         self.is_draining = True
@@ -397,7 +401,7 @@
             "duties": {
                 name: {
                     "held": duty.is_held(),
-                    **(duty.holder() or {"holder": None, "fence": 0, "renewal": 0}),
+                    **asdict(duty.record() or NO_LEASE),
                 }
                 for name, duty in self.duties.items()
             },
--- a/packages/registry/src/linkhaven/registry/steward.py
+++ b/packages/registry/src/linkhaven/registry/steward.py
@@ -74,7 +74,7 @@
     def may_order(self, now_us):
         """Between the orders of two holders a grant has passed, also where the former one released the duty."""
         terms = self.node.terms
-        after_us = max(terms.orders_after_us, self.duty.grant_us if self.duty.is_succession else 0)
+        after_us = max(terms.orders_after_us, self.duty.lease_us if self.duty.is_succession else 0)
         return now_us - self.won_us >= after_us and now_us - self.woken_us >= terms.thaw_us
 
     def forget(self):
@@ -204,7 +204,7 @@
         def done(trouble, document, has_begun):
             if trouble is not None:
                 self.node.ports.log(1502, runner=runner.name, code=trouble.code)
-                self.duty.hear_fence(trouble.detail.get("fence", 0))
+                self.duty.observe_fence(trouble.detail.get("fence", 0))
 
         self.orders += 1
         self.node.ports.log(
--- a/packages/stage/src/linkhaven/stage/explore/adapter.py
+++ b/packages/stage/src/linkhaven/stage/explore/adapter.py
@@ -2,7 +2,7 @@
 messages say, how it is asked, and what it holds. A rename in the nodes is followed here."""
 
 from linkhaven.clockwork import Node, Terms
-from linkhaven.duty import Duty
+from linkhaven.duty import Lease
 from linkhaven.plan import PlanDesk, PlanImage
 from linkhaven.register import Proposer, Seat
 from linkhaven.registry import RegistryNode
@@ -19,7 +19,20 @@
 VOTES = {"promise": False, "accepted": True}
 REFUSED_CODES = ("revision_conflict", "revision_old")
 UNCLEAR_CODE = "put_unknown"
-SKIPPED = frozenset(("ports", "terms", "hearers", "paths", "systems", "on_hear", "on_late", "dice"))
+SKIPPED = frozenset(
+    (
+        "ports",
+        "terms",
+        "hearers",
+        "handlers",
+        "reader",
+        "paths",
+        "systems",
+        "on_hear",
+        "on_late",
+        "dice",
+    )
+)
 
 
 class Vote:
@@ -51,13 +64,13 @@
         self.seat.occupants.contact = address
         self.image = PlanImage()
         self.plan_desk = PlanDesk(self, self.proposer, self.seat, self.image)
-        self.duty = Duty(self, DUTY, self.proposer, self.seat) if has_duty else None
+        self.duty = Lease(self, DUTY, self.proposer, self.seat) if has_duty else None
         if contacts and self.seat.is_empty and not self.seat.seat:
             self.seat.begin_first(seats[contacts.index(address)], contacts)
 
     def _hear_votes(self):
         if self.duty is not None and not self.seat.votes_from_us:
-            self.duty.stand_free()
+            self.duty.allow_election_now()
 
 
 def build_core(seats, has_duty, contacts):
--- a/packages/stage/src/linkhaven/stage/explore/world.py
+++ b/packages/stage/src/linkhaven/stage/explore/world.py
@@ -7,7 +7,7 @@
 import json
 import random
 
-from linkhaven.clockwork import Ports, write_json
+from linkhaven.clockwork import Ports, write_line
 
 START_US = 60_000_000
 TICK_US = 50_000
@@ -35,6 +35,13 @@
         return self.parsed
 
 
+def _hear(node, line):
+    """Hand a line to a node as the shell does."""
+    message = node.read_line(line)
+    if message is not None:
+        node.hear(message)
+
+
 class ExploredDisk:
     """What is synced, and the writes of a turn that are not: those a crash may keep or lose, as a whole."""
 
@@ -198,6 +205,9 @@
 
     def send(self, machine, address, message):
         """Puts a message in flight; a message to oneself takes no network and is told at the end of the turn."""
+        line = write_line(message).decode().rstrip("\n")
+        if not isinstance(message, dict):
+            message = json.loads(line)
         self.ghost.hear_message(machine, address, message)
         say = message["say"]
         if say in self.drops:
@@ -205,7 +215,6 @@
         stem = f"{machine.name}>{address} {say}"
         number = self.sent[stem] = self.sent.get(stem, 0) + 1
         label = f"{stem} {number}"
-        line = write_json(message).decode()
         self.flight[label] = Message(label, say, machine.name, address, line)
 
     def is_cut(self, message):
@@ -220,7 +229,7 @@
         if machine is None or not machine.runs:
             return
         machine.note("hear", message.line, holds_sync, self.now_us)
-        machine.node.hear(json.loads(message.line))
+        _hear(machine.node, message.line)
         if holds_sync:
             machine.disk.is_held = True
         self.settle(machine)
@@ -235,7 +244,7 @@
             ]
             if own:
                 self.flight.pop(own[0].label)
-                machine.node.hear(json.loads(own[0].line))
+                _hear(machine.node, own[0].line)
             elif machine.disk.unsynced and not machine.disk.is_held:
                 for done in machine.disk.keep():
                     done(True)
--- a/tests/test_control_cuts.py
+++ b/tests/test_control_cuts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from linkhaven.clockwork import Terms
-from linkhaven.duty import Duty
+from linkhaven.duty import Lease
 from linkhaven.register import Proposer
 from linkhaven.registry.contact import Contact
 from linkhaven.router import RouterNode
@@ -104,8 +104,8 @@
 
 
 def forget_grants(monkeypatch):
-    monkeypatch.setattr(Duty, "is_held", lambda self: self.fence is not None)
-    monkeypatch.setattr(Duty, "_lapse", lambda self: None)
+    monkeypatch.setattr(Lease, "is_held", lambda self: self.fence is not None)
+    monkeypatch.setattr(Lease, "_lapse", lambda self: None)
 
 
 @pytest.mark.parametrize(
--- /dev/null
+++ b/tests/test_lease.py
@@ -0,0 +1,230 @@
+"""The lease on a duty: one holder at a time, and a higher fence each time."""
+
+import random
+from types import SimpleNamespace
+
+import msgspec
+import pytest
+
+from linkhaven.clockwork import Terms
+from linkhaven.duty import Lease, LeaseRecord
+
+SECOND_US = 1_000_000
+TICK_US = 50_000
+START_US = 100 * SECOND_US
+LEASE_US = Terms().lease_us
+
+
+class Register:
+    """One key's value that nodes change at once, or later where its answers are held."""
+
+    def __init__(self):
+        self.value = None
+        self.held = None
+        self.is_reachable = True
+        self.patient = []
+
+    def change(self, key, step, done, is_patient=False):
+        assert key == "duty/steward"
+        self.patient.append(is_patient)
+        if not self.is_reachable:
+            return done("refused", "nobody answers")
+        verb, given = step(self.value)
+        if verb == "stop":
+            return done("stopped", given)
+        if verb == "set":
+            self.value = given
+        value = self.value
+        if self.held is None:
+            return done("chosen", value)
+        self.held.append(lambda: done("chosen", value))
+
+
+class Member:
+    """One node with a lease, driven by hand."""
+
+    def __init__(self, register, name, rank=0):
+        self.time_us = START_US
+        self.events = []
+        self.changes = []
+        self.seat = SimpleNamespace(
+            is_voting=True, votes_from_us=0, cell=lambda key: SimpleNamespace(value=register.value)
+        )
+        self.node = SimpleNamespace(
+            name=name,
+            now_us=lambda: self.time_us,
+            systems=[],
+            on_late=[],
+            terms=Terms(),
+            ports=SimpleNamespace(
+                dice=random.Random(name),
+                log=lambda number, **facts: self.events.append((number, facts["fence"])),
+            ),
+        )
+        self.lease = Lease(
+            self.node,
+            "steward",
+            register,
+            self.seat,
+            rank,
+            on_won=lambda: self.changes.append("won"),
+            on_lapsed=lambda: self.changes.append("lapsed"),
+        )
+
+    def run(self, span_us):
+        for _ in range(span_us // TICK_US):
+            self.time_us += TICK_US
+            self.lease.tick(self.time_us)
+
+
+def test_a_free_lease_is_won_renewed_and_kept():
+    register = Register()
+    one = Member(register, "one")
+    one.run(10 * SECOND_US)
+    assert one.lease.is_held() and one.changes == ["won"] and one.events == [(1401, 1)]
+    record = one.lease.record()
+    assert (record.holder, record.fence) == ("one", 1) and record.renewal >= 9
+    assert all(register.patient) and len(register.patient) == record.renewal + 1
+
+
+def test_a_lease_ends_a_lease_time_after_it_was_asked_for():
+    register = Register()
+    one = Member(register, "one")
+    register.held = []
+    one.run(TICK_US)
+    one.time_us += 2 * SECOND_US
+    register.held.pop()()
+    assert one.lease.is_held()
+    one.time_us = START_US + TICK_US + LEASE_US - 1
+    assert one.lease.is_held()
+    one.time_us += 1
+    assert not one.lease.is_held()
+
+
+def test_an_answer_that_came_after_a_whole_lease_is_none():
+    register = Register()
+    one = Member(register, "one")
+    register.held = []
+    one.run(TICK_US)
+    one.time_us += LEASE_US
+    register.held.pop()()
+    assert not one.lease.is_held() and one.changes == []
+
+
+def test_another_node_waits_a_whole_lease_and_its_fence_is_higher():
+    register = Register()
+    one, two = Member(register, "one"), Member(register, "two")
+    one.run(TICK_US)
+    two.run(LEASE_US)
+    assert register.value["holder"] == "one" and not two.lease.is_held()
+    two.run(SECOND_US)
+    assert two.lease.is_held() and two.events == [(1401, 2)]
+    assert register.value["holder"] == "two" and register.value["fence"] == 2
+
+
+def test_a_leap_of_the_clock_is_no_wait_for_a_holder():
+    register = Register()
+    one, two = Member(register, "one"), Member(register, "two")
+    one.run(TICK_US)
+    two.run(TICK_US)
+    two.time_us += 60 * SECOND_US
+    two.run(LEASE_US - SECOND_US)
+    assert register.value["holder"] == "one"
+    two.run(2 * SECOND_US)
+    assert two.lease.is_held()
+
+
+def test_a_holder_that_cannot_renew_lapses_and_a_late_tick_lapses_at_once():
+    register = Register()
+    one, two = Member(register, "one"), Member(register, "two")
+    one.run(TICK_US)
+    register.is_reachable = False
+    one.run(LEASE_US)
+    assert not one.lease.is_held() and one.changes == ["won", "lapsed"]
+    register.is_reachable, register.value = True, None
+    two.run(TICK_US)
+    two.lease.on_late_tick(two.time_us)
+    assert not two.lease.is_held() and two.changes == ["won", "lapsed"]
+
+
+def test_who_steps_down_lets_others_have_the_next_lease():
+    register = Register()
+    one, two = Member(register, "one"), Member(register, "two", rank=1)
+    one.run(2 * TICK_US)
+    two.run(TICK_US)
+    one.lease.step_down()
+    assert not one.lease.is_held()
+    for _ in range(5 * SECOND_US // TICK_US):
+        one.run(TICK_US)
+        two.run(TICK_US)
+    assert two.lease.is_held() and not one.lease.is_held()
+
+
+def test_a_released_lease_is_taken_at_once_and_its_succession_is_known():
+    register, released = Register(), []
+    one, two = Member(register, "one"), Member(register, "two")
+    one.run(TICK_US)
+    two.run(TICK_US)
+    one.lease.release(lambda: released.append(True))
+    assert released and register.value == {"holder": None, "fence": 1, "renewal": 1}
+    two.run(2 * TICK_US)
+    assert two.lease.is_held() and two.lease.is_succession
+    one.run(10 * SECOND_US)
+    assert not one.lease.is_held()
+
+
+def test_a_released_lease_that_another_node_has_by_now_stays_its_own():
+    register, released = Register(), []
+    one = Member(register, "one")
+    one.run(TICK_US)
+    register.value = {"holder": "two", "fence": 2, "renewal": 0}
+    one.lease.release(lambda: released.append(True))
+    assert released and register.value == {"holder": "two", "fence": 2, "renewal": 0}
+
+
+def test_a_new_holder_has_a_fence_above_any_that_was_observed():
+    register = Register()
+    one = Member(register, "one")
+    one.lease.observe_fence(7.5)
+    one.run(TICK_US)
+    assert one.lease.fence == 9
+    one.lease.observe_fence(12)
+    one.run(TICK_US)
+    assert one.lease.fence == 13 and one.changes == ["won", "won"]
+
+
+def test_a_seat_without_votes_neither_asks_nor_holds():
+    register = Register()
+    one = Member(register, "one")
+    one.run(TICK_US)
+    one.seat.is_voting = False
+    one.run(TICK_US)
+    assert not one.lease.is_held() and not one.lease.is_quiet()
+    one.run(10 * SECOND_US)
+    one.seat.is_voting = True
+    one.run(LEASE_US)
+    assert not one.lease.is_held()
+    one.run(SECOND_US)
+    assert one.lease.is_held() and one.lease.fence == 2
+
+
+@pytest.mark.parametrize(
+    "incarnations, is_quiet", [([3, 3], False), ([3, 0], True), ([3, 4], True), ([None, 3], False)]
+)
+def test_a_duty_is_quiet_once_its_holder_is_down_or_started_anew(incarnations, is_quiet):
+    register, known = Register(), iter(incarnations)
+    one, two = Member(register, "one"), Member(register, "two")
+    two.lease.incarnation_of = lambda name: next(known)
+    one.run(TICK_US)
+    two.run(TICK_US)
+    assert two.lease.is_quiet() is is_quiet
+
+
+def test_a_record_of_a_newer_version_is_read_and_one_that_is_none_is_refused():
+    register = Register()
+    one = Member(register, "one")
+    register.value = {"holder": "two", "fence": 4, "renewal": 1, "zone": "north"}
+    assert one.lease.record() == LeaseRecord("two", 4, 1)
+    register.value = {"holder": "two", "fence": "4", "renewal": 1}
+    with pytest.raises(msgspec.ValidationError):
+        one.lease.record()
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies as st
 
 from linkhaven.clockwork import LineReader, Message, Node, read_json, write_json, write_line
+from linkhaven.registry.messages import Image, Keys
 from linkhaven.schema import Trouble
 from linkhaven.stage.world import Host, World
 
@@ -356,3 +357,31 @@
 @given(st.text(alphabet='{}[]:,"\\ue0123456789.+- \ttrufalsn\ud800é', max_size=20))
 def test_text_that_may_be_no_json_reads_as_before(text):
     assert_read_as_before(text)
+
+
+# messages of the registry
+
+
+@pytest.mark.parametrize(
+    "line, is_fit",
+    [
+        ({"say": "image", "body": "{}", "value": {"mark": 3, "newer": [1]}}, True),
+        ({"say": "image", "body": "{}", "value": {"mark": "3"}}, False),
+        ({"say": "image", "body": "{}", "value": {}}, False),
+        ({"say": "image", "body": "{}", "value": None}, False),
+        ({"say": "image", "body": None, "value": {"mark": 3}}, False),
+        ({"say": "keys", "start": "s", "place": 0, "keys": [["k", "by"]], "is_last": True}, True),
+        ({"say": "keys", "start": "s", "place": 0, "keys": [["k"]], "is_last": True}, False),
+        ({"say": "keys", "start": "s", "place": 0, "keys": [["k", 1]], "is_last": True}, False),
+        ({"say": "keys", "start": "s", "place": 0, "keys": [], "is_last": "no"}, False),
+    ],
+)
+def test_what_routers_answer_to_a_seat_is_checked_at_the_edge(line, is_fit):
+    node, heard = make_node(), []
+    node.on_message(Image, heard.append)
+    node.on_message(Keys, heard.append)
+    hear_line(node, write_json({**line, **ENVELOPE}))
+    assert len(heard) == is_fit
+    assert [number for number, _ in node.ports.events] == ([] if is_fit else [1006])
+    if is_fit and line["say"] == "image":
+        assert heard[0].value == line["value"] and heard[0].mark == line["value"]["mark"]
--- a/tests/test_recovery_speed.py
+++ b/tests/test_recovery_speed.py
@@ -123,7 +123,7 @@
     assert core.world.wait_for(lambda: holder_of(core.machines.values(), "roster"), 8 * SECOND)
     core.world.run_for(2 * SECOND)
     old = holder_of(core.machines.values(), "roster")
-    fences = {name: duty.holder()["fence"] for name, duty in old.node.duties.items()}
+    fences = {name: duty.record().fence for name, duty in old.node.duties.items()}
     held = {name for name, duty in old.node.duties.items() if duty.is_held()}
     left = []
     old.node.drain(lambda: left.append(core.world.now_us))
@@ -146,5 +146,5 @@
     others = [host for host in core.machines.values() if host is not old]
     assert core.world.wait_for(lambda: holder_of(others, "steward"), SECOND, 5 * MS)
     steward = holder_of(others, "steward").node.steward
-    assert not steward.may_order(core.world.now_us + steward.duty.grant_us - 20 * MS)
-    assert steward.may_order(core.world.now_us + steward.duty.grant_us)
+    assert not steward.may_order(core.world.now_us + steward.duty.lease_us - 20 * MS)
+    assert steward.may_order(core.world.now_us + steward.duty.lease_us)
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -4,7 +4,7 @@
 import pytest
 
 from linkhaven.credit import Bursar, ExtraBudget
-from linkhaven.duty import Duty
+from linkhaven.duty import Lease
 from linkhaven.plan import NewsReader, PlanImage
 from linkhaven.plan.check import fill_plan
 from linkhaven.register import Seat
@@ -60,7 +60,7 @@
 
 def grant_keys_from_an_empty_core(monkeypatch):
     monkeypatch.setattr(KeyGate, "_has_heard_enough", lambda self, routers, now_us: True)
-    monkeypatch.setattr(KeyGate, "hear_keys", lambda self, message: None)
+    monkeypatch.setattr(KeyGate, "on_keys", lambda self, message: None)
 
 
 def use_keys_again_after_the_core_was_lost(fleet_of):
@@ -191,8 +191,8 @@
 
 
 def forget_grants(monkeypatch):
-    monkeypatch.setattr(Duty, "is_held", lambda self: self.fence is not None)
-    monkeypatch.setattr(Duty, "_lapse", lambda self: None)
+    monkeypatch.setattr(Lease, "is_held", lambda self: self.fence is not None)
+    monkeypatch.setattr(Lease, "_lapse", lambda self: None)
 
 
 def sleep_over_an_order(fleet_of):
@@ -288,7 +288,7 @@
     old, runner = steward(), fleet.runners["runner-3"]
     duty = old.node.duties["steward"]
     world.cut([old.name], [host.name for host in fleet.registries.values()])
-    world.run_until(duty.granted_us - 20_000)
+    world.run_until(duty.expires_us - 20_000)
     world.slow[(old.name, runner.name)] = 1_300_000
     old.node.steward.wanted_phase = "prefill"
     old.node.steward._order(old.node.keeper.runners["runner-3"], world.now_us)
@@ -329,14 +329,14 @@
 
 
 def leave_duties_vacant(monkeypatch):
-    ask = Duty._ask
+    ask = Lease._request
 
     def renew_only(self, now_us, fence, renewal):
         if self.fence is not None:
             ask(self, now_us, fence, renewal)
 
-    monkeypatch.setattr(Duty, "_ask", renew_only)
-    monkeypatch.setattr(Duty, "is_quiet", lambda self: False)
+    monkeypatch.setattr(Lease, "_request", renew_only)
+    monkeypatch.setattr(Lease, "is_quiet", lambda self: False)
 
 
 def lose_the_roster_holder(fleet_of):
