--- a/packages/clockwork/src/linkhaven/clockwork/__init__.py
+++ b/packages/clockwork/src/linkhaven/clockwork/__init__.py
@@ -1,3 +1,5 @@
+"""What every node rests on: the node's base, its ports, typed messages, JSON, tables and bounds."""
+
 from .messages import (
     PROTOCOL_VERSION,
     LineReader,
--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -1,3 +1,5 @@
+"""The base of our nodes: messages, calls and ticks come in, everything else goes through ports."""
+
 from msgspec.structs import replace
 
 from linkhaven.schema import Trouble
@@ -6,9 +8,16 @@
 from .terms import Terms
 
 LATE_TICK_US = 1_000_000
+"""A tick this late tells that the process was paused."""
 
 
 class Node:
+    """A node without clock, socket or dice of its own, so that a simulated world can run it.
+
+    Its parts register with it: `on_message` and `hearers` for messages, `paths` for calls,
+    `systems` for each tick, `on_late` for what a late tick does first, `on_hear` for who spoke.
+    """
+
     __slots__ = (
         "name",
         "address",
@@ -25,6 +34,7 @@
     )
 
     def __init__(self, name, address, ports, terms=None):
+        """Nothing is registered yet; `terms` are the bounds that its settings say."""
         self.terms = terms or Terms()
         self.name = name
         self.address = address
@@ -39,9 +49,11 @@
         self.on_hear = []
 
     def now_us(self):
+        """This node's monotonic time."""
         return self.ports.clock.now_us()
 
     def tell(self, address, say, **facts):
+        """Send a map of a kind that has no type yet."""
         facts["say"] = say
         facts["name"] = self.name
         facts["back"] = self.address
@@ -99,6 +111,7 @@
             self.ports.log(1005, say=message.get("say"), fault=repr(fault))
 
     def serve(self, call):
+        """Hand a call to the function of its path; a path that ends in / takes the rest of it."""
         path = call.path.partition("?")[0]
         serve, rest = self.paths.get((call.method, path)), None
         if serve is None:
@@ -117,6 +130,7 @@
         return 0
 
     def tick(self):
+        """Run every system once, those for a late tick first where this one is late."""
         now_us = self.now_us()
         late_us = now_us - self.ticked_us
         self.ticked_us = now_us
--- a/packages/clockwork/src/linkhaven/clockwork/ports.py
+++ b/packages/clockwork/src/linkhaven/clockwork/ports.py
@@ -1,13 +1,19 @@
+"""The ports through which a node touches the world, and a call as a serving node sees it."""
+
 from .text import write_json
 
 
 class Ports:
-    """What a node may touch: clock.now_us(); wire.tell() and wire.open();
-    disk.load() and disk.write(); dice as random.Random; log(number, **facts)."""
+    """What a node may touch.
+
+    clock.now_us(); wire.tell() and wire.open(); disk.load() and disk.write(); dice as
+    random.Random; log(number, **facts).
+    """
 
     __slots__ = ("clock", "wire", "disk", "dice", "log")
 
     def __init__(self, clock, wire, disk, dice, log):
+        """The shell or the simulated world gives all five; `disk` is None without a data folder."""
         self.clock = clock
         self.wire = wire
         self.disk = disk
@@ -16,9 +22,12 @@
 
 
 class Hearer:
+    """What becomes of an outgoing call: its head, its data, then one of end and trouble."""
+
     __slots__ = ("on_head", "on_data", "on_end", "on_trouble")
 
     def __init__(self, on_head, on_data, on_end, on_trouble):
+        """`on_trouble` is told whether any byte of the request may have been handed over."""
         self.on_head = on_head
         self.on_data = on_data
         self.on_end = on_end
@@ -31,6 +40,7 @@
     __slots__ = ("method", "path", "headers", "body", "on_gone", "on_room", "is_begun", "is_ended")
 
     def __init__(self, method, path, headers, body):
+        """`headers` by lower-case names."""
         self.method = method
         self.path = path
         self.headers = headers
@@ -41,32 +51,40 @@
         self.is_ended = False
 
     def answer(self, status, headers, body):
+        """Write the whole answer."""
         raise NotImplementedError
 
     def begin(self, status, headers):
+        """Write the head of an answer that comes in parts."""
         raise NotImplementedError
 
     def write(self, data):
+        """Write a part; answers whether there is room for more, else `on_room` tells that."""
         raise NotImplementedError
 
     def finish(self):
+        """End an answer that is whole."""
         raise NotImplementedError
 
     def cut(self):
+        """Break an answer off so that it can't look whole."""
         raise NotImplementedError
 
     def answer_json(self, status, document, headers=None):
+        """Write a JSON document as the whole answer."""
         self.answer(
             status, {"content-type": "application/json", **(headers or {})}, write_json(document)
         )
 
     def answer_trouble(self, trouble, headers=None):
+        """Write an error as the whole answer, with Retry-After in whole seconds if it has one."""
         headers = dict(headers or {})
         if trouble.retry_us is not None:
             headers["retry-after"] = str(max(1, -(-trouble.retry_us // 1_000_000)))
         self.answer_json(trouble.status, trouble.as_document(), headers)
 
     def has_gone(self):
+        """The caller closed its connection before the answer ended."""
         if self.is_ended:
             return
         self.is_ended = True
--- a/packages/clockwork/src/linkhaven/clockwork/text.py
+++ b/packages/clockwork/src/linkhaven/clockwork/text.py
@@ -1,7 +1,8 @@
 """JSON text: documents of operators, callers and runners, and lines that have no type yet.
 
-Reading goes through msgspec, which is faster, and what msgspec refuses is read again by the standard
-library, whose word counts: it takes NaN, numbers beyond the range of a float and single surrogates.
+Reading goes through msgspec, which is faster, and what msgspec refuses is read again by the
+standard library, whose word counts: it takes NaN, numbers beyond the range of a float and single
+surrogates.
 Writing stays with the standard library: msgspec would write NaN as null and large floats otherwise.
 """
 
