Ring: typed messages; the hello says its protocol version

After: packages/ring/messages.py; the lines are as before, but for `version` in the hello and `is_asking` in each list of members. A longer record of a newer version is read by its first nine places; a record that doesn't fit is refused whole with 1006. Event 1103 names a member of another protocol version once for each of its starts. Tests: test_messages has the ring's lines, records of other lengths, and the version. test_renewed_lines uses the types; its record had no seat (None), which no node says: it is an empty text now.

--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -126,7 +126,7 @@
                 call.answer_trouble(trouble)
 
     def rest_us(self):
-        """How long after this tick the next may follow; a node with nothing to wait for says more than 0."""
+        """How long after this tick the next may follow; more than 0 with nothing to wait for."""
         return 0
 
     def tick(self):
--- a/packages/clockwork/src/linkhaven/clockwork/terms.py
+++ b/packages/clockwork/src/linkhaven/clockwork/terms.py
@@ -1,16 +1,22 @@
+"""The bounds in time that a deployment's settings say."""
+
+
 class Terms:
     """A node's time bounds, in microseconds unless named otherwise; set once at its start.
 
-    `plan_stale_us` and `roster_stale_us`: how old the confirmation of the plan and the list of runners may be
-    before a router takes no new work; None means that it goes on with what it has. `alone_us`: how long a seat
-    with a disk waits for the others before it goes on with a majority. `vacant_us`: how long the occupant of a
-    seat must be gone before a newcomer takes the seat. `linger_us`: how long a stopping router still takes new
-    work. `body_wait_us`: how long a router waits for a plan's body from the nearest seat after another has told of
-    it. `orders_after_us`: how long after winning its duty a holder waits before its first order. `seats`: how
-    many core seats there are (2f + 1). `silent_us`: how long an order or a read at a registry waits for a majority
-    that says nothing; shorter than its sender's patience. `contact_us`: how old a core member's last answer from a
-    majority may be while it still calls its plan current. `bootstrap`: this is the first start of the whole system,
-    on empty disks."""
+    `plan_stale_us` and `roster_stale_us`: how old the confirmation of the plan and the list of
+    runners may be before a router takes no new work; None means that it goes on with what it
+    has. `alone_us`: how long a seat with a disk waits for the others before it goes on with a
+    majority. `vacant_us`: how long the occupant of a seat must be gone before a newcomer takes
+    the seat. `linger_us`: how long a stopping router still takes new work. `body_wait_us`: how
+    long a router waits for a plan's body from the nearest seat after another has told of it.
+    `orders_after_us`: how long after winning its duty a holder waits before its first order.
+    `seats`: how many core seats there are (2f + 1). `silent_us`: how long an order or a read at
+    a registry waits for a majority that says nothing; shorter than its sender's patience.
+    `contact_us`: how old a core member's last answer from a majority may be while it still
+    calls its plan current. `bootstrap`: this is the first start of the whole system, on empty
+    disks.
+    """
 
     __slots__ = (
         "plan_stale_us",
@@ -63,6 +69,7 @@
     }
 
     def __init__(self, **given):
+        """The defaults, but for the bounds given here."""
         unknown = set(given) - set(self.DEFAULTS)
         if unknown:
             raise TypeError(f"no such terms: {sorted(unknown)}")
@@ -70,4 +77,5 @@
             setattr(self, name, value)
 
     def as_record(self):
+        """All bounds by their names."""
         return {name: getattr(self, name) for name in self.__slots__}
--- /dev/null
+++ b/packages/ring/src/linkhaven/ring/messages.py
@@ -0,0 +1,76 @@
+"""What members of the fleet tell each other about who exists and who is down."""
+
+import msgspec
+
+from linkhaven.clockwork import PROTOCOL_VERSION, Message
+
+UNTOLD_VERSION = 0
+"""The version of a member that says none: it is from before versions stood in the hello."""
+
+
+class MemberRecord(msgspec.Struct, frozen=True, array_like=True):
+    """One member as another one tells of it; a list on the wire, newer fields at its end."""
+
+    name: str
+    incarnation: int
+    """Which start of the process this is; higher ones replace lower ones."""
+
+    address: str
+    kind: str
+    """`router` or `registry`."""
+
+    zone: str
+    seat: str
+    """The seat of the core that it has, or an empty text."""
+
+    seat_incarnation: int
+    mark: int
+    """The highest version of the plan that it holds."""
+
+    is_up: bool
+
+
+class Hello(Message, tag="hello", frozen=True):
+    """A member that wants to be known, or to know whether another one runs; answered by `Members`."""
+
+    fellow: MemberRecord
+    version: int = UNTOLD_VERSION
+    """The sender's `PROTOCOL_VERSION`."""
+
+
+class Members(Message, tag="members", frozen=True):
+    """Members that the sender knows."""
+
+    fellows: list[MemberRecord]
+    is_asking: bool = False
+    """Whether the sender wants to be told the same in return."""
+
+
+class MembersDigest(Message, tag="digest", frozen=True):
+    """The sender and a hash of the members it knows; whose hash differs answers with `Members`."""
+
+    fellow: MemberRecord
+    digest: str
+
+
+class Beat(Message, tag="beat", frozen=True):
+    """The heartbeat of a member, to those that watch it."""
+
+    fellow: MemberRecord
+
+
+class Verdict(Message, tag="verdict", frozen=True):
+    """A watcher's word on whether a member is down."""
+
+    about: str
+    incarnation: int
+    is_down: bool
+
+
+class Bye(Message, tag="bye", frozen=True):
+    """The sender stops and wants to be watched no longer."""
+
+
+def hello_of(record):
+    """The hello of a member with this record, in this version."""
+    return Hello(record, PROTOCOL_VERSION)
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -2,7 +2,20 @@
 from bisect import bisect_left
 from functools import lru_cache
 
-from linkhaven.clockwork import Table
+from msgspec.structs import astuple
+
+from linkhaven.clockwork import PROTOCOL_VERSION, Table
+
+from .messages import (
+    Beat,
+    Bye,
+    Hello,
+    MemberRecord,
+    Members,
+    MembersDigest,
+    Verdict,
+    hello_of,
+)
 
 WATCHERS = 3
 GOSSIP_US = 1_000_000
@@ -34,6 +47,7 @@
         "is_up",
         "down_us",
         "has_left",
+        "version",
     )
 
     def __init__(self, name, incarnation):
@@ -49,6 +63,11 @@
         self.is_up = True
         self.down_us = 0
         self.has_left = False
+        self.version = None
+
+    def as_member(self):
+        """What others are told of this member."""
+        return MemberRecord(*self.as_record())
 
     def as_record(self):
         return [
@@ -107,14 +126,12 @@
         self.raises_own = True
         self.beat_us = self.gossip_us = self.sought_us = 0
         self.seek_until_us = node.now_us() + SEEK_FOR_US
-        node.hearers.update(
-            hello=self.hear_hello,
-            members=self.hear_members,
-            digest=self.hear_digest,
-            beat=self.hear_beat,
-            verdict=self.hear_verdict,
-            bye=self.hear_bye,
-        )
+        node.on_message(Hello, self.on_hello)
+        node.on_message(Members, self.on_members)
+        node.on_message(MembersDigest, self.on_members_digest)
+        node.on_message(Beat, self.on_beat)
+        node.on_message(Verdict, self.on_verdict)
+        node.on_message(Bye, self.on_bye)
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
         node.on_hear.append(self.note_speaker)
@@ -160,7 +177,7 @@
         if seat:
             self.learn_seats({seat: seat_incarnation})
         for fellow in self.live():
-            self.node.tell(fellow.address, "members", fellows=[self.me.as_record()])
+            self.node.send(fellow.address, Members([self.me.as_member()]))
 
     def seats(self):
         """Each seat's address and newest incarnation; the caller must not change the table."""
@@ -221,22 +238,34 @@
                 break
         return found
 
-    def hear_hello(self, message):
-        self._take(message["fellow"], is_first_hand=True)
-        self.node.tell(message["back"], "members", fellows=self._records())
+    def on_hello(self, message):
+        """Take the sender in, and tell it all members."""
+        fellow = self._take(message.fellow, is_first_hand=True)
+        if fellow is not None:
+            self._note_version(fellow, message.version)
+        self.node.send(message.reply_to, Members(self._records()))
+
+    def _note_version(self, fellow, version):
+        """A member of another version is logged once for each of its starts."""
+        if fellow.version == version:
+            return
+        fellow.version = version
+        if version != PROTOCOL_VERSION:
+            self.node.ports.log(1103, fellow=fellow.name, version=version, own=PROTOCOL_VERSION)
 
     def _records(self):
         self.me.mark = self.mark_of()
         return [
-            self.me.as_record(),
-            *(fellow.as_record() for fellow in self.fellows.values() if not fellow.has_left),
+            self.me.as_member(),
+            *(fellow.as_member() for fellow in self.fellows.values() if not fellow.has_left),
         ]
 
-    def hear_members(self, message):
-        for record in message["fellows"]:
-            self._take(record, is_first_hand=record[0] == message["name"])
-        if message.get("is_asking"):
-            self.node.tell(message["back"], "members", fellows=self._records())
+    def on_members(self, message):
+        """Take in what the sender knows; only what it says of itself is first-hand."""
+        for record in message.fellows:
+            self._take(record, is_first_hand=record.name == message.sender)
+        if message.is_asking:
+            self.node.send(message.reply_to, Members(self._records()))
 
     def _members_digest(self):
         """A hash of who is up, in which start and on which seat; equal lists need no telling."""
@@ -251,14 +280,15 @@
             self.digest = (key, told)
         return self.digest[1]
 
-    def hear_digest(self, message):
+    def on_members_digest(self, message):
         """Whose list differs is told the whole of this one, and tells its own."""
-        self._take(message["fellow"], is_first_hand=True)
-        if message["digest"] != self._members_digest():
-            self.node.tell(message["back"], "members", fellows=self._records(), is_asking=True)
+        self._take(message.fellow, is_first_hand=True)
+        if message.digest != self._members_digest():
+            self.node.send(message.reply_to, Members(self._records(), is_asking=True))
 
-    def hear_beat(self, message):
-        fellow = self._take(message["fellow"], is_first_hand=True)
+    def on_beat(self, message):
+        """The sender runs, whatever this node's verdict was."""
+        fellow = self._take(message.fellow, is_first_hand=True)
         if fellow is None:
             return
         fellow.heard_us = self.node.now_us()
@@ -266,7 +296,9 @@
             self._judge(fellow, False)
 
     def _take(self, record, is_first_hand):
-        name, incarnation, address, kind, zone, seat, seat_incarnation, mark, is_up = record
+        name, incarnation, address, kind, zone, seat, seat_incarnation, mark, is_up = astuple(
+            record
+        )
         if name == self.node.name:
             if incarnation > self.me.incarnation:
                 self.me.incarnation = incarnation + 1
@@ -317,20 +349,15 @@
     def _judge(self, fellow, is_down):
         fellow.verdicts[self.node.name] = is_down
         for other in self.live():
-            self.node.tell(
-                other.address,
-                "verdict",
-                about=fellow.name,
-                incarnation=fellow.incarnation,
-                is_down=is_down,
-            )
+            self.node.send(other.address, Verdict(fellow.name, fellow.incarnation, is_down))
         self._weigh(fellow)
 
-    def hear_verdict(self, message):
-        fellow = self.fellows.get(message["about"])
-        if fellow is None or fellow.incarnation != message["incarnation"]:
+    def on_verdict(self, message):
+        """Weigh a watcher's word on the start of a member that it names."""
+        fellow = self.fellows.get(message.about)
+        if fellow is None or fellow.incarnation != message.incarnation:
             return
-        fellow.verdicts[message["name"]] = message["is_down"]
+        fellow.verdicts[message.sender] = message.is_down
         self._weigh(fellow)
 
     def _weigh(self, fellow):
@@ -358,12 +385,13 @@
             return True
         if watcher.probed_us is None or (watcher.spoke_us or 0) > watcher.probed_us:
             watcher.probed_us = now_us
-            self.node.tell(watcher.address, "hello", fellow=self.me.as_record())
+            self.node.send(watcher.address, hello_of(self.me.as_member()))
             return True
         return now_us - watcher.probed_us <= self.node.terms.missed_us
 
-    def hear_bye(self, message):
-        fellow = self.fellows.get(message["name"])
+    def on_bye(self, message):
+        """The sender stopped on purpose."""
+        fellow = self.fellows.get(message.sender)
         if fellow is None:
             return
         fellow.has_left = True
@@ -374,7 +402,7 @@
 
     def say_bye(self):
         for fellow in self.live():
-            self.node.tell(fellow.address, "bye")
+            self.node.send(fellow.address, Bye())
 
     def wake(self, now_us):
         for fellow in self.fellows.values():
@@ -399,7 +427,7 @@
         self.sought_us = now_us
         self.me.mark = self.mark_of()
         for seed in self._missing_seeds():
-            self.node.tell(seed, "hello", fellow=self.me.as_record())
+            self.node.send(seed, hello_of(self.me.as_member()))
 
     def _missing_seeds(self):
         known = {fellow.address for fellow in self.live()}
@@ -407,9 +435,9 @@
 
     def _beat(self):
         self.me.mark = self.mark_of()
-        record = self.me.as_record()
+        beat = Beat(self.me.as_member())
         for name in self.watchers_of(self.node.name):
-            self.node.tell(self.fellows[name].address, "beat", fellow=record)
+            self.node.send(self.fellows[name].address, beat)
 
     def _watch(self, now_us):
         watched = self._find_watched()
@@ -438,7 +466,7 @@
     def _gossip(self, now_us):
         self.me.mark = self.mark_of()
         for seed in self._missing_seeds():
-            self.node.tell(seed, "hello", fellow=self.me.as_record())
+            self.node.send(seed, hello_of(self.me.as_member()))
         fellows = self.live() or self.fellows.rows()
         if fellows:
             self._tell_list(fellows[self.node.ports.dice.randrange(len(fellows))])
@@ -448,11 +476,10 @@
         """The list's digest; now and then the list itself, for what the digest leaves out."""
         self.gossips += 1
         if self.gossips % WHOLE_EVERY == 1:
-            self.node.tell(other.address, "members", fellows=self._records(), is_asking=True)
+            self.node.send(other.address, Members(self._records(), is_asking=True))
             return
-        self.node.tell(
-            other.address, "digest", fellow=self.me.as_record(), digest=self._members_digest()
-        )
+        digest = MembersDigest(self.me.as_member(), self._members_digest())
+        self.node.send(other.address, digest)
 
     def _call_downs(self, now_us):
         downs = [fellow for fellow in self.fellows.values() if not fellow.is_up]
@@ -463,4 +490,4 @@
                 self.seat_table = None
         if downs:
             other = downs[self.node.ports.dice.randrange(len(downs))]
-            self.node.tell(other.address, "hello", fellow=self.me.as_record())
+            self.node.send(other.address, hello_of(self.me.as_member()))
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -7,6 +7,7 @@
     1006: ("warning", "a line from another process was refused"),
     1101: ("info", "fellow is up"),
     1102: ("warning", "fellow is down by its watchers' word"),
+    1103: ("info", "a member of another protocol version said hello"),
     1201: ("info", "seat rejoins without votes"),
     1202: ("info", "seat votes"),
     1203: ("warning", "seat waits for the operator: more was lost than a rejoin can rebuild"),
--- a/packages/stage/src/linkhaven/stage/explore/adapter.py
+++ b/packages/stage/src/linkhaven/stage/explore/adapter.py
@@ -7,6 +7,7 @@
 from linkhaven.register import Proposer, Seat
 from linkhaven.registry import RegistryNode
 from linkhaven.ring import Ring
+from linkhaven.ring.messages import Members
 
 SEATS = ("a", "b", "c", "d", "e")
 PLAN = {
@@ -98,8 +99,8 @@
         if other is not machine and other.node is not None
     ]
     for other in others:
-        node.ring.hear_members({"fellows": [other.node.ring.me.as_record()], "name": other.name})
-        other.node.ring.hear_members({"fellows": [node.ring.me.as_record()], "name": node.name})
+        node.ring.on_members(Members([other.node.ring.me.as_member()], sender=other.name))
+        other.node.ring.on_members(Members([node.ring.me.as_member()], sender=node.name))
 
 
 def build_registry(seats, contacts, **terms):
--- a/packages/stage/src/linkhaven/stage/explore/ghost.py
+++ b/packages/stage/src/linkhaven/stage/explore/ghost.py
@@ -4,7 +4,7 @@
 from .linearizability import READ, REFUSED, TAKEN, Operation, is_linearizable
 
 
-class Breach(Exception):
+class Breach(Exception):  # noqa: N818  it is a finding about a run, no error of this program
     """A rule was broken; `rule` names it, the text tells by whom."""
 
     def __init__(self, rule, text):
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -1,5 +1,5 @@
-"""The checker over histories of orders and reads: histories that one register could have given, and ones that
-none could."""
+"""The checker over histories of orders and reads: those that one register could have given, and
+those that none could."""
 
 import random
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -9,8 +9,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linkhaven.clockwork import LineReader, Message, Node, read_json, write_json, write_line
+from linkhaven.clockwork import (
+    LineReader,
+    Message,
+    Node,
+    Terms,
+    read_json,
+    write_json,
+    write_line,
+)
 from linkhaven.registry.messages import Image, Keys
+from linkhaven.ring import Ring
+from linkhaven.ring.messages import (
+    Beat,
+    Bye,
+    MemberRecord,
+    Members,
+    MembersDigest,
+    Verdict,
+    hello_of,
+)
 from linkhaven.schema import Trouble
 from linkhaven.stage.world import Host, World
 
@@ -385,3 +403,76 @@
     assert [number for number, _ in node.ports.events] == ([] if is_fit else [1006])
     if is_fit and line["say"] == "image":
         assert heard[0].value == line["value"] and heard[0].mark == line["value"]["mark"]
+
+
+# messages of the ring
+
+RECORD = ["router-2", 5, "10.0.0.2:7000", "router", "north", "", 0, 3, True]
+
+
+def make_member():
+    node = make_node()
+    node.terms = Terms()
+    return node, Ring(node, "router", "north", [], 1)
+
+
+@pytest.mark.parametrize(
+    "message, line",
+    [
+        (hello_of(MemberRecord(*RECORD)), {"say": "hello", "fellow": RECORD, "version": 1}),
+        (
+            Members([MemberRecord(*RECORD)]),
+            {"say": "members", "fellows": [RECORD], "is_asking": False},
+        ),
+        (
+            MembersDigest(MemberRecord(*RECORD), "d"),
+            {"say": "digest", "fellow": RECORD, "digest": "d"},
+        ),
+        (Beat(MemberRecord(*RECORD)), {"say": "beat", "fellow": RECORD}),
+        (
+            Verdict("router-2", 5, True),
+            {"say": "verdict", "about": "router-2", "incarnation": 5, "is_down": True},
+        ),
+        (Bye(), {"say": "bye"}),
+    ],
+)
+def test_the_rings_messages_stand_on_the_wire_as_before(message, line):
+    node = make_node()
+    node.send("10.0.0.2:7000", message)
+    [(_, written)] = node.ports.lines
+    assert json.loads(written) == {**line, **ENVELOPE}
+
+
+@pytest.mark.parametrize(
+    "record, is_fit",
+    [
+        (RECORD, True),
+        ([*RECORD, "of a newer version"], True),
+        (RECORD[:-1], False),
+        ([*RECORD[:5], None, *RECORD[6:]], False),
+        ([*RECORD[:1], "5", *RECORD[2:]], False),
+        ({"name": "router-2"}, False),
+    ],
+)
+def test_a_members_record_may_be_longer_and_is_else_checked_whole(record, is_fit):
+    node, ring = make_member()
+    envelope = {"name": "router-2", "back": "10.0.0.2:7000"}
+    hear_line(node, write_json({"say": "beat", "fellow": record, **envelope}))
+    assert ("router-2" in ring.fellows) is is_fit
+    assert [number for number, _ in node.ports.events] == ([1101] if is_fit else [1006])
+
+
+@pytest.mark.parametrize(
+    "told, is_logged", [({"version": 1}, False), ({"version": 2}, True), ({}, True)]
+)
+def test_a_hello_tells_its_version_and_another_one_is_logged_once(told, is_logged):
+    node, ring = make_member()
+    envelope = {"name": "router-2", "back": "10.0.0.2:7000"}
+    for _ in range(3):
+        hear_line(node, write_json({"say": "hello", "fellow": RECORD, **told, **envelope}))
+    assert ring.fellows["router-2"].version == told.get("version", 0)
+    logged = [facts for number, facts in node.ports.events if number == 1103]
+    assert logged == (
+        [{"fellow": "router-2", "version": told.get("version", 0), "own": 1}] if is_logged else []
+    )
+    assert len(node.ports.lines) == 3
--- a/tests/test_renewed_lines.py
+++ b/tests/test_renewed_lines.py
@@ -6,6 +6,7 @@
 
 from linkhaven.clockwork import Node as BaseNode
 from linkhaven.ring import Ring
+from linkhaven.ring.messages import MemberRecord, Members
 from linkhaven.wire import Shell
 from linkhaven.wire.outlet import HANGING_US
 
@@ -31,20 +32,20 @@
         name="core-1",
         address="10.0.0.1:7000",
         ports=ports,
-        hearers={},
+        on_message=lambda message_type, handler: None,
         systems=[],
         on_late=[],
         on_hear=[],
         now_us=lambda: 5,
-        tell=lambda *told, **facts: None,
+        send=lambda address, message: None,
         terms=SimpleNamespace(beat_us=1, missed_us=1),
     )
     return Ring(node, "core", "north", [], 1), wire
 
 
 def told(ring, incarnation, address=HOME):
-    record = ["router-1", incarnation, address, "router", "north", None, 0, 0, True]
-    ring.hear_members({"name": "router-1", "fellows": [record]})
+    record = MemberRecord("router-1", incarnation, address, "router", "north", "", 0, 0, True)
+    ring.on_members(Members([record], sender="router-1", reply_to=address))
 
 
 @pytest.mark.parametrize(
