--- a/packages/ring/src/linkhaven/ring/__init__.py
+++ b/packages/ring/src/linkhaven/ring/__init__.py
@@ -1,3 +1,6 @@
-from .ring import Fellow, Ring
+"""Membership and failure detection of the fleet."""
 
-__all__ = ["Fellow", "Ring"]
+from .member import Member
+from .ring import Ring
+
+__all__ = ["Member", "Ring"]
--- a/packages/ring/src/linkhaven/ring/messages.py
+++ b/packages/ring/src/linkhaven/ring/messages.py
@@ -31,7 +31,7 @@
 
 
 class Hello(Message, tag="hello", frozen=True):
-    """A member that wants to be known, or to know whether another one runs; answered by `Members`."""
+    """A member that wants to be known, or to know if another one runs; `Members` answers it."""
 
     fellow: MemberRecord
     version: int = UNTOLD_VERSION
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -1,16 +1,29 @@
+"""Who exists: a failure detector and the list of members, gossiped.
+
+| message | in answer to | what it does here |
+| --- | --- | --- |
+| `Hello` | | takes the sender in, answers with all members |
+| `Members` | `Hello`, `MembersDigest`, or asked for | takes all in |
+| `MembersDigest` | | answers with all members where the list differs |
+| `Beat` | | the sender runs; a verdict against it is taken back |
+| `Verdict` | | a watcher's vote on whether a member is down |
+| `Bye` | | the sender left on purpose |
+
+No rule of safety rests on it: it informs operators, and says whom to ask. A member is down when
+most of its watchers that can be heard from say so (`tests/test_coordination.py`).
+"""
+
 import hashlib
 from bisect import bisect_left
 from functools import lru_cache
 
-from msgspec.structs import astuple
-
 from linkhaven.clockwork import PROTOCOL_VERSION, Table
 
+from .member import Member
 from .messages import (
     Beat,
     Bye,
     Hello,
-    MemberRecord,
     Members,
     MembersDigest,
     Verdict,
@@ -18,73 +31,35 @@
 )
 
 WATCHERS = 3
+"""How many members watch each member."""
+
 GOSSIP_US = 1_000_000
 WHOLE_EVERY = 10
+"""Each so many times the whole list is gossiped in place of its digest."""
+
 SEEK_US = 100_000
 SEEK_FOR_US = 5_000_000
-FORGET_US = 60_000_000
-
+"""So long after its start a node asks seeds that it misses each `SEEK_US`."""
 
-@lru_cache(maxsize=4096)
-def place_of(name):
-    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=8).digest(), "big")
+FORGET_US = 60_000_000
+"""A member that is down for this long is forgotten."""
 
+PLACE_BYTES = 8
+PLACES_KEPT = 4096
 
-class Fellow:
-    __slots__ = (
-        "name",
-        "address",
-        "kind",
-        "zone",
-        "seat",
-        "seat_incarnation",
-        "incarnation",
-        "mark",
-        "heard_us",
-        "spoke_us",
-        "probed_us",
-        "verdicts",
-        "is_up",
-        "down_us",
-        "has_left",
-        "version",
-    )
 
-    def __init__(self, name, incarnation):
-        self.name = name
-        self.incarnation = incarnation
-        self.address = self.kind = self.zone = self.seat = ""
-        self.seat_incarnation = 0
-        self.mark = 0
-        self.heard_us = None
-        self.spoke_us = None
-        self.probed_us = None
-        self.verdicts = {}
-        self.is_up = True
-        self.down_us = 0
-        self.has_left = False
-        self.version = None
-
-    def as_member(self):
-        """What others are told of this member."""
-        return MemberRecord(*self.as_record())
-
-    def as_record(self):
-        return [
-            self.name,
-            self.incarnation,
-            self.address,
-            self.kind,
-            self.zone,
-            self.seat,
-            self.seat_incarnation,
-            self.mark,
-            self.is_up,
-        ]
+@lru_cache(maxsize=PLACES_KEPT)
+def place_of(name):
+    """A name's place on the hash ring."""
+    return int.from_bytes(hashlib.blake2b(name.encode(), digest_size=PLACE_BYTES).digest(), "big")
 
 
 class Ring:
-    """Who exists: hello to the seeds, beats to the watchers that the ring names, verdicts by most of them."""
+    """The members that one node knows, and its part in watching them.
+
+    `on_standing` hears of each member that came, went up or went down; `on_mark` of the plan's
+    version that a member holds. `fellows` has all others by name, `me` is this node.
+    """
 
     __slots__ = (
         "node",
@@ -111,10 +86,11 @@
     )
 
     def __init__(self, node, kind, zone, seeds, incarnation, seat="", mark_of=lambda: 0):
+        """Know nobody but the seeds' addresses; `mark_of` says this node's version of the plan."""
         self.node = node
         self.seeds = list(seeds)
         self.fellows = Table()
-        self.me = Fellow(node.name, incarnation)
+        self.me = Member(node.name, incarnation)
         self.me.address, self.me.kind, self.me.zone, self.me.seat = node.address, kind, zone, seat
         self.mark_of = mark_of
         self.on_standing = []
@@ -137,9 +113,10 @@
         node.on_hear.append(self.note_speaker)
 
     def note_speaker(self, name):
-        fellow = self.fellows.get(name)
-        if fellow is not None:
-            fellow.spoke_us = self.node.now_us()
+        """Whatever a member says tells that it runs."""
+        member = self.fellows.get(name)
+        if member is not None:
+            member.spoke_us = self.node.now_us()
 
     def _forget_order(self):
         """Who is up or has left changed: what was worked out from that is worked out anew."""
@@ -154,13 +131,14 @@
         found = self.live_by_kind.get(kind)
         if found is None:
             found = self.live_by_kind[kind] = [
-                fellow
-                for fellow in self.fellows.values()
-                if fellow.is_up and not fellow.has_left and kind in (None, fellow.kind)
+                member
+                for member in self.fellows.values()
+                if member.is_up and not member.has_left and kind in (None, member.kind)
             ]
         return found
 
     def add_seeds(self, addresses):
+        """More addresses to say hello to."""
         self.seeds += [
             address
             for address in addresses
@@ -168,7 +146,7 @@
         ]
 
     def sit(self, seat, seat_incarnation):
-        """This node took a seat, or left it: a new incarnation in the ring, told to everyone at once."""
+        """This node took a seat, or left it: a new incarnation, told to everyone at once."""
         self.raises_own = False
         self.me.incarnation += 1
         self.me.seat, self.me.seat_incarnation = seat, seat_incarnation
@@ -176,8 +154,8 @@
         self.seat_table = None
         if seat:
             self.learn_seats({seat: seat_incarnation})
-        for fellow in self.live():
-            self.node.send(fellow.address, Members([self.me.as_member()]))
+        for member in self.live():
+            self.node.send(member.address, Members([self.me.as_member()]))
 
     def seats(self):
         """Each seat's address and newest incarnation; the caller must not change the table."""
@@ -185,27 +163,29 @@
         if self.seat_table is None or self.seat_key != key:
             self.seat_key = key
             self.seat_table = {
-                seat: (fellow.address, max(fellow.seat_incarnation, self.seat_marks.get(seat, 0)))
-                for seat, fellow in self.seat_holders().items()
+                seat: (member.address, max(member.seat_incarnation, self.seat_marks.get(seat, 0)))
+                for seat, member in self.seat_holders().items()
             }
         return self.seat_table
 
     def seat_holders(self):
+        """The newest occupant that is known of each seat."""
         found = {}
-        for fellow in [self.me, *self.fellows.values()]:
-            if not fellow.seat:
+        for member in [self.me, *self.fellows.values()]:
+            if not member.seat:
                 continue
-            held = found.get(fellow.seat)
-            if held is None or self._outranks(fellow, held):
-                found[fellow.seat] = fellow
+            held = found.get(member.seat)
+            if held is None or self._outranks(member, held):
+                found[member.seat] = member
         return found
 
-    def _outranks(self, fellow, held):
-        if fellow.seat_incarnation != held.seat_incarnation:
-            return fellow.seat_incarnation > held.seat_incarnation
-        return fellow.incarnation > held.incarnation
+    def _outranks(self, member, held):
+        if member.seat_incarnation != held.seat_incarnation:
+            return member.seat_incarnation > held.seat_incarnation
+        return member.incarnation > held.incarnation
 
     def learn_seats(self, known):
+        """Take in the newest incarnation of each seat that somebody knows."""
         for seat, incarnation in known.items():
             if incarnation > self.seat_marks.get(seat, 0):
                 self.seat_marks[seat] = incarnation
@@ -226,7 +206,7 @@
 
     def _find_watchers(self, name):
         if self.order is None:
-            names = [fellow.name for fellow in self.live()]
+            names = [member.name for member in self.live()]
             self.order = sorted((place_of(other), other) for other in (*names, self.node.name))
         start = bisect_left(self.order, (place_of(name), name))
         found = []
@@ -240,24 +220,24 @@
 
     def on_hello(self, message):
         """Take the sender in, and tell it all members."""
-        fellow = self._take(message.fellow, is_first_hand=True)
-        if fellow is not None:
-            self._note_version(fellow, message.version)
+        member = self._take(message.fellow, is_first_hand=True)
+        if member is not None:
+            self._note_version(member, message.version)
         self.node.send(message.reply_to, Members(self._records()))
 
-    def _note_version(self, fellow, version):
+    def _note_version(self, member, version):
         """A member of another version is logged once for each of its starts."""
-        if fellow.version == version:
+        if member.version == version:
             return
-        fellow.version = version
+        member.version = version
         if version != PROTOCOL_VERSION:
-            self.node.ports.log(1103, fellow=fellow.name, version=version, own=PROTOCOL_VERSION)
+            self.node.ports.log(1103, fellow=member.name, version=version, own=PROTOCOL_VERSION)
 
     def _records(self):
         self.me.mark = self.mark_of()
         return [
             self.me.as_member(),
-            *(fellow.as_member() for fellow in self.fellows.values() if not fellow.has_left),
+            *(member.as_member() for member in self.fellows.values() if not member.has_left),
         ]
 
     def on_members(self, message):
@@ -272,11 +252,11 @@
         key = (self.me.incarnation, self.me.seat, self.me.seat_incarnation)
         if self.digest is None or self.digest[0] != key:
             rows = sorted(
-                f"{fellow.name} {fellow.incarnation} {fellow.address} {fellow.seat} "
-                f"{fellow.seat_incarnation}"
-                for fellow in (self.me, *self.live())
+                f"{member.name} {member.incarnation} {member.address} {member.seat} "
+                f"{member.seat_incarnation}"
+                for member in (self.me, *self.live())
             )
-            told = hashlib.blake2b("\n".join(rows).encode(), digest_size=8).hexdigest()
+            told = hashlib.blake2b("\n".join(rows).encode(), digest_size=PLACE_BYTES).hexdigest()
             self.digest = (key, told)
         return self.digest[1]
 
@@ -288,93 +268,102 @@
 
     def on_beat(self, message):
         """The sender runs, whatever this node's verdict was."""
-        fellow = self._take(message.fellow, is_first_hand=True)
-        if fellow is None:
+        member = self._take(message.fellow, is_first_hand=True)
+        if member is None:
             return
-        fellow.heard_us = self.node.now_us()
-        if fellow.verdicts.get(self.node.name):
-            self._judge(fellow, False)
+        member.heard_us = self.node.now_us()
+        if member.verdicts.get(self.node.name):
+            self._judge(member, False)
 
     def _take(self, record, is_first_hand):
-        name, incarnation, address, kind, zone, seat, seat_incarnation, mark, is_up = astuple(
-            record
-        )
-        if name == self.node.name:
-            if incarnation > self.me.incarnation:
-                self.me.incarnation = incarnation + 1
-            return None
-        fellow = self.fellows.get(name)
-        if fellow is not None and incarnation < fellow.incarnation:
+        """The member that a record is of, with what is new in it; None where it tells nothing."""
+        if record.name == self.node.name:
+            return self._outlive(record.incarnation)
+        member = self.fellows.get(record.name)
+        if member is not None and record.incarnation < member.incarnation:
             return None
-        if fellow is None or incarnation > fellow.incarnation:
-            if fellow is None and not is_first_hand and not is_up:
+        if member is None or record.incarnation > member.incarnation:
+            if member is None and not is_first_hand and not record.is_up:
                 return None
-            is_known = fellow is not None
-            if is_known and fellow.address == address:
-                self.node.ports.wire.renew(address)
-            fellow = self.fellows[name] = Fellow(name, incarnation)
-            self._forget_order()
-            self._set_facts(fellow, address, kind, zone, seat)
-            fellow.seat_incarnation = seat_incarnation
-            self.node.ports.log(1101, fellow=name, incarnation=incarnation, is_known=is_known)
-            self._spread(fellow)
+            member = self._begin(record, member)
         if is_first_hand:
-            self._set_facts(fellow, address, kind, zone, seat)
-            if fellow.has_left:
-                fellow.has_left = False
+            self._set_facts(member, record)
+            if member.has_left:
+                member.has_left = False
                 self._forget_order()
-        if seat_incarnation > fellow.seat_incarnation:
-            fellow.seat_incarnation = seat_incarnation
+        self._raise_marks(member, record)
+        return member
+
+    def _outlive(self, incarnation):
+        """Somebody knows a later start under this node's name: it goes above that."""
+        if incarnation > self.me.incarnation:
+            self.me.incarnation = incarnation + 1
+
+    def _begin(self, record, before):
+        """A member's new start; the connection to its former one may hang."""
+        if before is not None and before.address == record.address:
+            self.node.ports.wire.renew(record.address)
+        member = self.fellows[record.name] = Member(record.name, record.incarnation)
+        self._forget_order()
+        self._set_facts(member, record)
+        member.seat_incarnation = record.seat_incarnation
+        self.node.ports.log(
+            1101, fellow=member.name, incarnation=member.incarnation, is_known=before is not None
+        )
+        self._spread(member)
+        return member
+
+    def _raise_marks(self, member, record):
+        if record.seat_incarnation > member.seat_incarnation:
+            member.seat_incarnation = record.seat_incarnation
             self.seat_table = self.digest = None
-        if seat:
-            self.learn_seats({seat: fellow.seat_incarnation})
-        if mark > fellow.mark:
-            fellow.mark = mark
+        if record.seat:
+            self.learn_seats({record.seat: member.seat_incarnation})
+        member.mark = max(member.mark, record.mark)
         for hear in self.on_mark:
-            hear(mark, fellow)
-        return fellow
+            hear(record.mark, member)
 
-    def _set_facts(self, fellow, address, kind, zone, seat):
-        facts = (address, kind, zone, seat)
-        if facts == (fellow.address, fellow.kind, fellow.zone, fellow.seat):
+    def _set_facts(self, member, record):
+        facts = (record.address, record.kind, record.zone, record.seat)
+        if facts == (member.address, member.kind, member.zone, member.seat):
             return
-        fellow.address, fellow.kind, fellow.zone, fellow.seat = facts
+        member.address, member.kind, member.zone, member.seat = facts
         self.seat_table = self.digest = None
         self.live_by_kind = {}
 
-    def _spread(self, fellow):
+    def _spread(self, member):
         for hear in self.on_standing:
-            hear(fellow)
+            hear(member)
 
-    def _judge(self, fellow, is_down):
-        fellow.verdicts[self.node.name] = is_down
+    def _judge(self, member, is_down):
+        member.verdicts[self.node.name] = is_down
         for other in self.live():
-            self.node.send(other.address, Verdict(fellow.name, fellow.incarnation, is_down))
-        self._weigh(fellow)
+            self.node.send(other.address, Verdict(member.name, member.incarnation, is_down))
+        self._weigh(member)
 
     def on_verdict(self, message):
         """Weigh a watcher's word on the start of a member that it names."""
-        fellow = self.fellows.get(message.about)
-        if fellow is None or fellow.incarnation != message.incarnation:
+        member = self.fellows.get(message.about)
+        if member is None or member.incarnation != message.incarnation:
             return
-        fellow.verdicts[message.sender] = message.is_down
-        self._weigh(fellow)
+        member.verdicts[message.sender] = message.is_down
+        self._weigh(member)
 
-    def _weigh(self, fellow):
+    def _weigh(self, member):
         watchers = [
-            name for name in self.watchers_of(fellow.name) if self._is_heard_from(name, fellow)
+            name for name in self.watchers_of(member.name) if self._is_heard_from(name, member)
         ]
-        against = sum(1 for watcher in watchers if fellow.verdicts.get(watcher))
+        against = sum(1 for watcher in watchers if member.verdicts.get(watcher))
         is_up = against * 2 <= len(watchers)
-        if is_up == fellow.is_up:
+        if is_up == member.is_up:
             return
-        fellow.is_up = is_up
+        member.is_up = is_up
         self._forget_order()
-        fellow.down_us = 0 if is_up else self.node.now_us()
+        member.down_us = 0 if is_up else self.node.now_us()
         self.node.ports.log(
-            1101 if is_up else 1102, fellow=fellow.name, incarnation=fellow.incarnation
+            1101 if is_up else 1102, fellow=member.name, incarnation=member.incarnation
         )
-        self._spread(fellow)
+        self._spread(member)
 
     def _is_heard_from(self, name, about):
         if name == self.node.name or name in about.verdicts:
@@ -391,25 +380,28 @@
 
     def on_bye(self, message):
         """The sender stopped on purpose."""
-        fellow = self.fellows.get(message.sender)
-        if fellow is None:
+        member = self.fellows.get(message.sender)
+        if member is None:
             return
-        fellow.has_left = True
-        fellow.is_up = False
+        member.has_left = True
+        member.is_up = False
         self._forget_order()
-        fellow.down_us = self.node.now_us()
-        self._spread(fellow)
+        member.down_us = self.node.now_us()
+        self._spread(member)
 
     def say_bye(self):
-        for fellow in self.live():
-            self.node.send(fellow.address, Bye())
+        """Tell all that this node stops."""
+        for member in self.live():
+            self.node.send(member.address, Bye())
 
     def wake(self, now_us):
-        for fellow in self.fellows.values():
-            fellow.heard_us = None
+        """After a pause of this process its silence tells nothing of others."""
+        for member in self.fellows.values():
+            member.heard_us = None
         self.beat_us = 0
 
     def tick(self, now_us):
+        """Beat, watch and gossip, each at its pace."""
         if now_us - self.beat_us >= self.node.terms.beat_us:
             self.beat_us = now_us
             self._beat()
@@ -423,14 +415,14 @@
             self._seek(now_us)
 
     def _seek(self, now_us):
-        """Seeds start at about the same time as this node: those that weren't there are asked again soon."""
+        """Seeds may start a moment after this node: those not there are asked again soon."""
         self.sought_us = now_us
         self.me.mark = self.mark_of()
         for seed in self._missing_seeds():
             self.node.send(seed, hello_of(self.me.as_member()))
 
     def _missing_seeds(self):
-        known = {fellow.address for fellow in self.live()}
+        known = {member.address for member in self.live()}
         return [seed for seed in self.seeds if seed not in known and seed != self.node.address]
 
     def _beat(self):
@@ -441,19 +433,19 @@
 
     def _watch(self, now_us):
         watched = self._find_watched()
-        for fellow in self.fellows.rows():
-            if fellow.has_left or fellow.name not in watched:
-                fellow.heard_us = None
+        for member in self.fellows.rows():
+            if member.has_left or member.name not in watched:
+                member.heard_us = None
                 continue
-            if fellow.heard_us is None:
-                fellow.heard_us = now_us
-            if now_us - fellow.heard_us > self.node.terms.missed_us and not fellow.verdicts.get(
+            if member.heard_us is None:
+                member.heard_us = now_us
+            if now_us - member.heard_us > self.node.terms.missed_us and not member.verdicts.get(
                 self.node.name
             ):
-                self._judge(fellow, True)
-        for fellow in self.fellows.rows():
-            if fellow.is_up and fellow.verdicts and any(fellow.verdicts.values()):
-                self._weigh(fellow)
+                self._judge(member, True)
+        for member in self.fellows.rows():
+            if member.is_up and member.verdicts and any(member.verdicts.values()):
+                self._weigh(member)
 
     def _find_watched(self):
         """The names that this node watches, until it hears of a change."""
@@ -482,10 +474,10 @@
         self.node.send(other.address, digest)
 
     def _call_downs(self, now_us):
-        downs = [fellow for fellow in self.fellows.values() if not fellow.is_up]
-        for fellow in downs:
-            if now_us - fellow.down_us > FORGET_US:
-                self.fellows.drop(fellow.name)
+        downs = [member for member in self.fellows.values() if not member.is_up]
+        for member in downs:
+            if now_us - member.down_us > FORGET_US:
+                self.fellows.drop(member.name)
                 self._forget_order()
                 self.seat_table = None
         if downs:
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -4,8 +4,7 @@
 
 import pytest
 
-from linkhaven.clockwork import Terms
-from linkhaven.clockwork.messages import kind_of
+from linkhaven.clockwork import Terms, kind_of
 from linkhaven.plan.bodies import KEPT_BODIES, BodyStore, digests_of
 from linkhaven.plan.messages import Bodies
 from linkhaven.plan.packing import BodyMismatchError, open_body, pack_body
