Registry: contact between seats as typed messages; small modules commented

Cause: the newest messages of the registry were maps; four of its modules had no comments. Behaviour is as before.

--- a/packages/registry/src/linkhaven/registry/contact.py
+++ b/packages/registry/src/linkhaven/registry/contact.py
@@ -2,14 +2,16 @@
 
 | message | to | says |
 | --- | --- | --- |
-| `contact_ask` | every other seat, three times in `contact_us` | when it asked, by its own clock |
-| `contact` | who asked | this seat votes, its incarnation, the newest mark known chosen |
+| `ContactAsk` | every other seat, three times in `contact_us` | when it asked, by its own clock |
+| `ContactAnswer` | who asked | this seat votes, its incarnation, the newest mark known chosen |
 
 Invariant: `is_held` only while a majority of voting seats, this one among them, has answered asks
 that were sent within `contact_us` (`tests/test_control_cuts.py`). Time is the asker's own,
 counted from the sending, so neither a slow answer nor another's clock makes old contact look
 new."""
 
+from .messages import ContactAnswer, ContactAsk
+
 ASKS_IN_A_BOUND = 3
 
 
@@ -26,7 +28,8 @@
         self.image = image
         self.answered_us = {}
         self.asked_us = None
-        node.hearers.update(contact_ask=self.hear_ask, contact=self.hear_answer)
+        node.on_message(ContactAsk, self.on_ask)
+        node.on_message(ContactAnswer, self.on_answer)
         node.systems.append(self.tick)
 
     def is_held(self):
@@ -35,30 +38,30 @@
         heard = sum(sent_us >= since_us for sent_us in self.answered_us.values())
         return heard + 1 >= self.seat.majority
 
-    def hear_ask(self, message):
+    def on_ask(self, message):
         """Only a seat that votes is contact: what others hold may be old."""
         if not self.seat.is_voting:
             return
-        self.directory.learn_seats(message["known"])
-        self.node.tell(
-            message["back"],
-            "contact",
+        self.directory.learn_seats(message.known)
+        answer = ContactAnswer(
             seat=self.seat.seat,
             incarnation=self.seat.incarnation,
             known=self.seat.known_of_all(),
-            sent_us=message["sent_us"],
+            sent_us=message.sent_us,
             mark=self.image.mark,
         )
+        self.node.send(message.reply_to, answer)
 
-    def hear_answer(self, message):
+    def on_answer(self, message):
         """An older occupant of a seat is no contact."""
-        self.directory.learn_seats(message["known"])
-        known = self.directory.seats().get(message["seat"])
-        if known is None or known[1] > message["incarnation"] or message["seat"] == self.seat.seat:
+        seat = message.seat
+        self.directory.learn_seats(message.known)
+        known = self.directory.seats().get(seat)
+        if known is None or known[1] > message.incarnation or seat == self.seat.seat:
             return
-        self.image.hear_mark(message["mark"])
-        held_us = self.answered_us.get(message["seat"], message["sent_us"])
-        self.answered_us[message["seat"]] = max(held_us, message["sent_us"])
+        self.image.hear_mark(message.mark)
+        held_us = self.answered_us.get(seat, message.sent_us)
+        self.answered_us[seat] = max(held_us, message.sent_us)
 
     def tick(self, now_us):
         """Ask while this seat votes; a seat that stopped voting has no contact."""
@@ -76,4 +79,4 @@
         known = self.seat.known_of_all()
         for seat, (address, _) in self.directory.seats().items():
             if seat != self.seat.seat:
-                self.node.tell(address, "contact_ask", sent_us=now_us, known=known)
+                self.node.send(address, ContactAsk(now_us, known))
--- a/packages/registry/src/linkhaven/registry/gate.py
+++ b/packages/registry/src/linkhaven/registry/gate.py
@@ -1,16 +1,22 @@
+"""Claims of one-time keys at a core that began empty: none until the routers told theirs."""
+
 from .messages import Keys, WantKeys
 
 ASK_US = 250_000
 SETTLE_US = 2_000_000
+"""How long after its first votes a seat waits for routers that it may not know yet."""
+
 TOLD = [0, "told"]
+"""The ballot of a claim that a router told: below any that a proposer makes."""
 
 
 class KeyGate:
-    """A core that began empty grants no keys until the routers have told it which they won before."""
+    """A core that began empty grants no keys until the routers told which they won before."""
 
     __slots__ = ("node", "seat", "ring", "image", "places", "asked_us", "was_behind")
 
     def __init__(self, node, seat, ring, image):
+        """`was_behind` is set by the node where a router knows a plan that the core lost."""
         self.node = node
         self.seat = seat
         self.ring = ring
@@ -25,6 +31,7 @@
         return self.seat.rejoin.start
 
     def tick(self, now_us):
+        """Ask the routers in turn, and open the claims once enough have told theirs."""
         if self.seat.are_claims_open or not self.seat.is_voting or now_us - self.asked_us < ASK_US:
             return
         self.asked_us = now_us
@@ -41,7 +48,7 @@
         self.node.send(address, WantKeys(self._start(), place))
 
     def _has_heard_enough(self, routers, now_us):
-        """All routers that run; and of a fleet that served before, most of those that the plan counts."""
+        """All routers that run; of a fleet that served before, most that the plan counts."""
         if not routers or self.node.voted_us is None or now_us - self.node.voted_us < SETTLE_US:
             return False
         if any(self.places.get(router.name, 0) is not None for router in routers):
--- a/packages/registry/src/linkhaven/registry/messages.py
+++ b/packages/registry/src/linkhaven/registry/messages.py
@@ -1,10 +1,33 @@
-"""What the seats of the core ask routers for, and hear from them."""
+"""What the seats of the core ask each other and routers for, and hear from them."""
 
 from typing import Any
 
 from linkhaven.clockwork import Message
 
 
+class ContactAsk(Message, tag="contact_ask", frozen=True):
+    """A voting seat asks another one whether it can be reached, and votes too."""
+
+    sent_us: int
+    """When it was asked, by the asker's own clock."""
+
+    known: dict[str, int]
+    """The newest incarnation of each seat that the sender knows."""
+
+
+class ContactAnswer(Message, tag="contact", frozen=True):
+    """A seat that votes answers `ContactAsk`."""
+
+    seat: str
+    incarnation: int
+    known: dict[str, int]
+    sent_us: int
+    """As in the ask."""
+
+    mark: int
+    """The newest version of the plan that it knows chosen."""
+
+
 class WantImage(Message, tag="want_image", frozen=True):
     """A seat that holds an older plan than a router asks it for its plan."""
 
--- a/packages/registry/src/linkhaven/registry/views.py
+++ b/packages/registry/src/linkhaven/registry/views.py
@@ -1,19 +1,29 @@
+"""What the routers of a large fleet have at the runners, added up at a seat."""
+
 QUIET_US = 2_500_000
+"""A router that told nothing for so long is left out."""
+
+NO_FIGURES = (0, 0, 0, 0)
 
 
 class Views:
-    """What the routers of a large fleet have at the runners, added up here and told back late: each router tells the
-    core its own figures with its asks, and hears the sum of the others' with the list of runners."""
+    """The sums, told back late.
+
+    Each router tells the core its own figures with its asks, and hears the sum of the others'
+    with the list of runners.
+    """
 
     __slots__ = ("node", "told", "sums")
 
     def __init__(self, node):
+        """Nothing is told yet."""
         self.node = node
         self.told = {}
         self.sums = {}
         node.systems.append(self.tick)
 
     def hear_ask(self, message):
+        """Take a router's figures in place of those that it told before."""
         if "views" in message:
             self._replace(message["name"], message["views"])
 
@@ -27,7 +37,7 @@
     def _add(self, views, sign):
         for name, incarnation, *figures in views:
             key = (name, incarnation)
-            held = self.sums.get(key) or (0, 0, 0, 0)
+            held = self.sums.get(key) or NO_FIGURES
             total = tuple(one + sign * other for one, other in zip(held, figures, strict=False))
             if any(total):
                 self.sums[key] = total
@@ -35,6 +45,7 @@
                 self.sums.pop(key, None)
 
     def of_others(self, router):
+        """The sums without what this router told itself."""
         own = {
             (name, incarnation): figures
             for name, incarnation, *figures in self.told.get(router, ((), 0))[0]
@@ -52,6 +63,7 @@
         return rows
 
     def tick(self, now_us):
+        """Leave out who told nothing for a while."""
         for router in [
             router for router, (_, told_us) in self.told.items() if now_us - told_us > QUIET_US
         ]:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -18,7 +18,7 @@
     write_json,
     write_line,
 )
-from linkhaven.registry.messages import Image, Keys
+from linkhaven.registry.messages import ContactAnswer, ContactAsk, Image, Keys
 from linkhaven.ring import Ring
 from linkhaven.ring.messages import (
     Beat,
@@ -379,6 +379,8 @@
 
 # messages of the registry
 
+CONTACT = {"seat": "a", "incarnation": 2, "mark": 7}
+
 
 @pytest.mark.parametrize(
     "line, is_fit",
@@ -388,16 +390,21 @@
         ({"say": "image", "body": "{}", "value": {}}, False),
         ({"say": "image", "body": "{}", "value": None}, False),
         ({"say": "image", "body": None, "value": {"mark": 3}}, False),
+        ({"say": "contact_ask", "sent_us": 5, "known": {"a": 2}}, True),
+        ({"say": "contact_ask", "sent_us": 5, "known": {"a": "2"}}, False),
+        ({"say": "contact", "sent_us": 5, "known": {}, **CONTACT, "newer": 1}, True),
+        ({"say": "contact", "sent_us": 5.5, "known": {}, **CONTACT}, False),
+        ({"say": "contact", "sent_us": 5, "known": {}, **CONTACT, "seat": None}, False),
         ({"say": "keys", "start": "s", "place": 0, "keys": [["k", "by"]], "is_last": True}, True),
         ({"say": "keys", "start": "s", "place": 0, "keys": [["k"]], "is_last": True}, False),
         ({"say": "keys", "start": "s", "place": 0, "keys": [["k", 1]], "is_last": True}, False),
         ({"say": "keys", "start": "s", "place": 0, "keys": [], "is_last": "no"}, False),
     ],
 )
-def test_what_routers_answer_to_a_seat_is_checked_at_the_edge(line, is_fit):
+def test_what_a_seat_is_told_is_checked_at_the_edge(line, is_fit):
     node, heard = make_node(), []
-    node.on_message(Image, heard.append)
-    node.on_message(Keys, heard.append)
+    for message_type in (Image, Keys, ContactAsk, ContactAnswer):
+        node.on_message(message_type, heard.append)
     hear_line(node, write_json({**line, **ENVELOPE}))
     assert len(heard) == is_fit
     assert [number for number, _ in node.ports.events] == ([] if is_fit else [1006])
