Lines: a handler's typed error ends neither its connection nor the loop

Cause: since lines are read in the shell, an error with a code (`Trouble`) that a handler raised would have been taken for a line that is no JSON and closed the connection; before that it went on up into the loop. After: only reading a line can close its connection; what a handler raises is event 1005, errors with codes too. Tests: test_wire's stand-in is a real node with one handler, which may fail: the connection stays and both events are logged; the check that a line that is no JSON closes stays. test_messages: both kinds.

--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -10,6 +10,9 @@
 LATE_TICK_US = 1_000_000
 """A tick this late tells that the process was paused."""
 
+HANDLER_FAULTS = (KeyError, TypeError, ValueError, AttributeError, Trouble)
+"""What a handler may raise over a message; it is logged, and the next message is handled."""
+
 
 class Node:
     """A node without clock, socket or dice of its own, so that a simulated world can run it.
@@ -96,7 +99,7 @@
             for hear in self.on_hear:
                 hear(message.sender)
             handler(message)
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        except HANDLER_FAULTS as fault:
             self.ports.log(1005, say=type(message).__name__, fault=repr(fault))
 
     def _hear_map(self, message):
@@ -107,7 +110,7 @@
             for hear in self.on_hear:
                 hear(message["name"])
             hearer(message)
-        except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        except HANDLER_FAULTS as fault:
             self.ports.log(1005, say=message.get("say"), fault=repr(fault))
 
     def serve(self, call):
--- a/packages/wire/src/linkhaven/wire/inlet.py
+++ b/packages/wire/src/linkhaven/wire/inlet.py
@@ -36,9 +36,7 @@
         for line in lines:
             if not line.strip():
                 continue
-            try:
-                self.inlet.on_line(bytes(line))
-            except Trouble:
+            if not self.inlet.on_line(bytes(line)):
                 return self.close()
         self._check_rest()
 
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -72,9 +72,14 @@
         self.node.hear(message)
 
     def _hear_line(self, line):
-        message = self.node.read_line(line)
+        """Hand a line to the node; whether it was JSON at all."""
+        try:
+            message = self.node.read_line(line)
+        except Trouble:
+            return False
         if message is not None:
             self._hear(message)
+        return True
 
     def add_lines(self, address):
         try:
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -166,12 +166,13 @@
     assert [message.waiting for message in heard] == [3]
 
 
-def test_a_fault_in_a_handler_is_logged_and_ends_nothing():
+@pytest.mark.parametrize("fault", [KeyError("runner"), Trouble("too_busy")])
+def test_a_fault_in_a_handler_is_logged_and_ends_nothing(fault):
     node, heard = make_node(), []
 
     def handle(message):
         heard.append(message.waiting)
-        raise KeyError("runner")
+        raise fault
 
     node.on_message(Load, handle)
     hear_line(node, load_line())
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -13,6 +13,7 @@
 
 from linkhaven.clockwork import Hearer
 from linkhaven.clockwork import Node as BaseNode
+from linkhaven.schema import Trouble
 from linkhaven.wire import DoorLimits, Shell
 
 DEADLINE_S = 10
@@ -29,13 +30,17 @@
     def __init__(self, ports, incarnation):
         super().__init__("bench", "127.0.0.1:1", ports)
         self.heard = []
+        self.fault = None
+        self.hearers["count"] = self.note
         self.on_drained = None
 
     def tick(self):
         pass
 
-    def hear(self, message):
+    def note(self, message):
         self.heard.append(message)
+        if self.fault is not None:
+            raise self.fault
 
     def drain(self, on_drained):
         self.on_drained = on_drained
@@ -1052,9 +1057,15 @@
     bench.until(lambda: len(bench.shell.node.heard) == 3)
     assert bench.shell.node.heard == [json.loads(line) for line in lines]
     bench.until(lambda: [number for number, _ in bench.events] == [1006] * 3)
+    bench.shell.node.fault = Trouble("too_busy")
+    sock.sendall(lines[0] + b"\n" + lines[1] + b"\n")
+    bench.until(lambda: len(bench.shell.node.heard) == 5)
+    assert len(inlet.connections) == 1
+    assert [number for number, _ in bench.events] == [1006] * 3 + [1005] * 2
+    bench.events.clear()
     sock.sendall(b"no json\n")
     bench.until(lambda: not inlet.connections)
-    assert [number for number, _ in bench.events] == [1006] * 4
+    assert [number for number, _ in bench.events] == [1006]
 
 
 def test_hangup_calls_back_and_a_second_term_does_not_stop_a_drain(bench):
