Routers: views of the queues, shunned runners, links and explanations as typed messages

Cause: the most frequent messages between routers were maps and lists read by place. After: packages/pairing/messages.py and packages/router/messages.py; the lines are as before, but that a view always has its list of parts, empty too. Figures may be whole numbers or not, as before. Left as maps at the routers: want_image, image, want_keys, keys, whose types stand in the registry, from which a router doesn't import. Tests: test_messages has each kind, whole and spoiled, and a view of an older router.

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -4,6 +4,7 @@
 
 from .estimator import Estimator
 from .kept import Kept, Work
+from .messages import LinkSample, QueueView, QueueViews, RunnerShunned
 
 HISTORY_US = 5_000_000
 TOLD_US = 2_500_000
@@ -218,7 +219,9 @@
         self.exceptions = {}
         self.told_us = 0
         self.shunned = {}
-        node.hearers.update(books=self.hear_books, shun=self.hear_shun, link=self.hear_link)
+        node.on_message(QueueViews, self.on_queue_views)
+        node.on_message(RunnerShunned, self.on_runner_shunned)
+        node.on_message(LinkSample, self.on_link_sample)
         node.systems.append(self.tick)
 
     def take_plan(self, plan):
@@ -281,20 +284,23 @@
     def _tell(self, key, book, parts=()):
         if self.is_large():
             return
-        record = [*key, *book.own(), *([parts] if parts else [])]
+        message = QueueViews([QueueView(*key, *book.own(), parts)])
         for fellow in self.fellows():
-            self.node.tell(fellow.address, "books", books=[record])
+            self.node.send(fellow.address, message)
 
-    def hear_books(self, message):
+    def on_queue_views(self, message):
+        """Count in what another router has open, until it tells anew or its word lapses."""
         now_us = self.node.now_us()
-        for name, incarnation, count, tokens, held, streams, *parts in message["books"]:
-            runner = self.roster.runners.get(name)
-            if parts and runner is not None:
-                self.kept.note(runner, parts[0])
-            book = self.books.get((name, incarnation))
+        for view in message.books:
+            runner = self.roster.runners.get(view.runner)
+            if view.parts and runner is not None:
+                self.kept.note(runner, view.parts)
+            key = (view.runner, view.incarnation)
+            book = self.books.get(key)
             if book is None:
-                book = self.books[(name, incarnation)] = Book()
-            book.told[message["name"]] = (count, tokens, held, streams, now_us + TOLD_US)
+                book = self.books[key] = Book()
+            figures = (view.count, view.tokens, view.held, view.streams)
+            book.told[message.sender] = (*figures, now_us + TOLD_US)
             book.note(now_us)
 
     def tick(self, now_us):
@@ -306,9 +312,9 @@
         self._forget_gone(now_us)
         if self.is_large():
             return
-        books = [[*key, *book.own()] for key, book in self.books.items() if any(book.own())]
-        for fellow in self.fellows() if books else ():
-            self.node.tell(fellow.address, "books", books=books)
+        views = [QueueView(*row) for row in self.own_views()]
+        for fellow in self.fellows() if views else ():
+            self.node.send(fellow.address, QueueViews(views))
 
     def _forget_gone(self, now_us):
         """Runners that no list names any more leave nothing behind once nothing runs there."""
@@ -366,13 +372,14 @@
         span_us = min(SHUN_MOST_US, span_us * 2)
         self.shunned[key] = (now_us + span_us, span_us)
         for fellow in self.fellows():
-            self.node.tell(fellow.address, "shun", runner=key, span_us=span_us)
+            self.node.send(fellow.address, RunnerShunned(key, span_us))
 
-    def hear_shun(self, message):
-        span_us = min(SHUN_MOST_US, message["span_us"])
+    def on_runner_shunned(self, message):
+        """Shun a runner as long as another router does, at most."""
+        span_us = min(SHUN_MOST_US, message.span_us)
         until_us = self.node.now_us() + span_us
-        if until_us > self.shunned.get(tuple(message["runner"]), (0, 0))[0]:
-            self.shunned[tuple(message["runner"])] = (until_us, span_us)
+        if until_us > self.shunned.get(message.runner, (0, 0))[0]:
+            self.shunned[message.runner] = (until_us, span_us)
 
     def note_hand_over(self, runner):
         self.shunned.pop((runner.name, runner.incarnation), None)
@@ -575,12 +582,11 @@
             return
         news = self.estimator.note_transfer(source, target, tokens, seen_us)
         for fellow in self.fellows() if news else ():
-            self.node.tell(fellow.address, "link", pair=news[0], zones=news[1], factor=news[2])
+            self.node.send(fellow.address, LinkSample(*news))
 
-    def hear_link(self, message):
-        self.estimator.links.learn(
-            tuple(message["pair"]), tuple(message["zones"]), float(message["factor"])
-        )
+    def on_link_sample(self, message):
+        """Learn how slow a link is from a hand-over of another router."""
+        self.estimator.links.learn(message.pair, message.zones, message.factor)
 
     def begin_read(self, runner, attempt, work):
         now_us = self.node.now_us()
--- a/packages/router/src/linkhaven/router/explain.py
+++ b/packages/router/src/linkhaven/router/explain.py
@@ -4,6 +4,8 @@
 
 from linkhaven.schema import Trouble
 
+from .messages import Explanation, WantExplanation
+
 EXPLAINED = 2_000
 EVENTS = 500
 TOLD_EVENTS = {1101, 1102, 1601, 1602, 1603, 2001, 2002, 2003, 2105}
@@ -32,7 +34,8 @@
             log(number, **facts)
 
         node.ports.log = note
-        node.hearers.update(want_explain=self.hear_want, explained=self.hear_explained)
+        node.on_message(WantExplanation, self.on_want_explanation)
+        node.on_message(Explanation, self.on_explanation)
         node.systems.append(self.tick)
 
     def keep(self, request):
@@ -61,18 +64,16 @@
         if owner is None or not owner.is_up:
             raise Trouble("no_such_request", request=id)
         self.asked.setdefault(id, []).append((call, self.node.now_us() + ASK_US))
-        self.node.tell(owner.address, "want_explain", request=id)
-
-    def hear_want(self, message):
-        self.node.tell(
-            message["back"],
-            "explained",
-            request=message["request"],
-            record=self._record(message["request"]),
-        )
+        self.node.send(owner.address, WantExplanation(id))
+
+    def on_want_explanation(self, message):
+        """Another router was asked for a request of this one."""
+        record = self._record(message.request)
+        self.node.send(message.reply_to, Explanation(message.request, record))
 
-    def hear_explained(self, message):
-        self._answer(message["request"], message["record"])
+    def on_explanation(self, message):
+        """Answer the calls that wait for this record."""
+        self._answer(message.request, message.record)
 
     def _answer(self, id, record):
         for call, _ in self.asked.pop(id, ()):
--- /dev/null
+++ b/packages/router/src/linkhaven/router/messages.py
@@ -0,0 +1,19 @@
+"""What routers ask each other about requests."""
+
+from typing import Any
+
+from linkhaven.clockwork import Message
+
+
+class WantExplanation(Message, tag="want_explain", frozen=True):
+    """Asks the router that served a request for its record."""
+
+    request: str
+
+
+class Explanation(Message, tag="explained", frozen=True):
+    """The record of a request, in answer to `WantExplanation`."""
+
+    request: str
+    record: dict[str, Any] | None
+    """As `explain` shows it, or None where it isn't known any more."""
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -18,6 +18,7 @@
     write_json,
     write_line,
 )
+from linkhaven.pairing.messages import LinkSample, QueueView, QueueViews, RunnerShunned
 from linkhaven.registry.messages import ContactAnswer, ContactAsk, Image, Keys
 from linkhaven.ring import Ring
 from linkhaven.ring.messages import (
@@ -29,6 +30,7 @@
     Verdict,
     hello_of,
 )
+from linkhaven.router.messages import Explanation, WantExplanation
 from linkhaven.schema import Trouble
 from linkhaven.stage.world import Host, World
 
@@ -484,3 +486,41 @@
         [{"fellow": "router-2", "version": told.get("version", 0), "own": 1}] if is_logged else []
     )
     assert len(node.ports.lines) == 3
+
+
+# messages of the routers
+
+
+@pytest.mark.parametrize(
+    "line, is_fit",
+    [
+        ({"say": "books", "books": [["r-1", 7, 2, 900, 40, 1], ["r-2", 8, 0, 0, 0, 0]]}, True),
+        ({"say": "books", "books": [["r-1", 7, 2, 900, 40, 1, [["part", 30]]]]}, True),
+        ({"say": "books", "books": [["r-1", 7, 2, 900, 40, 1, [], "newer"]]}, True),
+        ({"say": "books", "books": [["r-1", 7, 2, 900, 40]]}, False),
+        ({"say": "books", "books": [["r-1", 7, 2, "900", 40, 1]]}, False),
+        ({"say": "books", "books": [["r-1", 7, 2, 900, 40, 1, [["part"]]]]}, False),
+        ({"say": "shun", "runner": ["r-1", 7], "span_us": 5}, True),
+        ({"say": "shun", "runner": ["r-1"], "span_us": 5}, False),
+        ({"say": "link", "pair": ["r-1", "r-2"], "zones": ["n", "s"], "factor": 3}, True),
+        ({"say": "link", "pair": ["r-1", "r-2"], "zones": ["n", "s"], "factor": None}, False),
+        ({"say": "want_explain", "request": "q"}, True),
+        ({"say": "want_explain", "request": ["q"]}, False),
+        ({"say": "explained", "request": "q", "record": None}, True),
+        ({"say": "explained", "request": "q", "record": []}, False),
+    ],
+)
+def test_what_a_router_is_told_is_checked_at_the_edge(line, is_fit):
+    node, heard = make_node(), []
+    for message_type in (QueueViews, RunnerShunned, LinkSample, WantExplanation, Explanation):
+        node.on_message(message_type, heard.append)
+    hear_line(node, write_json({**line, **ENVELOPE}))
+    assert len(heard) == is_fit
+    assert [number for number, _ in node.ports.events] == ([] if is_fit else [1006])
+
+
+def test_a_view_of_an_older_router_has_no_parts():
+    reader = reader_of(QueueViews)
+    line = {"say": "books", "books": [["r-1", 7, 2, 900, 40, 1]], **ENVELOPE}
+    [view] = reader.read(write_json(line)).books
+    assert view == QueueView("r-1", 7, 2, 900, 40, 1, ())
