--- a/packages/stage/src/linkhaven/stage/line_costs.py
+++ b/packages/stage/src/linkhaven/stage/line_costs.py
@@ -8,29 +8,48 @@
 import timeit
 
 from linkhaven.clockwork import LineReader, Node, write_json, write_line
+from linkhaven.pairing.messages import QueueView, QueueViews
+from linkhaven.plan.packing import pack_body
+from linkhaven.plan.taken import digest_of
 from linkhaven.registry.messages import Image, Keys, WantKeys
+from linkhaven.ring.messages import Beat, MemberRecord, Members
 
 ROUNDS = 7
 ROUND_SECONDS = 0.2
 ENVELOPE = {"sender": "router-1", "reply_to": "10.1.0.16:7720"}
 KEYS_A_PAGE = 500
 KINDS = 40
+MEMBERS = 100
 
 
-def _sample_plan():
+def _sample_image():
     kinds = {
         f"kind-{number}": {"group": f"group-{number % 8}", "ttft_us": 1_500_000, "one_time": False}
         for number in range(KINDS)
     }
-    return {"mark": 17, "put_id": "a/1/1", "plan": {"kinds": kinds, "fleet": {"routers": 7}}}
+    text = json.dumps({"kinds": kinds, "fleet": {"routers": 7}})
+    value = {"mark": 17, "put_id": "a/1/1", "bodies": {"plan": digest_of(text)}}
+    return Image(value, pack_body(text), **ENVELOPE)
 
 
-def _samples():
+def _member(number):
+    address = f"10.1.0.{number}:7720"
+    return MemberRecord(
+        f"edge-{number}", 1_796_190_863_255_515, address, "router", "z", "", 0, 17, True
+    )
+
+
+def samples():
+    """Messages of the sizes that a fleet has, by what they are."""
     keys = [(f"claim/group-1/{number:040x}", f"router-1-{number}") for number in range(KEYS_A_PAGE)]
+    view = QueueView("runner-17", 1_796_190_863_255_515, 3, 5_120, 20_480, 9)
     return {
+        "a heartbeat (beat)": Beat(_member(1), **ENVELOPE),
+        f"a list of {MEMBERS} members": Members([_member(n) for n in range(MEMBERS)], **ENVELOPE),
+        "one view of a queue (books)": QueueViews([view], **ENVELOPE),
         "a small message (want_keys)": WantKeys("core-1/123456/789", 500, **ENVELOPE),
         f"a page of {KEYS_A_PAGE} keys": Keys("core-1/123456/789", 0, keys, False, **ENVELOPE),
-        f"a plan of {KINDS} kinds": Image(_sample_plan(), **ENVELOPE),
+        f"a plan of {KINDS} kinds": _sample_image(),
     }
 
 
@@ -81,7 +100,7 @@
 
 def main():
     """Print one line of JSON for each sample."""
-    for name, message in _samples().items():
+    for name, message in samples().items():
         print(json.dumps({"message": name, **measure(message)}))
 
 
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -32,6 +32,7 @@
 )
 from linkhaven.router.messages import Explanation, WantExplanation
 from linkhaven.schema import Trouble
+from linkhaven.stage.line_costs import samples
 from linkhaven.stage.world import Host, World
 
 MANY = settings(max_examples=400, deadline=None, derandomize=True)
@@ -524,3 +525,9 @@
     line = {"say": "books", "books": [["r-1", 7, 2, 900, 40, 1]], **ENVELOPE}
     [view] = reader.read(write_json(line)).books
     assert view == QueueView("r-1", 7, 2, 900, 40, 1, ())
+
+
+@pytest.mark.parametrize("name, message", samples().items())
+def test_each_message_whose_cost_is_measured_is_read_as_it_was_written(name, message):
+    assert reader_of(type(message)).read(write_line(message)) == message
+    assert LineReader().read(write_line(message)) == json.loads(write_line(message))
