Pool: bytes that came before a request was sent are no answer to it

Cause: between the taking of an idle connection and the turn's end, when the request goes out, a surplus answer could come and was read as the new request's. By its id it was another's, so the request was lost as if it might have run; under the same id (a read and its decode) it was believed. Now a used connection is left and the unsent request goes out on another; a fresh one is a trouble that has not begun. Ruled out: going on without bound on fresh connections (a runner that greets with garbage would be called for ever).

--- a/packages/wire/src/linkhaven/wire/pool.py
+++ b/packages/wire/src/linkhaven/wire/pool.py
@@ -156,6 +156,8 @@
         connection.serve(self, self.data)
 
     def take_data(self, data):
+        if not self.connection.plug.has_begun:
+            return self._leave_spoiled()
         self.is_answered = True
         try:
             self.http.receive_data(data)
@@ -163,6 +165,20 @@
         except h11.RemoteProtocolError:
             self._break(True)
 
+    def _leave_spoiled(self):
+        """Bytes that came before the request was sent belong to another: it is still unsent.
+
+        On a connection that had served others it goes out on a further one, else it is a trouble.
+
+        Test: `test_bytes_before_the_request_was_sent_are_no_answer_to_it`.
+        """
+        if not self.is_reused:
+            return self._break(False)
+        connection = self.connection
+        connection.exchange = None
+        connection.close()
+        self.begin(self.outlet.take_connection(self.address, True, None))
+
     def _read_events(self):
         while not self.is_over:
             event = self.http.next_event()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -858,6 +858,18 @@
     assert heard.body == b"next" and not heard.troubles and len(runner.got) == 2
 
 
+def test_bytes_before_the_request_was_sent_are_no_answer_to_it(bench):
+    runner = Runner(bench, whole(), whole(b"next"))
+    runner.call(keep=True)
+    heard = Heard()
+    exchange = bench.outlet.open(runner.address, "GET", "/x", {}, b"", heard.hearer, keep=True)
+    assert exchange.is_reused
+    exchange.connection.plug.on_data(whole(b"surplus"))
+    runner.until(heard.is_over)
+    assert heard.body == b"next" and not heard.troubles and bench.outlet.opened == 2
+    assert bench.outlet.count(runner.address) == 1 and len(runner.got) == 2
+
+
 def test_a_reused_connection_that_fails_at_the_first_write_is_replaced_silently(bench):
     runner = Runner(bench, whole(), whole(b"next"))
     runner.call(keep=True)
