--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -227,7 +227,7 @@
             self.roster.note_leaving(runner)
         if trouble.code == "phase_wrong" and not self.desk.reads_are_runs:
             runner.is_switching = True
-        if trouble.code == "runner_full":
+        if trouble.code in ("runner_full", "connections_taken"):
             self.pairing.note_turned_away(runner)
         if trouble.code == "mark_old":
             self.node.image.hear_mark(trouble.detail.get("mark", 0))
--- a/packages/schema/src/linkhaven/schema/troubles.py
+++ b/packages/schema/src/linkhaven/schema/troubles.py
@@ -214,6 +214,11 @@
     ),
     "runner_leaving": (503, "no", "The runner is leaving and takes no new work; choose another."),
     "runner_full": (503, "no", "The runner's queue is full; choose another."),
+    "connections_taken": (
+        503,
+        "no",
+        "All connections that this node may have to the runner are busy; choose another.",
+    ),
     "phase_wrong": (409, "no", "The runner plays the other part; read the roster again."),
     "hand_over_failed": (
         502,
--- a/tests/test_gone_runner.py
+++ b/tests/test_gone_runner.py
@@ -7,6 +7,39 @@
 from linkhaven.schema import Trouble
 
 
+def failed_with(trouble):
+    """What the roster and the pairing hear of a runner at which a read failed."""
+    heard = []
+    node = SimpleNamespace(
+        now_us=lambda: 5,
+        may_start=lambda: False,
+        systems=[],
+        ports=SimpleNamespace(log=lambda *told, **facts: None),
+    )
+    pairing = SimpleNamespace(
+        end_read=lambda *told: None,
+        end_decode=lambda *told: None,
+        note_turned_away=lambda runner: heard.append("turned away"),
+    )
+    roster = SimpleNamespace(
+        note_dark=lambda runner: heard.append("dark"),
+        note_alive=lambda runner: heard.append("alive"),
+    )
+    request = Request("r-1", SimpleNamespace(is_begun=False), 0)
+    request.kind = {"repeatable": False, "resumable": False}
+    request.state, request.attempt = READING, "r-1/1"
+    request.runner = runner = SimpleNamespace(name="runner-1")
+    attempts = Attempts(node, pairing, SimpleNamespace(reads_are_runs=False), roster, None)
+    attempts.fail(request, runner, trouble, True)
+    return heard, request
+
+
+def test_a_runner_to_which_all_our_connections_are_busy_is_neither_dark_nor_alive():
+    heard, request = failed_with(Trouble("connections_taken", done="no"))
+    assert heard == ["turned away"]
+    assert not request.has_begun and request.state != "ended"
+
+
 @pytest.mark.parametrize(
     "code, is_closed",
     [
