Planned work: tests of the linger, of later routes, of denials and of held requests

Also: no request is held past timeout_ms by more than 0.1 s, plain or streaming. No fault found here.

--- /dev/null
+++ b/tests/test_planned_work.py
@@ -0,0 +1,166 @@
+"""Planned work at one router: stopping, and configurations that add and remove routes."""
+
+import pytest
+from connections_world import HOST, MS, ROUTES, Asked, Caller, RuleBrokenError, World
+
+from linkhaven.platform.operator import read_plan
+from linkhaven.router.doors import Doors
+from linkhaven.wire import plug
+
+LINGER_MS = 2_400
+
+
+@pytest.fixture
+def world(monkeypatch):
+    monkeypatch.setattr(plug, "socket", plug.socket)
+    world = World()
+    world.settle()
+    yield world
+    world.close()
+
+
+def send(world, path, caller=None):
+    if caller is None:
+        caller = Caller(world)
+        world.callers.append(caller)
+    id = f"r-{len(world.judge.asked)}"
+    asked = world.judge.asked[id] = Asked(id, "safe", b"", 0, False)
+    asked.path = path
+    caller.ask(asked, False)
+    world.settle()
+    return asked
+
+
+def serve(world):
+    """The runners answer all that they have."""
+    for runner in world.runners:
+        for arrival in runner.owed:
+            arrival.connection.send(world.answer(arrival, 200, b"ok"))
+        runner.owed.clear()
+    world.settle()
+
+
+def status_of(world, path, caller=None):
+    asked = send(world, path, caller)
+    serve(world)
+    return asked.status
+
+
+def check_denied(world, path):
+    """There is no such route: 404, which the judge takes for a proper request denied."""
+    with pytest.raises(RuleBrokenError, match="DENIED: 404"):
+        send(world, path)
+    world.callers.pop()
+
+
+def stop(world):
+    drained = []
+    world.node.drain(lambda: drained.append(True))
+    world.door.is_closing = True
+    return drained
+
+
+@pytest.mark.parametrize("is_old", [True, False])
+def test_a_stopping_router_serves_those_that_do_not_know_yet(world, is_old):
+    caller = Caller(world)
+    world.callers.append(caller)
+    assert status_of(world, "/safe/x", caller) == 200
+    drained = stop(world)
+    assert not world.node.is_ready()
+    world.run_for(LINGER_MS * MS)
+    assert status_of(world, "/safe/x", caller if is_old else None) == 200
+    assert not drained
+
+
+def test_without_its_lingering_they_would_be_refused(world):
+    world.node.terms.linger_us = 0
+    stop(world)
+    assert status_of(world, "/safe/x") == 503
+
+
+def test_what_runs_when_the_lingering_ends_is_ended_whole(world):
+    asked = send(world, "/safe/x")
+    drained = stop(world)
+    world.run_for(3_500 * MS)
+    assert asked.status is None and not drained
+    assert status_of(world, "/safe/y") == 503
+    serve(world)
+    assert asked.status == 200 and asked.end == "whole"
+    world.run_for(100 * MS)
+    assert drained
+
+
+def plan_with(world, mark, *kinds):
+    routes = [
+        {
+            "name": f"r-{kind}",
+            "hostname": HOST,
+            "path_prefix": f"/{kind}/",
+            "timeout_ms": 4000,
+            "target_service": "pool-1",
+            **ROUTES["safe"],
+        }
+        for kind in kinds
+    ]
+    service = {"name": "pool-1", "health_path": "/health", "max_connections": 360}
+    document = {"revision": mark, "route_rules": routes, "services": [service]}
+    world.node.image.take({"mark": mark, "plan": read_plan(document, 0.2, 50)})
+
+
+def test_a_route_that_is_added_later_is_served_as_the_first_ones_are(world):
+    served = {"first": 0, "later": 0}
+    plan_with(world, 2, "first")
+    check_denied(world, "/later/x")
+    plan_with(world, 3, "first", "later")
+    for _ in range(20):
+        for kind in served:
+            served[kind] += status_of(world, f"/{kind}/x") == 200
+    assert served == {"first": 20, "later": 20}
+
+
+def test_with_the_doors_of_the_first_plan_a_later_route_is_denied(world, monkeypatch):
+    monkeypatch.setattr(Doors, "take_plan", lambda self, plan: None)
+    plan_with(world, 2, "safe", "later")
+    assert status_of(world, "/safe/x") == 200
+    check_denied(world, "/later/x")
+
+
+def test_no_proper_request_is_denied_while_configurations_change(world):
+    """Own answers of 4xx other than 408, 421 and 429 go only to routes that no plan has."""
+    caller = Caller(world)
+    world.callers.append(caller)
+    for mark in range(2, 12):
+        plan_with(world, mark, "kept", *(["come", "gone"] if mark % 2 else ["other"]))
+        assert status_of(world, "/kept/x", caller) == 200
+        assert status_of(world, "/kept/x?a=%2f&b") == 200
+    check_denied(world, "/never/x")
+
+
+@pytest.mark.parametrize("is_behind", [True, False])
+def test_a_router_without_a_plan_denies_nothing(world, is_behind):
+    world.node.image.plan = None
+    world.node.image.highest = 7 if is_behind else 0
+    world.node.news.confirmed_us = world.clock.us
+    assert status_of(world, "/safe/x") == 503
+
+
+def test_no_request_is_held_past_its_routes_time(world):
+    """A quarter of a second past timeout_ms costs: held by a silent runner, or by a full one."""
+    asked = send(world, "/safe/x")
+    world.run_for(3_900 * MS)
+    assert asked.end is None
+    world.run_for(200 * MS)
+    assert asked.status == 502 and asked.end == "whole"
+
+
+def test_no_stream_is_held_past_its_routes_time(world):
+    asked = send(world, "/resumable/x")
+    asked.kind = "resumable"
+    (arrival,) = [arrival for runner in world.runners for arrival in runner.owed]
+    arrival.connection.send(world.stream_head(asked))
+    event = asked.events(0, 1)[0]
+    arrival.connection.send(b"%x\r\n%b\r\n" % (len(event), event))
+    world.run_for(3_900 * MS)
+    assert asked.data and asked.end is None
+    world.run_for(200 * MS)
+    assert asked.end == "cut"
