--- a/tests/test_connections_model.py
+++ b/tests/test_connections_model.py
@@ -19,7 +19,7 @@
 
 from linkhaven.platform import callers, runners
 from linkhaven.router import attempts, node, request
-from linkhaven.wire import door, plug, pool
+from linkhaven.wire import door, door_connection, plug, pool
 
 BOUNDED = settings(
     max_examples=150,
@@ -427,7 +427,7 @@
         self.call = None
         self._take(data)
 
-    monkeypatch.setattr(door.DoorConnection, "_on_data", on_data)
+    monkeypatch.setattr(door_connection.DoorConnection, "_on_data", on_data)
 
 
 def join_any_pieces(monkeypatch):
