--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -404,6 +404,24 @@
     assert hearer.heard == [("connections_taken", "no", True)]
 
 
+def test_a_runner_that_never_answers_to_freed_memory_keeps_no_connection():
+    later, closed = [], []
+
+    class SilentWire:
+        def open(self, *told, **more):
+            return SimpleNamespace(close=lambda: closed.append(True))
+
+        def soon(self, deed, delay_us=0):
+            later.append((delay_us, deed))
+
+    runner = SimpleNamespace(name="i-1", address="10.0.0.1:1")
+    PlatformRunners(node_over(SilentWire())).free(runner, "h")
+    ((delay_us, deed),) = later
+    assert 0 < delay_us <= 5_000_000 and not closed
+    deed()
+    assert closed
+
+
 def test_a_number_without_end_is_no_number():
     reader = EventReader(3)
     assert [piece.number for piece in reader.feed(b"id: " + b"9" * 5_000 + b"\n\n")] == [3]
