Many changes: members that come back after hundreds of them, as a course with its tests

Course: 504 acknowledged changes at 3 and at 5 members in eight legs; in each a member is restarted, wiped, replaced by another machine or frozen with its connections reset, or the whole core is killed or loses power with an order under way. Found: nothing that breaks with the sources as they are (contact before serving, history of 128). Bound tested: vacant_us + alone_us + 1 s. An order from 500 changes ago is never refused. Tests: tests/test_control_many_changes.py, three sabotages (vote before reading, news without contact, a history without end).

--- /dev/null
+++ b/tests/test_control_many_changes.py
@@ -0,0 +1,90 @@
+"""Point 4 of docs/control.md: hundreds of changes, and members that come back after them."""
+
+import pytest
+
+from linkhaven.clockwork import Terms
+from linkhaven.plan import desk
+from linkhaven.register.rejoin import Rejoin
+from linkhaven.registry.contact import Contact
+from linkhaven.stage.changecourse import (
+    ALL_KILLED,
+    ALL_POWERLESS,
+    NEW,
+    RESTARTED,
+    WIPED,
+    WOKEN,
+    ChangeCourse,
+)
+from linkhaven.stage.cutcourse import PLAN
+from linkhaven.stage.orders import REFUSED, Order
+
+SECOND = 1_000_000
+LEGS = (NEW, WIPED, RESTARTED, WOKEN, ALL_KILLED, ALL_POWERLESS, RESTARTED, WIPED)
+CHANGES_A_LEG = 63
+
+
+def breaches(course):
+    """What no return may show, by name; empty where all holds."""
+    terms = Terms(**course.core.terms)
+    bound_us = terms.vacant_us + terms.alone_us + SECOND
+    first, last = returns_of(course, WIPED)
+    found = {
+        "late": [back for back in course.returns if back.took_us > bound_us],
+        "early": [back for back in course.returns if back.early],
+        "old_news": [back for back in course.returns if back.old_news],
+        "two_holders": [back for back in course.returns if back.holders],
+        "disk_grows": [last] if last.disk_bytes > first.disk_bytes * 1.1 + 500 else [],
+        "sent_grows": [last] if last.sent_bytes > first.sent_bytes * 1.25 + 500 else [],
+    }
+    return {name: what for name, what in found.items() if what}
+
+
+def returns_of(course, leg):
+    return [back for back in course.returns if back.leg == leg]
+
+
+@pytest.mark.parametrize("seats", [3, 5])
+def test_after_hundreds_of_changes_whoever_comes_back_is_soon_current_and_never_leads_before(seats):
+    course = ChangeCourse(seats, seats, CHANGES_A_LEG).run(LEGS)
+    assert course.newest >= CHANGES_A_LEG * len(LEGS)
+    assert breaches(course) == {}
+    first = Order(0, 1, "text 000001", PLAN)
+    told = [course.operators.put(name, first) for name in course.core.machines]
+    course.core.world.run_for(2 * SECOND)
+    assert [one for one in told if one.outcome == REFUSED] == []
+
+
+def vote_before_reading(monkeypatch):
+    weigh = Rejoin._weigh
+
+    def hasty(self, now_us):
+        weigh(self, now_us)
+        if self.notes:
+            self.notes = set()
+            self.seat.begin_votes()
+
+    monkeypatch.setattr(Rejoin, "_weigh", hasty)
+
+
+def serve_without_contact(monkeypatch):
+    monkeypatch.setattr(Contact, "is_held", lambda self: True)
+
+
+def remember_every_order(monkeypatch):
+    def extend_without_end(value, taken):
+        return [*(value or {}).get("taken", []), taken.as_row()]
+
+    monkeypatch.setattr(desk, "extend_history", extend_without_end)
+
+
+@pytest.mark.parametrize(
+    "sabotage, legs, breach",
+    [
+        (vote_before_reading, (WIPED, WIPED), "early"),
+        (serve_without_contact, (WIPED, WOKEN, WIPED), "old_news"),
+        (remember_every_order, (RESTARTED, RESTARTED, WIPED, RESTARTED, WIPED), "disk_grows"),
+    ],
+)
+def test_each_mechanism_of_coming_back_is_needed(monkeypatch, sabotage, legs, breach):
+    sabotage(monkeypatch)
+    assert breach in breaches(ChangeCourse(1, 3, CHANGES_A_LEG).run(legs))
