--- a/packages/ring/src/linkhaven/ring/messages.py
+++ b/packages/ring/src/linkhaven/ring/messages.py
@@ -71,6 +71,13 @@
     """The sender stops and wants to be watched no longer."""
 
 
+class Left(Message, tag="left", frozen=True):
+    """Members that the sender heard say `Bye`, told to one that still counts them in."""
+
+    fellows: list[tuple[str, int]]
+    """Name and incarnation of each."""
+
+
 def hello_of(record):
     """The hello of a member with this record, in this version."""
     return Hello(record, PROTOCOL_VERSION)
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -8,6 +8,7 @@
 | `Beat` | | the sender runs; a verdict against it is taken back |
 | `Verdict` | | a watcher's vote on whether a member is down |
 | `Bye` | | the sender left on purpose |
+| `Left` | `Members` | members whose `Bye` was missed here are counted out |
 
 No rule of safety rests on it: it informs operators, and says whom to ask. A member is down when
 most of its watchers that can be heard from say so (`tests/test_coordination.py`).
@@ -24,6 +25,7 @@
     Beat,
     Bye,
     Hello,
+    Left,
     Members,
     MembersDigest,
     Verdict,
@@ -108,6 +110,7 @@
         node.on_message(Beat, self.on_beat)
         node.on_message(Verdict, self.on_verdict)
         node.on_message(Bye, self.on_bye)
+        node.on_message(Left, self.on_left)
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
         node.on_hear.append(self.note_speaker)
@@ -242,11 +245,28 @@
 
     def on_members(self, message):
         """Take in what the sender knows; only what it says of itself is first-hand."""
+        gone = []
         for record in message.fellows:
             self._take(record, is_first_hand=record.name == message.sender)
+            if self._has_left(record):
+                gone.append((record.name, record.incarnation))
+        if gone:
+            self.node.send(message.reply_to, Left(gone))
         if message.is_asking:
             self.node.send(message.reply_to, Members(self._records()))
 
+    def _has_left(self, record):
+        """Whether this node heard the bye of a member that another still counts in."""
+        member = self.fellows.get(record.name)
+        return member is not None and member.has_left and member.incarnation >= record.incarnation
+
+    def on_left(self, message):
+        """A bye that this node missed: nobody watches who has left, so no verdict comes either."""
+        for name, incarnation in message.fellows:
+            member = self.fellows.get(name)
+            if member is not None and not member.has_left and member.incarnation <= incarnation:
+                self._count_out(member)
+
     def _members_digest(self):
         """A hash of who is up, in which start and on which seat; equal lists need no telling."""
         key = (self.me.incarnation, self.me.seat, self.me.seat_incarnation)
@@ -381,8 +401,10 @@
     def on_bye(self, message):
         """The sender stopped on purpose."""
         member = self.fellows.get(message.sender)
-        if member is None:
-            return
+        if member is not None:
+            self._count_out(member)
+
+    def _count_out(self, member):
         member.has_left = True
         member.is_up = False
         self._forget_order()
