Contact: only as many members are asked as a majority needs, and lines name no incarnations

Before: every other member was asked, and both lines carried all incarnations known. Who didn't answer the last ask makes the next one go to all; two more asks fit into the bound.

--- a/packages/registry/src/linkhaven/registry/contact.py
+++ b/packages/registry/src/linkhaven/registry/contact.py
@@ -2,7 +2,7 @@
 
 | message | to | says |
 | --- | --- | --- |
-| `ContactAsk` | every other seat, three times in `contact_us` | when it asked, by its own clock |
+| `ContactAsk` | enough other seats, three times in `contact_us` | when it asked, by its own clock |
 | `ContactAnswer` | who asked | this seat votes, its incarnation, the newest mark known chosen |
 
 Invariant: `is_held` only while a majority of voting seats, this one among them, has answered asks
@@ -42,11 +42,9 @@
         """Only a seat that votes is contact: what others hold may be old."""
         if not self.seat.is_voting:
             return
-        self.directory.learn_seats(message.known)
         answer = ContactAnswer(
             seat=self.seat.seat,
             incarnation=self.seat.incarnation,
-            known=self.seat.known_of_all(),
             sent_us=message.sent_us,
             mark=self.image.mark,
         )
@@ -55,7 +53,6 @@
     def on_answer(self, message):
         """An older occupant of a seat is no contact."""
         seat = message.seat
-        self.directory.learn_seats(message.known)
         known = self.directory.seats().get(seat)
         if known is None or known[1] > message.incarnation or seat == self.seat.seat:
             return
@@ -72,11 +69,21 @@
         pace_us = self.node.terms.contact_us // ASKS_IN_A_BOUND
         if self.asked_us is not None and now_us - self.asked_us < pace_us:
             return
-        self.asked_us = now_us
         self._ask(now_us)
+        self.asked_us = now_us
 
     def _ask(self, now_us):
-        known = self.seat.known_of_all()
-        for seat, (address, _) in self.directory.seats().items():
-            if seat != self.seat.seat:
-                self.node.send(address, ContactAsk(now_us, known))
+        """As many as a majority needs, of those that answered last; all, where too few did."""
+        addresses = {seat: address for seat, (address, _) in self.directory.seats().items()}
+        others = self._after_own(addresses)
+        last_us = self.asked_us or now_us
+        answering = [seat for seat in others if self.answered_us.get(seat) == last_us]
+        needed = self.seat.majority - 1
+        for seat in answering[:needed] if len(answering) >= needed else others:
+            self.node.send(addresses[seat], ContactAsk(now_us))
+
+    def _after_own(self, seats):
+        """The other seats in the order of the ring of seats, so that each is asked by as many."""
+        names = sorted(seats)
+        own = names.index(self.seat.seat) if self.seat.seat in names else 0
+        return [seat for seat in names[own:] + names[:own] if seat != self.seat.seat]
--- a/packages/registry/src/linkhaven/registry/messages.py
+++ b/packages/registry/src/linkhaven/registry/messages.py
@@ -11,16 +11,12 @@
     sent_us: int
     """When it was asked, by the asker's own clock."""
 
-    known: dict[str, int]
-    """The newest incarnation of each seat that the sender knows."""
-
 
 class ContactAnswer(Message, tag="contact", frozen=True):
     """A seat that votes answers `ContactAsk`."""
 
     seat: str
     incarnation: int
-    known: dict[str, int]
     sent_us: int
     """As in the ask."""
 
