--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -7,6 +7,7 @@
 from linkhaven.wire.console import CodedCommand, run_application
 from linkhaven.wire.settings import misfit
 
+from .control import play
 from .explore.program import ExploreCommand
 from .fleet import DEPLOYMENTS
 from .loopback import LoadRun, measure_overhead, run_fleet
@@ -175,6 +176,29 @@
         return 1 if told["breached"] else 0
 
 
+class ControlCommand(CodedCommand):
+    """Points 1 to 4 of docs/control.md over many seeds."""
+
+    name = "control"
+    description = "Play the courses of the four control points over many seeds and judge each."
+    options = [
+        option("first", None, "first seed", flag=False, default="1"),
+        option("count", None, "how many seeds", flag=False, default="1"),
+        option("changes", None, "changes in each of eight legs", flag=False, default="63"),
+    ]
+
+    def act(self):
+        """Each breach is a line; the exit code says whether there was one."""
+        told = play(
+            whole(self, "first", 0, 10**9),
+            whole(self, "count", 1, 100_000),
+            whole(self, "changes", 1, 100_000),
+            lambda breach: self.line(json.dumps(breach)),
+        )
+        self.show(told)
+        return 1 if told["breached"] else 0
+
+
 class MeasureCommand(CodedCommand):
     name = "measure"
     description = f"Measure in simulated time: {', '.join(MEASURES)}."
@@ -221,6 +245,7 @@
             LoadCommand(),
             FleetCommand(),
             SweepCommand(),
+            ControlCommand(),
             MeasureCommand(),
             OverheadCommand(),
             SlopesCommand(),
--- a/tests/test_control_cuts.py
+++ b/tests/test_control_cuts.py
@@ -9,6 +9,7 @@
 from linkhaven.register import Proposer
 from linkhaven.registry.contact import Contact
 from linkhaven.router import RouterNode
+from linkhaven.stage.control import judge_cut
 from linkhaven.stage.core import SimCore
 from linkhaven.stage.cutcourse import (
     ANY,
@@ -21,7 +22,7 @@
     CutCourse,
 )
 from linkhaven.stage.fleet import LICENSING, SimFleet
-from linkhaven.stage.orders import TAKEN, UNCLEAR, History
+from linkhaven.stage.orders import TAKEN, History
 from linkhaven.stage.world import REFUSAL, RESET, SILENT, Host
 
 SECOND = 1_000_000
@@ -37,53 +38,12 @@
 ]
 
 
-def not_back(course, back_by_us):
-    """Moments after the bound at which the member doesn't serve the newest. A sample may fall
-    between the accept and the word that it was chosen of a read's second round; two don't."""
-    late = [sample for sample in course.samples if sample.at_us > back_by_us]
-    is_back = [sample.is_current and sample.revision >= course.newest for sample in late]
-    pairs = zip(late, is_back, is_back[1:], strict=False)
-    return [sample.at_us for sample, now, then in pairs if not now and not then]
-
-
-def breaches(course):
-    """What the course shows that may not be, by name; empty where all holds."""
-    history = History(course.operators.calls)
-    terms = Terms()
-    late = terms.silent_us + 2 * TICK_US
-    cut = course.while_cut(history.calls)
-    first, *later = cut
-    held_until_us = course.cut_us + terms.lease_us + TICK_US
-    current_until_us = course.cut_us + terms.contact_us + TICK_US
-    back_by_us = course.joined_us + terms.contact_us
-    while_cut = [sample for sample in course.samples if sample.at_us < course.joined_us]
-    found = {
-        **history.breaches(),
-        "faults": course.core.faults(),
-        "confirmed": [
-            told for told in cut if told.outcome == TAKEN and told.ended_us > held_until_us
-        ],
-        "not_unclear": [told for told in cut if told.outcome != UNCLEAR],
-        "late": [told for told in (first, *later) if told.ended_us - told.sent_us > late],
-        "late_though_known": [
-            told
-            for told in later[2:]
-            if told.ended_us - told.sent_us > terms.silent_us // 3 + 2 * TICK_US
-        ],
-        "refused_though_right": history.refused_though_right(course.newest),
-        "current": [s.at_us for s in while_cut if s.is_current and s.at_us > current_until_us],
-        "duties": [s.at_us for s in while_cut if s.duties and s.at_us > held_until_us],
-        "not_back": not_back(course, back_by_us),
-    }
-    return {name: what for name, what in found.items() if what}
-
-
 @pytest.mark.parametrize("seats, direction, how, who", CASES)
 def test_a_member_cut_off_confirms_nothing_refuses_nothing_and_answers_at_once(
     seats, direction, how, who
 ):
     course = CutCourse(seats + len(how), seats, who, direction, how).run(who)
-    assert breaches(course) == {}
+    assert judge_cut(course) == {}
     history = History(course.operators.calls)
     others = [told for told in history.orders(TAKEN) if told.member != course.lone]
     assert len(others) >= 6
@@ -129,7 +89,7 @@
 )
 def test_each_mechanism_of_a_cut_is_needed(monkeypatch, sabotage, breach):
     sabotage(monkeypatch)
-    assert breach in breaches(CutCourse(4, 3, HOLDER, BOTH, SILENT).run(HOLDER))
+    assert breach in judge_cut(CutCourse(4, 3, HOLDER, BOTH, SILENT).run(HOLDER))
 
 
 def add_router(core, name, terms):
--- a/tests/test_control_many_changes.py
+++ b/tests/test_control_many_changes.py
@@ -2,53 +2,28 @@
 
 import pytest
 
-from linkhaven.clockwork import Terms
 from linkhaven.plan import desk
 from linkhaven.register.rejoin import Rejoin
 from linkhaven.registry.contact import Contact
 from linkhaven.stage.changecourse import (
-    ALL_KILLED,
-    ALL_POWERLESS,
-    NEW,
     RESTARTED,
     WIPED,
     WOKEN,
     ChangeCourse,
 )
+from linkhaven.stage.control import LEGS, judge_changes
 from linkhaven.stage.cutcourse import PLAN
 from linkhaven.stage.orders import REFUSED, Order
 
 SECOND = 1_000_000
-LEGS = (NEW, WIPED, RESTARTED, WOKEN, ALL_KILLED, ALL_POWERLESS, RESTARTED, WIPED)
 CHANGES_A_LEG = 63
 
 
-def breaches(course):
-    """What no return may show, by name; empty where all holds."""
-    terms = Terms(**course.core.terms)
-    bound_us = terms.vacant_us + terms.alone_us + SECOND
-    first, last = returns_of(course, WIPED)
-    found = {
-        "faults": course.core.faults(),
-        "late": [back for back in course.returns if back.took_us > bound_us],
-        "early": [back for back in course.returns if back.early],
-        "old_news": [back for back in course.returns if back.old_news],
-        "two_holders": [back for back in course.returns if back.holders],
-        "disk_grows": [last] if last.disk_bytes > first.disk_bytes * 1.1 + 500 else [],
-        "sent_grows": [last] if last.sent_bytes > first.sent_bytes * 1.25 + 500 else [],
-    }
-    return {name: what for name, what in found.items() if what}
-
-
-def returns_of(course, leg):
-    return [back for back in course.returns if back.leg == leg]
-
-
 @pytest.mark.parametrize("seats", [3, 5])
 def test_after_hundreds_of_changes_whoever_comes_back_is_soon_current_and_never_leads_before(seats):
     course = ChangeCourse(seats, seats, CHANGES_A_LEG).run(LEGS)
     assert course.newest >= CHANGES_A_LEG * len(LEGS)
-    assert breaches(course) == {}
+    assert judge_changes(course) == {}
     first = Order(0, 1, "text 000001", PLAN)
     told = [course.operators.put(name, first) for name in course.core.machines]
     course.core.world.run_for(2 * SECOND)
@@ -88,4 +63,4 @@
 )
 def test_each_mechanism_of_coming_back_is_needed(monkeypatch, sabotage, legs, breach):
     sabotage(monkeypatch)
-    assert breach in breaches(ChangeCourse(1, 3, CHANGES_A_LEG).run(legs))
+    assert breach in judge_changes(ChangeCourse(1, 3, CHANGES_A_LEG).run(legs))
--- a/tests/test_control_races.py
+++ b/tests/test_control_races.py
@@ -4,6 +4,7 @@
 
 from linkhaven.plan import desk
 from linkhaven.register import Proposer
+from linkhaven.stage.control import judge_race
 from linkhaven.stage.core import SimCore
 from linkhaven.stage.cutcourse import PLAN
 from linkhaven.stage.orders import REFUSED, TAKEN, UNCLEAR, History, Operators, Order
@@ -13,24 +14,11 @@
 CASES = [(seats, racers, seed) for seats in (3, 5) for racers in (2, 4, 8) for seed in (1, 2)]
 
 
-def breaches(course):
-    """What a race may not show, by name; empty where all holds."""
-    history = History(course.operators.calls)
-    found = {
-        **history.breaches(),
-        "faults": course.core.faults(),
-        "losers_taken": [
-            told for told in history.orders(TAKEN) if not course.is_winner(told.order)
-        ],
-    }
-    return {name: what for name, what in found.items() if what}
-
-
 @pytest.mark.parametrize("seats, racers, seed", CASES)
 def test_of_orders_under_one_number_one_is_taken_however_often_they_are_sent(seats, racers, seed):
     course = RaceCourse(seed, seats, racers).run(2)
     late = course.send_late()
-    assert breaches(course) == {}
+    assert judge_race(course) == {}
     assert {told.outcome for told in late if course.is_winner(told.order)} <= {TAKEN, UNCLEAR}
     assert set(course.winners) == {0, 3}
     clear = History(course.operators.calls).orders()
@@ -72,7 +60,7 @@
     monkeypatch.setattr(desk, "find_order", lambda value, order: None)
     course = RaceCourse(1, 3, 2).run(2)
     course.send_late()
-    assert "refused_though_taken" in breaches(course)
+    assert "refused_though_taken" in judge_race(course)
 
 
 def leave_an_order_at_a_minority(seed):
--- a/tests/test_control_replacement.py
+++ b/tests/test_control_replacement.py
@@ -5,10 +5,9 @@
 import pytest
 
 from linkhaven.register.leaving import Leaving
-from linkhaven.stage.orders import TAKEN, History
+from linkhaven.stage.control import judge_replacement
 from linkhaven.stage.replacecourse import (
     AFTER_US,
-    AWAY_US,
     FREEZE_NEW,
     FREEZE_OTHER,
     HELD_NEWEST,
@@ -56,29 +55,6 @@
     return measure_repair(SEED, seats, how)
 
 
-def bound_us(seats, what, share):
-    """How long there may be no answer. Where more than `fault_tolerance` is lost at once, the core
-    waits for what comes back."""
-    is_too_much = seats == 3 and what in (KILL_OTHER, FREEZE_OTHER) and share < 1.0
-    return ANSWER_US + (AWAY_US if is_too_much else 0)
-
-
-def breaches(course, seats, what, share):
-    history = History(course.operators.calls)
-    until_us = course.core.world.now_us - 4 * SECOND
-    gap_us = course.longest_without_answer_us(course.gone_us, until_us)
-    last = course.last_reads()
-    found = {
-        **history.breaches(),
-        "faults": course.core.faults(),
-        "double_votes": course.double_votes,
-        "no_answer": [gap_us] if gap_us > bound_us(seats, what, share) else [],
-        "lost": [told for told in last if told.outcome != TAKEN or told.revision < course.newest],
-        "not_whole": [course.core.voting()] if len(course.core.voting()) < seats else [],
-    }
-    return {name: what for name, what in found.items() if what}
-
-
 @pytest.mark.parametrize("seats, how, what, share", CASES + SECOND_LOSSES)
 def test_a_second_trouble_during_or_after_a_repair_loses_nothing_and_leaves_an_answer(
     seats, how, what, share
@@ -86,7 +62,7 @@
     repaired_us = repair_us(seats, how)
     assert repaired_us is not None
     course = ReplaceCourse(SEED, seats).run(how, what, share, repaired_us)
-    assert breaches(course, seats, what, share) == {}
+    assert judge_replacement(course, seats, what, share) == {}
 
 
 def leave_at_once(monkeypatch):
@@ -104,6 +80,6 @@
 def test_without_the_hand_over_a_second_planned_stop_leaves_no_majority(monkeypatch, sabotage):
     sabotage(monkeypatch)
     course = ReplaceCourse(SEED, 3).run(PLANNED, SECOND_PLANNED, 0.5, 600_000)
-    found = breaches(course, 3, SECOND_PLANNED, 0.5)
+    found = judge_replacement(course, 3, SECOND_PLANNED, 0.5)
     assert {"no_answer", "lost", "not_whole"} <= set(found)
     assert found["no_answer"][0] > AFTER_US // 2
