--- a/packages/stage/src/linkhaven/stage/checkers.py
+++ b/packages/stage/src/linkhaven/stage/checkers.py
@@ -1,5 +1,7 @@
 from collections import defaultdict
 
+from .explore.linearizability import is_linearizable
+from .explore.records import history_of
 from .standins import count_pieces, piece_text
 
 SECOND = 1_000_000
@@ -364,6 +366,13 @@
                 return
 
 
+def orders_are_linearizable(record, **terms):
+    """What operators were answered could have come from one register that does one thing at a time."""
+    operations = history_of(record)
+    if not is_linearizable(operations):
+        yield "; ".join(repr(operation) for operation in operations)
+
+
 CHECKERS = (
     one_time_work_runs_once,
     a_refusal_means_not_done,
@@ -373,6 +382,7 @@
     plans_are_in_force,
     marks_never_go_back,
     acknowledged_plans_survive,
+    orders_are_linearizable,
     leaving_runners_get_no_work,
     extra_shots_keep_to_the_budget,
     one_holder_orders,
--- a/packages/stage/src/linkhaven/stage/explore/cases.py
+++ b/packages/stage/src/linkhaven/stage/explore/cases.py
@@ -203,6 +203,7 @@
         CoreCase("one order, read", RACE[:1], reads=(("r", "m3"),)),
         CoreCase("race", RACE, ticks=1),
         CoreCase("race of one number", SAME_NUMBER, ticks=1),
+        CoreCase("race and read", RACE, reads=(("r", "m3"),)),
         CoreCase("race, sent again", RACE, resends=(("x", "m3"),)),
         CoreCase("row, sent again", ROW, resends=(("x", "m3"),)),
         CoreCase("order and read", RACE[:1], reads=(("r", "m3"), ("s", "m2")), ticks=1),
--- a/packages/stage/src/linkhaven/stage/people.py
+++ b/packages/stage/src/linkhaven/stage/people.py
@@ -275,9 +275,17 @@
         )
 
     def show(self, registry, done):
+        """Reads the plan at a seat."""
+        begun_us = self.now_us()
+
         def hear(status, document):
             if status == 200:
-                self.record("shown", mark=document["mark"], put_id=document["put_id"])
+                self.record(
+                    "shown",
+                    mark=document["mark"],
+                    put_id=document["put_id"],
+                    begun_us=begun_us,
+                )
             done(status, document)
 
         self._call(registry, "GET", "/v1/plan", None, hear)
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -42,6 +42,18 @@
     return (0, "put", {"put_id": put_id, "plan": {"groups": {"g": {}}, "kinds": kinds}})
 
 
+def ordered(put_id, expect):
+    return (0, "put", {"put_id": put_id, "expect": expect, "plan": {}})
+
+
+def refused(put_id, code, done):
+    return (2 * S, "unacked", {"put_id": put_id, "status": 409, "code": code, "done": done})
+
+
+def read(mark, put_id):
+    return (9 * S, "shown", {"mark": mark, "put_id": put_id, "begun_us": 8 * S})
+
+
 def offered_leaving(at, router="edge-1"):
     return [
         (0, "said_leaving", {"runner": "runner-1", "incarnation": 1, "router": router}),
@@ -227,6 +239,21 @@
         [acked(1, "p"), shown(2, "q")],
         [acked(1, "p"), shown(1, "q")],
     ),
+    (
+        checkers.orders_are_linearizable,
+        [ordered("p", 0), acked(1, "p"), read(1, "p")],
+        [ordered("p", 0), acked(1, "p"), read(0, None)],
+    ),
+    (
+        checkers.orders_are_linearizable,
+        [ordered("p", 0), ordered("q", 0), acked(1, "p"), refused("q", "mark_conflict", "no")],
+        [ordered("p", 0), ordered("q", 0), acked(1, "p"), acked(1, "q")],
+    ),
+    (
+        checkers.orders_are_linearizable,
+        [ordered("p", 0), refused("p", "put_unknown", "unknown"), read(1, "p")],
+        [ordered("p", 0), refused("p", "core_unready", "no"), read(1, "p")],
+    ),
     (
         checkers.leaving_runners_get_no_work,
         [(0, "listed", {"runners": {"runner-1": "leaving"}}), offered(at=3 * S)],
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -1,4 +1,4 @@
-"""The explorer: real nodes hold in bounded cases; what is taken out of them is found missing."""
+"""The explorer: real nodes hold in bounded cases; what is taken out of them is missed."""
 
 import json
 
@@ -95,6 +95,11 @@
     monkeypatch.setattr(PlanDesk, "read_document", read)
 
 
+def refuse_for_what_is_not_in_force(monkeypatch):
+    """A refusal may rest on a value that only some seats hold, and that may never be in force."""
+    monkeypatch.setattr(Proposer, "_is_chosen", lambda self, change: True)
+
+
 def take_the_duty_unasked(monkeypatch):
     """Who asks for a duty doesn't look whether its fence was given meanwhile."""
     change = Proposer.change
@@ -137,7 +142,10 @@
         (answer_before_the_sync, "order, slow disks"),
         (vote_without_reading, "order alone, wipe"),
     ],
-    "orders and reads are linearizable": [(read_from_the_own_disk, "order and read")],
+    "orders and reads are linearizable": [
+        (read_from_the_own_disk, "order and read"),
+        (refuse_for_what_is_not_in_force, "race and read"),
+    ],
     "one holder of a fence": [(take_the_duty_unasked, "two duties")],
     "no order refused that was taken": [(forget_taken_orders, "row, sent again")],
 }
