--- a/packages/stage/src/linkhaven/stage/explore/program.py
+++ b/packages/stage/src/linkhaven/stage/explore/program.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+import sys
 from concurrent.futures import ProcessPoolExecutor, as_completed
 
 from cleo.helpers import option
@@ -77,3 +78,4 @@
         self.line(json.dumps({key: value for key, value in record.items() if key != "course"}))
         for number, choice in enumerate(record["course"] if record["breach"] else (), 1):
             self.line(f"{number:4} {' '.join(str(part) for part in choice)}")
+        sys.stdout.flush()
