Ring: a missed withdrawal of a verdict ends; small fleets keep 20 ms while requests run

Cause: a withdrawn verdict is told once, to those whom its teller then holds for up; of 80 hollow routers four stayed down for some, for good, and each gossip with them told whole lists. Change: who hears from another that a node is up which it holds for down asks those who judged ("doubt"); a watcher says its verdict again, who watches no more has none.

--- a/packages/registry/src/linkhaven/registry/changes.py
+++ b/packages/registry/src/linkhaven/registry/changes.py
@@ -1,7 +1,7 @@
 """Differences of the list of runners: which serial of the list last changed each runner."""
 
 FIGURES = frozenset(("queued", "running", "kv_used", "kv_total", "age_us"))
-REFRESH_US = 2_000_000
+REFRESH_US = 1_000_000
 GONE_MOST = 256
 
 
--- a/packages/ring/src/linkhaven/ring/messages.py
+++ b/packages/ring/src/linkhaven/ring/messages.py
@@ -71,6 +71,13 @@
     """The sender stops and wants to be watched no longer."""
 
 
+class Doubt(Message, tag="doubt", frozen=True):
+    """Asks a watcher to say its verdict again: the sender heard of a member that is up elsewhere."""
+
+    about: str
+    incarnation: int
+
+
 class Left(Message, tag="left", frozen=True):
     """Members that the sender heard say `Bye`, told to one that still counts them in."""
 
--- a/packages/ring/src/linkhaven/ring/ring.py
+++ b/packages/ring/src/linkhaven/ring/ring.py
@@ -8,6 +8,7 @@
 | `Beat` | | the sender runs; a verdict against it is taken back |
 | `Verdict` | | a watcher's vote on whether a member is down |
 | `Bye` | | the sender left on purpose |
+| `Doubt` | `Members` | a watcher says its verdict again |
 | `Left` | `Members` | members whose `Bye` was missed here are counted out |
 
 No rule of safety rests on it: it informs operators, and says whom to ask. A member is down when
@@ -24,6 +25,7 @@
 from .messages import (
     Beat,
     Bye,
+    Doubt,
     Hello,
     Left,
     Members,
@@ -111,6 +113,7 @@
         node.on_message(Verdict, self.on_verdict)
         node.on_message(Bye, self.on_bye)
         node.on_message(Left, self.on_left)
+        node.on_message(Doubt, self.on_doubt)
         node.systems.append(self.tick)
         node.on_late.append(self.wake)
         node.on_hear.append(self.note_speaker)
@@ -248,6 +251,7 @@
         gone = []
         for record in message.fellows:
             self._take(record, is_first_hand=record.name == message.sender)
+            self._doubt(record)
             if self._has_left(record):
                 gone.append((record.name, record.incarnation))
         if gone:
@@ -398,6 +402,31 @@
             return True
         return now_us - watcher.probed_us <= self.node.terms.missed_us
 
+    def _doubt(self, record):
+        """Another holds for up whom this node holds for down: those who judged are asked again.
+
+        A withdrawn verdict is told once, to those whom its teller then holds for up; who missed it
+        would hold the verdict for as long as that start runs."""
+        member = self.fellows.get(record.name)
+        if member is None or member.is_up or member.has_left or not record.is_up:
+            return
+        if member.incarnation != record.incarnation:
+            return
+        for name, is_down in member.verdicts.items():
+            judge = self.fellows.get(name)
+            if is_down and judge is not None:
+                self.node.send(judge.address, Doubt(member.name, member.incarnation))
+
+    def on_doubt(self, message):
+        """Say again what this node holds as a watcher; who watches no more has no verdict."""
+        member = self.fellows.get(message.about)
+        if member is None or member.incarnation != message.incarnation:
+            return
+        is_watched = member.name in self._find_watched()
+        is_down = is_watched and bool(member.verdicts.get(self.node.name))
+        verdict = Verdict(member.name, member.incarnation, is_down)
+        self.node.send(message.reply_to, verdict)
+
     def on_bye(self, message):
         """The sender stopped on purpose."""
         member = self.fellows.get(message.sender)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -290,9 +290,13 @@
         self.wake_queue()
 
     def rest_us(self):
-        """Requests that wait are looked at with each short tick; all else is moved by what comes in."""
+        """Requests that wait are looked at with each short tick; all else is moved by what comes in.
+
+        In a small fleet all requests are, also those that run."""
         if not self.is_open or self.credit.is_waiting() or self.is_draining:
             return 0
+        if self.requests and not self.pairing.is_large():
+            return 0
         return REST_US
 
     def wake_queue(self):
--- /dev/null
+++ b/tests/test_ring_standing.py
@@ -0,0 +1,167 @@
+"""Views of who is up: kept tables follow the facts, and a missed withdrawal ends."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from linkhaven.ring import Ring
+
+NAMES = [f"router-{place}" for place in range(1, 8)]
+
+
+class Net:
+    """Rings that hear each other at once, and what was said."""
+
+    def __init__(self, names):
+        self.said = []
+        self.rings = {}
+        self.now_us = 1_000_000
+        for name in names:
+            self.rings[name] = self._ring(name)
+        for ring in self.rings.values():
+            ring.hear_members({"name": "seed", "back": "seed", "fellows": self._records()})
+            for other in self.rings.values():
+                ring.hear_hello({"fellow": other.me.as_record(), "back": "nobody"})
+        self.said.clear()
+
+    def _ring(self, name):
+        def tell(address, say, **facts):
+            self.said.append((name, address, say))
+            ring = self.rings.get(address)
+            if ring is not None:
+                ring.node.hearers[say]({**facts, "name": name, "back": name})
+
+        dice = SimpleNamespace(randrange=lambda most: 0)
+        ports = SimpleNamespace(
+            wire=SimpleNamespace(renew=lambda address: None),
+            log=lambda *told, **facts: None,
+            dice=dice,
+        )
+        node = SimpleNamespace(
+            name=name,
+            address=name,
+            ports=ports,
+            hearers={},
+            systems=[],
+            on_late=[],
+            on_hear=[],
+            now_us=lambda: self.now_us,
+            tell=tell,
+            terms=SimpleNamespace(beat_us=250_000, missed_us=1_000_000),
+        )
+        return Ring(node, "router", "north", [], 1)
+
+    def _records(self):
+        return [ring.me.as_record() for ring in self.rings.values()]
+
+    def says(self, say):
+        return [one for one in self.said if one[2] == say]
+
+
+def hold_down(net, viewer, about):
+    """The viewer heard the verdict of all watchers, and none of the withdrawals."""
+    ring = net.rings[viewer]
+    for watcher in ring.watchers_of(about):
+        ring.hear_verdict({"name": watcher, "about": about, "incarnation": 1, "is_down": True})
+    assert not ring.fellows[about].is_up
+
+
+def viewer_and_subject(net):
+    ring = net.rings[NAMES[0]]
+    about = next(name for name in NAMES[1:] if NAMES[0] not in ring.watchers_of(name))
+    return ring, about
+
+
+def test_a_missed_withdrawal_ends_with_the_next_list_that_says_otherwise():
+    net = Net(NAMES)
+    ring, about = viewer_and_subject(net)
+    hold_down(net, NAMES[0], about)
+    other = next(name for name in NAMES[1:] if name != about)
+    net.rings[other]._tell_list(ring.me)
+    assert ring.fellows[about].is_up
+    assert about in [fellow.name for fellow in ring.live("router")]
+
+
+def test_a_verdict_that_its_watchers_still_hold_stays():
+    net = Net(NAMES)
+    ring, about = viewer_and_subject(net)
+    watchers = ring.watchers_of(about)
+    for name in watchers:
+        net.rings[name].fellows[about].verdicts[name] = True
+    hold_down(net, NAMES[0], about)
+    other = next(name for name in NAMES[1:] if name != about)
+    net.rings[other]._tell_list(ring.me)
+    assert net.says("doubt")
+    assert not ring.fellows[about].is_up
+
+
+def test_who_watches_no_more_has_no_verdict():
+    net = Net(NAMES)
+    ring, about = viewer_and_subject(net)
+    bystander = next(
+        name for name in NAMES if name != about and name not in ring.watchers_of(about)
+    )
+    net.rings[bystander].fellows[about].verdicts[bystander] = True
+    net.rings[bystander].hear_doubt({"about": about, "incarnation": 1, "back": NAMES[0]})
+    assert ring.fellows[about].verdicts[bystander] is False
+
+
+def test_equal_lists_are_told_by_their_digest_and_unequal_ones_whole():
+    net = Net(NAMES)
+    first, second = net.rings[NAMES[0]], net.rings[NAMES[1]]
+    first.gossips = 1
+    first._tell_list(second.me)
+    assert [say for _, _, say in net.said] == ["digest"]
+    record = ["router-9", 1, "router-9", "router", "south", "", 0, 0, True]
+    second.hear_members({"name": "router-9", "back": "router-9", "fellows": [record]})
+    net.said.clear()
+    first._tell_list(second.me)
+    assert [say for _, _, say in net.said] == ["digest", "members", "members"]
+    assert "router-9" in first.fellows
+
+
+def test_now_and_then_the_whole_list_is_told():
+    net = Net(NAMES)
+    first, second = net.rings[NAMES[0]], net.rings[NAMES[1]]
+    for _ in range(20):
+        first._tell_list(second.me)
+    assert len(net.says("digest")) == 18
+
+
+@pytest.mark.parametrize("change", ["down", "bye", "new", "new start", "seat", "forgotten"])
+def test_kept_tables_follow_each_change(change):
+    net = Net(NAMES)
+    ring, about = viewer_and_subject(net)
+    ring.live(), ring.live("router"), ring.seats(), ring._find_watched(), ring._members_digest()
+    before = ring._members_digest()
+    for name in NAMES:
+        ring.watchers_of(name)
+    if change == "down":
+        hold_down(net, NAMES[0], about)
+    elif change == "bye":
+        ring.hear_bye({"name": about})
+    elif change == "new":
+        record = ["router-9", 1, "router-9", "router", "south", "", 0, 0, True]
+        ring.hear_members({"name": "router-9", "back": "router-9", "fellows": [record]})
+    elif change == "new start":
+        record = [about, 2, "router-22", "registry", "south", "a", 7, 0, True]
+        ring.hear_members({"name": about, "back": about, "fellows": [record]})
+        assert ring.seats() == {"a": ("router-22", 7)}
+    elif change == "seat":
+        ring.sit("b", 3)
+        assert ring.seats() == {"b": (NAMES[0], 3)}
+    else:
+        hold_down(net, NAMES[0], about)
+        net.now_us += 100_000_000
+        net.rings.pop(about)
+        ring._call_downs(net.now_us)
+        assert about not in ring.fellows
+    up = {name for name, fellow in ring.fellows.items() if fellow.is_up and not fellow.has_left}
+    assert {fellow.name for fellow in ring.live()} == up
+    assert all(fellow.kind == "router" for fellow in ring.live("router"))
+    kept = {name: list(ring.watchers_of(name)) for name in ring.fellows}
+    digest = ring._members_digest()
+    ring._forget_order()
+    assert kept == {name: ring.watchers_of(name) for name in ring.fellows}
+    assert ring._members_digest() == digest
+    assert digest != before
