Shell: the tick itself gives the rest; grants lapse without a second record of each

Change: `Node.tick` gives the rest; a node that gives none ticks as before. The queue of grants that lapse holds the grants themselves.

--- a/packages/clockwork/src/linkhaven/clockwork/node.py
+++ b/packages/clockwork/src/linkhaven/clockwork/node.py
@@ -133,7 +133,9 @@
         return 0
 
     def tick(self):
-        """Run every system once, those for a late tick first where this one is late."""
+        """Run every system once, those for a late tick first where this one is late.
+
+        Gives how long the next tick may be off, in microseconds."""
         now_us = self.now_us()
         late_us = now_us - self.ticked_us
         self.ticked_us = now_us
@@ -143,3 +145,4 @@
                 check(now_us)
         for system in self.systems:
             system(now_us)
+        return self.rest_us()
--- a/packages/credit/src/linkhaven/credit/outstanding.py
+++ b/packages/credit/src/linkhaven/credit/outstanding.py
@@ -8,10 +8,11 @@
 class Grant:
     """One share at one router, until it lapses or its router says that it holds a later one."""
 
-    __slots__ = ("number", "rate", "until_us")
+    __slots__ = ("router", "number", "rate", "until_us")
 
-    def __init__(self, number, rate, until_us):
+    def __init__(self, router, number, rate, until_us):
         """`number` rises with each grant; `until_us` is when the share lapses by itself."""
+        self.router = router
         self.number = number
         self.rate = rate
         self.until_us = until_us
@@ -49,8 +50,9 @@
 
     def add(self, router, number, rate, until_us):
         """A grant leaves for a router."""
-        self.by_router.setdefault(router, []).append(Grant(number, rate, until_us))
-        self.lapsing.append((until_us, router))
+        grant = Grant(router, number, rate, until_us)
+        self.by_router.setdefault(router, []).append(grant)
+        self.lapsing.append(grant)
         self._count(router)
 
     def _count(self, router):
@@ -64,8 +66,8 @@
         self.most.pop(router, None)
 
     def _lapse(self, now_us):
-        while self.lapsing and self.lapsing[0][0] <= now_us:
-            router = self.lapsing.popleft()[1]
+        while self.lapsing and self.lapsing[0].until_us <= now_us:
+            router = self.lapsing.popleft().router
             held = self.by_router.get(router)
             if held is not None:
                 held[:] = [grant for grant in held if grant.until_us > now_us]
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -96,7 +96,7 @@
         return door
 
     def _tick(self):
-        self.node.tick()
+        rest_us = self.node.tick() or 0
         now_us = self.ticker.now_us()
         self.outlet.look(now_us)
         for door in self.doors:
@@ -104,7 +104,7 @@
         if self.web is not None:
             self.web.look_for_room()
             self._close_idle(now_us)
-        return max(self.ticker.tick_us, self.node.rest_us())
+        return max(self.ticker.tick_us, rest_us)
 
     def _close_idle(self, now_us):
         if now_us - self.looked_us < LOOK_US:
