--- a/packages/registry/src/linkhaven/registry/disk.py
+++ b/packages/registry/src/linkhaven/registry/disk.py
@@ -69,7 +69,7 @@
 class LmdbDisk:
     """The data folder: writes of one turn of the loop go into one synced transaction."""
 
-    __slots__ = ("env", "clock", "waiting", "folder", "most_bytes", "node")
+    __slots__ = ("env", "clock", "waiting", "folder", "most_bytes", "node", "read")
 
     def __init__(self, folder, most_bytes=MAP_BYTES, node=""):
         """`node`: the name that the folder belongs to; another one's is refused."""
@@ -79,6 +79,7 @@
         self.clock = None
         self.waiting = []
         self.env = None
+        self.read = None
         try:
             self._make_if_new()
             self._check_length()
@@ -160,7 +161,13 @@
         self.clock = clock
 
     def load(self):
-        """All records but the header; ValueError where one was not stored whole."""
+        """All records but the header; ValueError where one was not stored whole. A start reads
+        the folder once: what its check read is kept until the first write."""
+        if self.read is None:
+            self.read = self._read()
+        return dict(self.read)
+
+    def _read(self):
         with self.env.begin() as txn:
             return {
                 bytes(key).decode(): unpack_value(bytes(key), bytes(value))
@@ -170,6 +177,7 @@
 
     def write(self, items, done):
         """Keep these records, None removing one; `done(is_kept)` after the sync."""
+        self.read = None
         if not self.waiting:
             self.clock.call_in(0, self._sync)
         packed = {
@@ -179,6 +187,7 @@
         self.waiting.append((packed, done))
 
     def _sync(self):
+        self.read = None
         waiting, self.waiting = self.waiting, []
         is_kept = self._keep(waiting)
         for _, done in waiting:
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -354,3 +354,16 @@
     (read, held), (read_long, held_long) = sizes
     assert read_long - read < 20
     assert held_long < 2 * held, sizes
+
+
+def test_a_start_reads_the_folder_once_and_a_write_is_read_back(tmp_path):
+    filled(tmp_path / "data")
+    disk, clock = open_disk(tmp_path / "data", node="core-1")
+    first = disk.load()
+    first["seat"] = "changed by its reader"
+    assert disk.load()["seat"] == "a"
+    disk.write({"seat": "b"}, lambda is_kept: None)
+    disk.load()
+    clock.run()
+    assert disk.load()["seat"] == "b"
+    disk.close()
