--- a/packages/registry/src/linkhaven/registry/status.py
+++ b/packages/registry/src/linkhaven/registry/status.py
@@ -1,4 +1,4 @@
-"""What the core looks like now: its members, their epochs, who learns, and which loss could be borne.
+"""What the core looks like now: its members, their epochs, who learns, what loss could be borne.
 
 The node that is asked asks every machine of the core that it knows, and answers when all have told
 or after ANSWER_US, so that who is silent stands as silent instead of as it was heard last."""
@@ -14,6 +14,7 @@
     __slots__ = ("call", "until_us", "missing", "told")
 
     def __init__(self, call, until_us, missing):
+        """`missing`: the names of those that have not told yet."""
         self.call = call
         self.until_us = until_us
         self.missing = missing
--- a/tests/test_disk.py
+++ b/tests/test_disk.py
@@ -260,7 +260,7 @@
     assert file.read_bytes() == before
 
 
-class Recorded(Exception):
+class Recorded(Exception):  # noqa: N818  it stands for a loss of power, not for an error
     """A loss of power at this call."""
 
 
