Loopback test: the disk that must fill is filled by names that can't be packed

Cause: core-c's disk of 256 KB was filled by a plan of 900 kinds, whose packed body is small now, so event 1205 never came and the test failed (RuntimeError: core-c did not report event 1205). Changed check, as strict: 900 kinds with names of 128 letters of a digest (121 KB packed) and a disk of 128 KB; what is asked of the fleet is the same.

--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -1,3 +1,5 @@
+import base64
+import hashlib
 import http.client
 import json
 import os
@@ -160,13 +162,19 @@
             self.record("acked", mark=self.mark, put_id=f"put-{serial}")
 
 
+def dense_name(text):
+    """As long as a name may be, and of letters that no packing makes fewer: a disk must fill."""
+    raw = hashlib.sha512(text.encode()).digest() + hashlib.sha256(text.encode()).digest()
+    return base64.urlsafe_b64encode(raw).decode()
+
+
 def test_killed_frozen_and_full_processes_under_load_break_nothing(tmp_path):
     record = []
     fleet = LoopbackFleet(
         LICENSING,
         str(tmp_path),
         find_ports(24_000),
-        core_settings={"core-c": {"data_bytes": 262_144}},
+        core_settings={"core-c": {"data_bytes": 131_072}},
     )
     putter = Putter(fleet, lambda kind, **facts: record.append((0, kind, facts)))
     try:
@@ -203,7 +211,11 @@
         kinds = LICENSING.plan()["kinds"]
         big = {
             **kinds,
-            **{f"{name}-{place}": kind for place in range(300) for name, kind in kinds.items()},
+            **{
+                dense_name(f"{name}-{place}"): kind
+                for place in range(300)
+                for name, kind in kinds.items()
+            },
         }
         able = [fleet.registries[name] for name in ("core-a", "core-b")]
         mark = put_on_newest(able, "big", LICENSING.plan(kinds=big))
