Hand-over: a successor first shows that f others hear it; it takes no other seat meanwhile

And an answer about vacant seats that came while it learned made it take another seat in the midst of the hand-over (found by reading). Now: before it asks for the seal it is answered by f voting others; a spare that fell silent or gave up is tried again after 2 s.

--- a/packages/register/src/linkhaven/register/leaving.py
+++ b/packages/register/src/linkhaven/register/leaving.py
@@ -31,6 +31,7 @@
 
 RESEND_US = 100_000
 PATIENCE_US = 1_500_000
+TRY_AGAIN_US = 2_000_000
 
 
 class LeavingState(Enum):
@@ -72,7 +73,7 @@
         self.state = LeavingState.STAYING
         self.handover = None
         self.successor = None
-        self.tried = set()
+        self.tried = {}
         self.began_us = self.moved_us = self.sent_us = self.asked_us = 0
         self.on_gone = None
         node.hearers.update(handover_ready=self.on_ready, handover_fate=self.on_fate)
@@ -123,10 +124,14 @@
         spares = [
             fellow
             for fellow in self.seat.directory.live("registry")
-            if not fellow.seat and fellow.name not in self.tried
+            if not fellow.seat and not self._was_tried(fellow.name)
         ]
         return sorted(spares, key=lambda fellow: fellow.name)
 
+    def _was_tried(self, name):
+        """A spare that gave up, or fell silent, may be well again later."""
+        return name in self.tried and self.node.now_us() - self.tried[name] < TRY_AGAIN_US
+
     def _leave_if_alone(self):
         if self._is_alone():
             self._go()
@@ -168,7 +173,7 @@
         )
 
     def _give_up_successor(self):
-        self.tried.add(self.successor[0])
+        self.tried[self.successor[0]] = self.node.now_us()
         self.state = LeavingState.CHOOSING
 
     def note_browse(self, asked):
@@ -224,7 +229,7 @@
         if message["is_taken"]:
             self.seat.retire()
             return self._go()
-        self.tried.add(sealed["name"])
+        self.tried[sealed["name"]] = self.node.now_us()
         if self.seat.rejoin.notes is None:
             self.seat.unseal()
         if self.state == LeavingState.SEALED:
--- a/packages/register/src/linkhaven/register/occupants.py
+++ b/packages/register/src/linkhaven/register/occupants.py
@@ -137,7 +137,7 @@
         self.node.tell(message["back"], "occupants_told", seat=self.seat.seat, table=table)
 
     def hear_told(self, message):
-        if self.seat.seat:
+        if self.seat.seat or self.seat.successor.is_learning():
             return
         self.told[message["seat"]] = (message["table"], self.node.now_us())
         self._choose()
--- a/packages/register/src/linkhaven/register/successor.py
+++ b/packages/register/src/linkhaven/register/successor.py
@@ -4,12 +4,13 @@
 | state | event | next |
 | --- | --- | --- |
 | IDLE | offer, and it is a spare | LEARNING: read the voting member page by page |
-| LEARNING | last page | READY: ask for the seal |
+| LEARNING | last page | PROBING: ask the others whether they hear it |
+| PROBING | f others that vote have answered | READY: ask for the seal |
 | READY | seal | TAKING: read what changed since the first page |
 | TAKING | last page | KEEPING: sync seat, incarnation and state in one write |
 | KEEPING | synced | IDLE: an occupant with a disk; once the others recorded it, it votes |
 | KEEPING | the disk refuses | IDLE: a spare again |
-| LEARNING, READY, TAKING | silence for PATIENCE_US | IDLE: a spare again, and says so |
+| LEARNING, PROBING, READY, TAKING | silence for PATIENCE_US | IDLE: a spare again, and says so |
 
 Invariant: it answers "not taken" only to a hand-over that it accepted and synced, and never takes
 that one later
@@ -28,6 +29,7 @@
 
     IDLE = "idle"
     LEARNING = "learning"
+    PROBING = "probing"
     READY = "ready"
     TAKING = "taking"
     KEEPING = "keeping"
@@ -50,6 +52,7 @@
         "terms",
         "moved_us",
         "sent_us",
+        "reached",
     )
 
     def __init__(self, node, seat, offer):
@@ -63,8 +66,14 @@
             handover_offer=self.on_offer,
             handover_sealed=self.on_sealed,
             handover_ask=self.on_ask,
+            handover_probe=self.on_probe,
+            handover_reached=self.on_reached,
         )
 
+    def is_learning(self):
+        """Whether a hand-over is under way; it takes no other seat meanwhile."""
+        return self.state != SuccessorState.IDLE
+
     def _reset(self):
         self.state = SuccessorState.IDLE
         self.leaver = None
@@ -72,6 +81,7 @@
         self.since = self.version = 0
         self.left = None
         self.start = None
+        self.reached = set()
         self.moved_us = self.sent_us = 0
 
     def on_offer(self, message):
@@ -147,7 +157,32 @@
     def _end_of_pages(self):
         if self.state == SuccessorState.TAKING:
             return self._take()
+        self.state = SuccessorState.PROBING
+        self._send_probes()
+
+    def _send_probes(self):
+        """Who can't reach those that must record it would leave the seat without a vote."""
+        self.sent_us = self.node.now_us()
+        for address, _ in self.seat.directory.seats().values():
+            if address != self.leaver:
+                self.node.tell(address, "handover_probe", id=self.offer["id"])
+
+    def on_probe(self, message):
+        """A voting member answers a successor to be."""
+        if self.seat.is_voting:
+            self.node.tell(
+                message["back"], "handover_reached", id=message["id"], seat=self.seat.seat
+            )
+
+    def on_reached(self, message):
+        """Enough others to record it hear it, and are heard."""
+        if self.state != SuccessorState.PROBING or message["id"] != self.offer["id"]:
+            return
+        self.reached.add(message["seat"])
+        if len(self.reached) < self.seat.majority - 1:
+            return
         self.state = SuccessorState.READY
+        self.moved_us = self.node.now_us()
         self._send_ready()
 
     def _send_ready(self):
@@ -219,6 +254,8 @@
             return self._give_up()
         if now_us - self.sent_us < RESEND_US:
             return
+        if self.state == SuccessorState.PROBING:
+            return self._send_probes()
         if self.state == SuccessorState.READY:
             return self._send_ready()
         if self.cursor is not None:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -388,3 +388,32 @@
     assert list(told["members"]["core-9"]["learning"]["left"]) == ["10.0.0.2:7000"]
     assert told["members"]["core-2"]["leaving"] == "offering"
     assert told["losses_borne"] == 1
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_spare_that_the_others_do_not_hear_gets_no_seat_until_they_do(seed):
+    """With one member lost, a seal for such a spare would leave one voter of three."""
+    core = started(seed, 3, ["core-9"])
+    acked(core, 0, 3)
+    core.machines["core-3"].kill()
+    core.world.cut(["core-9"], ["core-1"], both=False)
+    told = leave(core, "core-2")
+    core.world.run_for(4 * SECOND)
+    assert not told
+    acked(core, 3, 4, "core-1")
+    core.world.heal()
+    assert core.world.wait_for(lambda: told, 5 * SECOND, STEP), standings(core)
+    core.world.run_for(SECOND)
+    acked(core, 4, 5, "core-9")
+
+
+def test_a_spare_that_learns_from_a_leaving_member_takes_no_other_seat():
+    core = started(6, 3, ["core-9"])
+    node = core.machines["core-9"].node
+    leave(core, "core-2")
+    assert core.world.wait_for(lambda: node.seat.standing == "learning", SECOND, 1_000)
+    table = {"a": ["core-1", "", False], "b": ["core-2", "", False], "c": ["", "", True]}
+    for seat in "ab":
+        node.hear({"say": "occupants_told", "name": "x", "back": "", "seat": seat, "table": table})
+    assert node.seat.standing == "learning"
+    assert core.world.wait_for(lambda: node.seat.seat == "b", SECOND, 1_000)
