--- a/packages/stage/src/linkhaven/stage/explore/adapter.py
+++ b/packages/stage/src/linkhaven/stage/explore/adapter.py
@@ -4,7 +4,7 @@
 from linkhaven.clockwork import Node, Terms
 from linkhaven.duty import Lease
 from linkhaven.plan import BodyStore, PlanDesk, PlanImage
-from linkhaven.plan.taken import digest_of
+from linkhaven.plan.taken import digest_of_order, read_history
 from linkhaven.register import Proposer, Seat
 from linkhaven.registry import RegistryNode
 from linkhaven.ring import Ring
@@ -154,13 +154,13 @@
 
 def order_in(value):
     """Which operator's order a value came from: its number and the digest of its document."""
-    _, _, digest, revision = value["taken"][-1]
-    return revision, digest
+    newest = read_history(value)[-1]
+    return newest.revision, newest.digest
 
 
 def order_of(revision, document):
     """The same of an order as it is sent."""
-    return revision, digest_of(document)
+    return revision, digest_of_order(document)
 
 
 def fence_won(number, facts):
--- a/packages/stage/src/linkhaven/stage/explore/world.py
+++ b/packages/stage/src/linkhaven/stage/explore/world.py
@@ -104,6 +104,10 @@
         """All machines share one clock; what differs is when they are given a turn."""
         return self.machine.world.now_us
 
+    def call_in(self, delay_us, deed):
+        """A timer: goes off with the first turn that the machine gets once it is due."""
+        self.machine.timers.append((self.now_us() + delay_us, self.start, deed))
+
     def tell(self, address, message):
         """Puts a message in flight, unless a former start of the machine speaks."""
         if self.start == self.machine.starts:
@@ -125,7 +129,17 @@
 class Machine:
     """A machine with its address and disk, and the node that runs on it, if one does."""
 
-    __slots__ = ("world", "name", "address", "disk", "node", "starts", "is_frozen", "past")
+    __slots__ = (
+        "world",
+        "name",
+        "address",
+        "disk",
+        "node",
+        "starts",
+        "is_frozen",
+        "past",
+        "timers",
+    )
 
     def __init__(self, world, name, address):
         self.world = world
@@ -136,6 +150,13 @@
         self.starts = 0
         self.is_frozen = False
         self.past = hash((name, address))
+        self.timers = []
+
+    def due(self):
+        """The timers of this start that are due, taken out."""
+        timers, now_us = self.timers, self.world.now_us
+        self.timers = [timer for timer in timers if timer[0] > now_us]
+        return [deed for at_us, start, deed in timers if at_us <= now_us and start == self.starts]
 
     def note(self, *event):
         """What happens to a machine, all of it: its state is a function of this and of the time now."""
@@ -271,6 +292,8 @@
         """One turn of the machine's timers."""
         if machine.runs:
             machine.note("tick", self.now_us)
+            for deed in machine.due():
+                deed()
             machine.node.tick()
             self.settle(machine)
 
