--- a/packages/stage/src/linkhaven/stage/explore/report.py
+++ b/packages/stage/src/linkhaven/stage/explore/report.py
@@ -65,15 +65,18 @@
         "states",
         "transitions",
         "depth",
+        "dives",
+        "dived",
         "walks",
         "choices",
         "faults",
+        "answers",
+        "breached",
     )
-    __slots__ += ("answers", "breached")
 
     def __init__(self):
         self.searched = self.whole = self.states = self.transitions = self.depth = 0
-        self.walks = self.choices = 0
+        self.dives = self.dived = self.walks = self.choices = 0
         self.faults = {}
         self.answers = {}
         self.breached = []
--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -9,7 +9,14 @@
 from linkhaven.register.rejoin import Rejoin
 from linkhaven.schema import Trouble
 from linkhaven.stage.explore.cases import RACE, core_cases
-from linkhaven.stage.explore.report import replay_file, walk_seed, write_course
+from linkhaven.stage.explore.report import (
+    Totals,
+    dive_case,
+    replay_file,
+    search_case,
+    walk_seed,
+    write_course,
+)
 from linkhaven.stage.explore.run import play_course
 from linkhaven.stage.explore.search import dive, search
 from linkhaven.stage.explore.shrink import shorten
@@ -237,3 +244,13 @@
     breach = replay_file(path, told.append)
     assert breach.rule == "no order refused that was taken"
     assert len(told) == len(course) == len(json.loads(path.read_text())["course"])
+
+
+def test_the_report_sums_searches_dives_and_walks():
+    totals = Totals()
+    for record in (search_case("one order", 50), dive_case("race", 3, 1), walk_seed(1, steps=50)):
+        totals.add(record)
+    summed = totals.as_record()
+    assert (summed["searched"], summed["states"], summed["whole"]) == (1, 50, 0)
+    assert (summed["dives"], summed["walks"], summed["breached"]) == (3, 1, [])
+    assert summed["dived"] and summed["choices"] >= 50
