Asks: a small fleet's seats are told all, as before; reports ride with the next change; exact ratios

An unchanged report is told beside the next change and is none itself, as with whole lists before. Test changed: test_roster_changes' test of the second's refresh, which is gone, is one of that.

--- a/packages/plan/src/linkhaven/plan/pace.py
+++ b/packages/plan/src/linkhaven/plan/pace.py
@@ -29,7 +29,11 @@
                 self.told_us.pop((part, seat), None)
 
     def is_teller(self, seat, part, now_us):
-        """Whether this seat told the part lately; any seat may be the one while none did."""
+        """Whether this seat told the part lately; any seat may be the one while none did.
+
+        A small fleet tells every seat all, so that a new holder of a duty has it at once."""
+        if self.count_routers() <= SMALL_FLEET:
+            return True
         tellers = [
             other
             for (name, other), told_us in self.told_us.items()
--- a/packages/registry/src/linkhaven/registry/changes.py
+++ b/packages/registry/src/linkhaven/registry/changes.py
@@ -1,7 +1,6 @@
 """Differences of the list of runners: which serial of the list last changed each runner."""
 
 FIGURES = frozenset(("queued", "running", "kv_used", "kv_total", "age_us"))
-REFRESH_US = 1_000_000
 GONE_MOST = 256
 
 
@@ -16,7 +15,7 @@
 class RosterChanges:
     """The serials at which each runner's record, its figures and its place last changed."""
 
-    __slots__ = ("whole", "records", "figures", "refreshed_us", "gone", "newest")
+    __slots__ = ("whole", "records", "figures", "gone", "newest")
 
     def __init__(self):
         """Nothing is known yet: no difference can be told."""
@@ -27,7 +26,6 @@
         self.whole = self.newest = serial
         self.records = {}
         self.figures = {}
-        self.refreshed_us = {}
         self.gone = {}
 
     def is_known(self, held, serial):
@@ -49,7 +47,7 @@
         for name in runners:
             self.gone.pop(name, None)
         for name in [name for name in before if name not in runners]:
-            for table in (self.records, self.figures, self.refreshed_us):
+            for table in (self.records, self.figures):
                 table.pop(name, None)
             self.gone[name] = self.newest = serial
             is_changed = True
@@ -64,20 +62,16 @@
             del self.gone[name]
             self.whole = max(self.whole, serial)
 
-    def note_report(self, before, runner, serial, now_us):
-        """A report that says what the one before said is told again now and then, for its age."""
+    def note_report(self, before, runner, serial):
+        """Compares a report with the one before it; tells whether anything changed.
+
+        One that says nothing new is told beside the next change, for its age."""
         after = runner.as_record(0)
+        self.figures[runner.name] = serial
         if before is None or _standing(before) != _standing(after):
             self.note_record(runner.name, serial)
-        elif (
-            _figures(before) != _figures(after)
-            or now_us - self.refreshed_us.get(runner.name, 0) >= REFRESH_US
-        ):
-            self.figures[runner.name] = serial
-        else:
-            return False
-        self.refreshed_us[runner.name] = now_us
-        return True
+            return True
+        return _figures(before) != _figures(after)
 
     def since(self, held, runners, now_us):
         """For a router that holds this serial: whole records, figures and names that are gone."""
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -267,7 +267,7 @@
             self._mark_leaving(runner)
         self._hear_alive(runner, now_us)
         self.serial += 1
-        if self.changes.note_report(before, runner, self.serial, now_us):
+        if self.changes.note_report(before, runner, self.serial):
             self.changed = self.serial
 
     def _hear_alive(self, runner, seen_us):
--- a/tests/test_ask_pace.py
+++ b/tests/test_ask_pace.py
@@ -42,6 +42,12 @@
     assert pace.hold_us("c", True, 0) == LONGEST_US
 
 
+def test_a_small_fleet_tells_every_seat_all():
+    pace = pace_of(SMALL_FLEET)
+    pace.note_news("a", {"roster": {}}, PARTS, 0)
+    assert all(pace.is_teller(seat, "roster", 0) for seat in "abc")
+
+
 def test_while_no_seat_tells_a_part_any_may():
     pace = pace_of(80)
     assert all(pace.is_teller(seat, "roster", 0) for seat in "abc")
--- a/tests/test_outstanding.py
+++ b/tests/test_outstanding.py
@@ -101,3 +101,15 @@
     assert demand.total == 8.5
     demand.forget_quiet(SECOND + LEASE_US)
     assert (demand.total, demand.told) == (0.0, {})
+
+
+def test_demand_that_falls_to_nothing_keeps_its_ratios():
+    dice = random.Random(3)
+    demand, told = Demand(5 * SECOND), {}
+    for step in range(4_000):
+        router = f"router-{dice.randrange(7)}"
+        amount = 0.0 if step > 3_900 else dice.random() * 1e6 * 0.98**step
+        told[router] = amount
+        demand.note(router, amount, SECOND)
+        assert demand.total == pytest.approx(sum(told.values()), rel=1e-6, abs=0)
+    assert demand.total == 0.0
