Test: the ring's standing speaks in typed messages, as the ring now does

Cause: test_ring_standing's stand-in of a node spoke maps; since the ring's typed messages all 11 of its tests ended with an AttributeError. The same assertions, by typed messages.

--- a/tests/test_ring_standing.py
+++ b/tests/test_ring_standing.py
@@ -3,12 +3,18 @@
 from types import SimpleNamespace
 
 import pytest
+from msgspec.structs import replace
 
 from linkhaven.ring import Ring
+from linkhaven.ring.messages import Bye, Doubt, Hello, MemberRecord, Members, Verdict
 
 NAMES = [f"router-{place}" for place in range(1, 8)]
 
 
+def of(sender, message):
+    return replace(message, sender=sender, reply_to=sender)
+
+
 class Net:
     """Rings that hear each other at once, and what was said."""
 
@@ -19,17 +25,19 @@
         for name in names:
             self.rings[name] = self._ring(name)
         for ring in self.rings.values():
-            ring.hear_members({"name": "seed", "back": "seed", "fellows": self._records()})
+            ring.on_members(of("seed", Members(self._records())))
             for other in self.rings.values():
-                ring.hear_hello({"fellow": other.me.as_record(), "back": "nobody"})
+                ring.on_hello(of("nobody", Hello(other.me.as_member())))
         self.said.clear()
 
     def _ring(self, name):
-        def tell(address, say, **facts):
-            self.said.append((name, address, say))
+        def send(address, message):
+            self.said.append((name, address, type(message).__struct_config__.tag))
             ring = self.rings.get(address)
             if ring is not None:
-                ring.node.hearers[say]({**facts, "name": name, "back": name})
+                ring.node.handlers[type(message)](of(name, message))
+
+        handlers = {}
 
         dice = SimpleNamespace(randrange=lambda most: 0)
         ports = SimpleNamespace(
@@ -41,18 +49,19 @@
             name=name,
             address=name,
             ports=ports,
-            hearers={},
+            handlers=handlers,
+            on_message=handlers.__setitem__,
             systems=[],
             on_late=[],
             on_hear=[],
             now_us=lambda: self.now_us,
-            tell=tell,
+            send=send,
             terms=SimpleNamespace(beat_us=250_000, missed_us=1_000_000),
         )
         return Ring(node, "router", "north", [], 1)
 
     def _records(self):
-        return [ring.me.as_record() for ring in self.rings.values()]
+        return [ring.me.as_member() for ring in self.rings.values()]
 
     def says(self, say):
         return [one for one in self.said if one[2] == say]
@@ -62,7 +71,7 @@
     """The viewer heard the verdict of all watchers, and none of the withdrawals."""
     ring = net.rings[viewer]
     for watcher in ring.watchers_of(about):
-        ring.hear_verdict({"name": watcher, "about": about, "incarnation": 1, "is_down": True})
+        ring.on_verdict(of(watcher, Verdict(about, 1, True)))
     assert not ring.fellows[about].is_up
 
 
@@ -102,7 +111,7 @@
         name for name in NAMES if name != about and name not in ring.watchers_of(about)
     )
     net.rings[bystander].fellows[about].verdicts[bystander] = True
-    net.rings[bystander].hear_doubt({"about": about, "incarnation": 1, "back": NAMES[0]})
+    net.rings[bystander].on_doubt(of(NAMES[0], Doubt(about, 1)))
     assert ring.fellows[about].verdicts[bystander] is False
 
 
@@ -112,8 +121,8 @@
     first.gossips = 1
     first._tell_list(second.me)
     assert [say for _, _, say in net.said] == ["digest"]
-    record = ["router-9", 1, "router-9", "router", "south", "", 0, 0, True]
-    second.hear_members({"name": "router-9", "back": "router-9", "fellows": [record]})
+    record = MemberRecord("router-9", 1, "router-9", "router", "south", "", 0, 0, True)
+    second.on_members(of("router-9", Members([record])))
     net.said.clear()
     first._tell_list(second.me)
     assert [say for _, _, say in net.said] == ["digest", "members", "members"]
@@ -139,13 +148,13 @@
     if change == "down":
         hold_down(net, NAMES[0], about)
     elif change == "bye":
-        ring.hear_bye({"name": about})
+        ring.on_bye(of(about, Bye()))
     elif change == "new":
-        record = ["router-9", 1, "router-9", "router", "south", "", 0, 0, True]
-        ring.hear_members({"name": "router-9", "back": "router-9", "fellows": [record]})
+        record = MemberRecord("router-9", 1, "router-9", "router", "south", "", 0, 0, True)
+        ring.on_members(of("router-9", Members([record])))
     elif change == "new start":
-        record = [about, 2, "router-22", "registry", "south", "a", 7, 0, True]
-        ring.hear_members({"name": about, "back": about, "fellows": [record]})
+        record = MemberRecord(about, 2, "router-22", "registry", "south", "a", 7, 0, True)
+        ring.on_members(of(about, Members([record])))
         assert ring.seats() == {"a": ("router-22", 7)}
     elif change == "seat":
         ring.sit("b", 3)
