--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -1,21 +1,23 @@
+"""Attempts of requests at runners, and what follows when one fails."""
+
 from linkhaven.pairing import NO_BOUND_US, Work
 from linkhaven.runner.roster import DECODE, PREFILL
 from linkhaven.schema import Trouble
 
 from . import request as states
+from .relay import Relay
+from .silence import SilenceWatch
 
 FAILED_HAND_OVERS = {"handle_lapsed", "handle_foreign", "hand_over_failed"}
-QUIET_US = 4_000_000
-DARK_QUIET_US = 1_000_000
-SILENT_US = 600_000
-LOOK_US = 50_000
+GONE = {"runner_leaving", "incarnation_other"}
+FULL = {"runner_full", "connections_taken"}
 TURNED_AWAY = FAILED_HAND_OVERS | {"runner_full", "runner_leaving", "phase_wrong"}
 
 
 class Attempts:
     """Attempts of requests at runners: the read, the hand-over, the decode, and what follows when one fails."""
 
-    __slots__ = ("node", "pairing", "desk", "roster", "extra", "looked_us")
+    __slots__ = ("node", "pairing", "desk", "roster", "extra", "silence")
 
     def __init__(self, node, pairing, desk, roster, extra):
         self.node = node
@@ -23,7 +25,7 @@
         self.desk = desk
         self.roster = roster
         self.extra = extra
-        self.looked_us = 0
+        self.silence = SilenceWatch(self)
         node.systems.append(self.tick)
 
     def begin(self, request):
@@ -62,24 +64,26 @@
         why = self._exception_for(request, decision, now_us)
         if why is None:
             return False
+        return self._begin_anyway(request, work, ttft_us, why, now_us)
+
+    def _begin_anyway(self, request, work, ttft_us, why, now_us):
+        """Places what no runner can answer in time, or ends it at once where it has no prospect."""
         decision = self.pairing.choose_anyway(work, ttft_us, why)
         if decision.winner is None:
             return False
-        if self._is_hopeless(request, decision, now_us):
-            request.decisions.append(decision)
-            self.node.end_in_trouble(
-                request,
-                Trouble(
-                    "no_runner",
-                    retry_us=self._room_us(decision, ttft_us),
-                    why=decision.exception,
-                    soonest_us=min(candidate.total_us for candidate in decision.candidates),
-                    has_memory=any(candidate.has_memory for candidate in decision.candidates),
-                ),
-            )
-            return False
-        self._place(request, decision)
-        return True
+        if not self._is_hopeless(request, decision, now_us):
+            self._place(request, decision)
+            return True
+        request.decisions.append(decision)
+        trouble = Trouble(
+            "no_runner",
+            retry_us=self._room_us(decision, ttft_us),
+            why=decision.exception,
+            soonest_us=min(candidate.total_us for candidate in decision.candidates),
+            has_memory=any(candidate.has_memory for candidate in decision.candidates),
+        )
+        self.node.end_in_trouble(request, trouble)
+        return False
 
     def work_of(self, request):
         return Work(request.prompt_tokens, request.parts, request.pool)
@@ -208,43 +212,56 @@
         request.handle = None
 
     def fail(self, request, runner, trouble, has_begun):
+        """An attempt is over without an answer: ends the request, or tries it again.
+
+        `has_begun` says whether bytes of it may have reached the runner. Work that may run once only
+        and may have begun is never sent again. Test: `forget_what_was_begun` in the model test.
+        """
         if trouble.code in FAILED_HAND_OVERS and request.handle:
             self.pairing.shun(request.handle[1])
         self.leave_runner(request)
-        now_us = self.node.now_us()
-        request.note(
-            now_us, "failed", runner=runner.name, code=trouble.code, number=request.attempts
-        )
+        self._note_failed(request, runner, trouble, has_begun)
+        self._tell_of_runner(runner, trouble, has_begun)
+        if not has_begun or trouble.done == "no":
+            self._take_back_begun(request)
+        if not self.may_be_repeated(request):
+            return self.node.end_in_trouble(request, self._unknown(trouble))
+        if trouble.code == "run_unknown":
+            return self.node.end_in_trouble(request, self._run_unknown(request, trouble))
+        if not request.written:
+            request.run = None
+        request.state = states.PARKED
+        self._retry(request, trouble)
+
+    def _note_failed(self, request, runner, trouble, has_begun):
+        now_us, code = self.node.now_us(), trouble.code
+        request.note(now_us, "failed", runner=runner.name, code=code, number=request.attempts)
         request.failed.append(runner.name)
         self.node.ports.log(
-            2106, request=request.id, runner=runner.name, code=trouble.code, has_begun=has_begun
+            2106, request=request.id, runner=runner.name, code=code, has_begun=has_begun
         )
+
+    def _tell_of_runner(self, runner, trouble, has_begun):
+        """What the failure says of the runner, for all later choices."""
+        code = trouble.code
         if not has_begun:
             self.roster.note_dark(runner)
-        elif trouble.code in TURNED_AWAY:
+        elif code in TURNED_AWAY:
             self.roster.note_alive(runner)
-        if trouble.code in ("runner_leaving", "incarnation_other"):
+        if code in GONE:
             self.roster.note_leaving(runner)
-        if trouble.code == "phase_wrong" and not self.desk.reads_are_runs:
+        if code == "phase_wrong" and not self.desk.reads_are_runs:
             runner.is_switching = True
-        if trouble.code in ("runner_full", "connections_taken"):
+        if code in FULL:
             self.pairing.note_turned_away(runner)
-        if trouble.code == "mark_old":
+        if code == "mark_old":
             self.node.image.hear_mark(trouble.detail.get("mark", 0))
-        is_untouched = not has_begun or trouble.done == "no"
+
+    def _take_back_begun(self, request):
+        """This attempt did not run; whether an earlier one may have is kept."""
         had_read = any(step["step"] == "hand-over" for step in request.steps)
-        if is_untouched and not request.written and not (had_read and self.desk.reads_are_runs):
+        if not request.written and not (had_read and self.desk.reads_are_runs):
             request.has_begun = request.had_begun
-        if request.is_one_time and request.has_begun:
-            return self.node.end_in_trouble(request, self._unknown(trouble))
-        if request.written and not request.is_resumable:
-            return self.node.end_in_trouble(request, self._unknown(trouble))
-        if trouble.code == "run_unknown":
-            return self.node.end_in_trouble(request, self._run_unknown(request, trouble))
-        if not request.written:
-            request.run = None
-        request.state = states.PARKED
-        self._retry(request, trouble)
 
     def _unknown(self, trouble):
         return (
@@ -262,33 +279,40 @@
             return self._park(request, lambda request: self._retry(request, trouble))
         request.parked = None
         if request.run or not request.prompt_tokens:
-            if not self._may_try_again(request, 1):
-                return self.node.end_in_trouble(request, self._spent(request, trouble))
-            runner = self.pairing.choose_decode(
-                without=request.failed, pool=request.pool
-            ) or self.pairing.choose_decode(pool=request.pool)
-            if runner is None:
-                return self.node.end_in_trouble(request, self._spent(request, trouble))
-            self.node.ports.log(
-                2104, request=request.id, why=trouble.code, shot=request.attempts + 1
-            )
-            return self._start(request, runner)
+            return self._decode_again(request, trouble)
+        self._read_again(request, trouble)
+
+    def _decode_again(self, request, trouble):
+        if not self._may_try_again(request, 1):
+            return self.node.end_in_trouble(request, self._spent(request, trouble))
+        runner = self.pairing.choose_decode(
+            without=request.failed, pool=request.pool
+        ) or self.pairing.choose_decode(pool=request.pool)
+        if runner is None:
+            return self.node.end_in_trouble(request, self._spent(request, trouble))
+        self._log_retry(request, trouble)
+        self._start(request, runner)
+
+    def _read_again(self, request, trouble):
         work, ttft_us = self.work_of(request), request.kind["ttft_us"]
         decision = self.pairing.choose_anyway(work, ttft_us, "retry", request.failed)
         if decision.winner is None:
             decision = self.pairing.choose_anyway(work, ttft_us, "retry")
         if decision.winner is None:
             return self.node.end_in_trouble(request, self._spent(request, trouble))
-        is_read_again = (
+        is_second_read = (
             decision.winner.runner.phase == PREFILL
             and request.reads > 0
             and not self.desk.reads_are_runs
         )
-        if not self._may_try_again(request, 2 if is_read_again else 1):
+        if not self._may_try_again(request, 2 if is_second_read else 1):
             return self.node.end_in_trouble(request, self._spent(request, trouble))
-        self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
+        self._log_retry(request, trouble)
         self._place(request, decision)
 
+    def _log_retry(self, request, trouble):
+        self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
+
     def try_elsewhere(self, request, runner, status):
         """The runner answered that it failed; answers whether another attempt was begun."""
         others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
@@ -333,191 +357,42 @@
         return True
 
     def tick(self, now_us):
-        if now_us - self.looked_us >= LOOK_US:
-            self.looked_us = now_us
-            self._note_silent(now_us)
+        """Goes on with what was parked, and gives up what will hear nothing more."""
+        self.silence.look(now_us)
         for request in self.node.requests.rows():
             if request.parked and self.node.may_start():
                 request.parked(request)
-            elif self._is_lost(request, now_us):
-                self.fail(
-                    request, request.runner, Trouble("runner_lost", why="its runner is dark"), True
-                )
-            elif request.state == states.DECODING and self._is_quiet(request, now_us):
-                runner = request.runner
-                self.roster.note_dark(runner)
-                self.fail(request, runner, Trouble("runner_lost", why="no progress"), True)
-            elif (
-                request.state == states.READING
-                and not request.parked
-                and self._is_read_quiet(request, now_us)
-            ):
-                runner = request.runner
-                self.roster.note_dark(runner)
-                self.fail(
-                    request, runner, Trouble("runner_lost", why="no answer to the read"), True
-                )
-
-    def _is_waiting(self, request):
-        """Whether bytes of its runner are due."""
-        return (
-            request.state in (states.READING, states.DECODING)
-            and not request.parked
-            and not request.is_held
-        )
-
-    def _note_silent(self, now_us):
-        """A runner that owes answers, and from which no byte came for longer than its reads should take."""
-        owing = {}
-        for request in self.node.requests.rows():
-            if self._is_waiting(request):
-                sent_us = owing.get(request.runner, now_us)
-                owing[request.runner] = min(sent_us, request.progress_us)
-        for runner, sent_us in owing.items():
-            quiet_us = now_us - max(sent_us, runner.alive_us or 0)
-            if quiet_us > SILENT_US and quiet_us > SILENT_US + self.pairing.estimator.read_us(
-                self.pairing.queued_tokens(runner), runner
-            ):
-                self.roster.note_silent(runner)
-
-    def _is_lost(self, request, now_us):
-        """Its runner is dark and sent nothing for a moment, to this request or another; and it can go on elsewhere."""
-        runner = request.runner
-        if runner is None or not runner.is_dark or not self._is_waiting(request):
-            return False
-        if now_us - max(request.progress_us, runner.alive_us or 0) < DARK_QUIET_US:
+                continue
+            why = self.silence.why_given_up(request, now_us)
+            if why is not None:
+                self.fail(request, request.runner, Trouble("runner_lost", why=why), True)
+
+    def may_go_on_elsewhere(self, request):
+        """Whether another attempt is allowed, paid for, and has a runner to go to."""
+        if not self.may_be_repeated(request):
             return False
-        if (
-            request.written
-            and not request.is_resumable
-            or request.is_one_time
-            and request.has_begun
-        ):
-            return False
-        is_read_again = (
-            request.prompt_tokens
-            and not request.written
-            and request.reads > 0
-            and not self.desk.reads_are_runs
-        )
-        cost = 2 if is_read_again else 1
+        cost = 2 if self.is_read_again(request) else 1
         if (
             not self.node.may_start()
             or not self.extra.has(cost, request.pool)
             or not self._has_attempts(request, cost)
         ):
             return False
+        runner = request.runner
         others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
         return any(other.phase == DECODE for other in others)
 
-    def _is_quiet(self, request, now_us):
-        if request.is_held:
+    def may_be_repeated(self, request):
+        """Whether another attempt could neither run one-time work twice nor break a stream."""
+        if request.written and not request.is_resumable:
             return False
-        patience_us = QUIET_US
-        if request.first_us is None or request.attempts > 1:
-            patience_us += 2 * self.pairing.estimator.read_us(request.prompt_tokens, request.runner)
-        return now_us - request.progress_us > patience_us and self._is_suspect(
-            request.runner, now_us
-        )
-
-    def _is_read_quiet(self, request, now_us):
-        predicted_us = self.pairing.estimator.read_us(
-            self.pairing.queued_tokens(request.runner), request.runner
-        )
-        return now_us - request.progress_us > QUIET_US + 2 * predicted_us and self._is_suspect(
-            request.runner, now_us
-        )
-
-    def _is_suspect(self, runner, now_us):
-        is_reporting = runner.reported_us is not None and now_us - runner.reported_us < QUIET_US
-        return runner.is_dark or not is_reporting
-
+        return not (request.is_one_time and request.has_begun)
 
-class Relay:
-    """Checks run and number of each piece and hands it to the caller; nothing is patched over."""
-
-    __slots__ = ("attempts", "request", "runner", "attempt", "is_handed")
-
-    def __init__(self, attempts, request, runner):
-        self.attempts = attempts
-        self.request = request
-        self.runner = runner
-        self.attempt = request.attempt
-        self.is_handed = request.handle is not None
-
-    def is_over(self):
-        return self.request.attempt != self.attempt or self.request.state != states.DECODING
-
-    def on_begin(self, run, after, head=None):
-        if self.is_over():
-            return
-        self.attempts.roster.note_alive(self.runner)
-        request, now_us, pairing = self.request, self.attempts.node.now_us(), self.attempts.pairing
-        if request.handle:
-            pairing.note_begin(
-                request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us
-            )
-            pairing.note_hand_over(request.handle[1])
-            request.handle = None
-        request.progress_us = now_us
-        if request.run is None:
-            request.run = run
-        if not request.call.is_begun:
-            request.head = head
-        is_same_run = request.run == run or self.attempts.desk.joins_runs
-        if not run or not is_same_run or after != request.written:
-            self._break("another run or place than asked for")
-
-    def _break(self, why):
-        self.request.part.abandon()
-        self.attempts.node.end_in_trouble(self.request, Trouble("stream_broken", why=why))
-
-    def on_piece(self, piece):
-        if self.is_over():
-            return
-        request, node = self.request, self.attempts.node
-        if not self.attempts.desk.follows(request, piece):
-            return self._break("a gap, a repeat or a foreign run")
-        now_us = node.now_us()
-        request.progress_us = now_us
-        self.attempts.roster.note_alive(self.runner)
-        self.attempts.pairing.end_read(
-            self.runner, self.attempt, is_seen=self.runner.phase == DECODE and not self.is_handed
-        )
-        tokens = piece.document.get("tokens", 1)
-        if not isinstance(tokens, int) or tokens < 0:
-            return self._break("a piece without its tokens")
-        self.attempts.pairing.grow_decode(self.runner, self.attempt, tokens)
-        node.relay_piece(request, piece, tokens, now_us)
-
-    def on_done(self, piece):
-        if self.is_over():
-            return
-        if piece is not None and piece.document.get("count") != self.request.written:
-            return self._break("an end that does not count the pieces")
-        self.attempts.leave_runner(self.request)
-        self.attempts.node.end_done(self.request)
-
-    def on_answer(self, status, headers, body):
-        """A whole answer that isn't a stream: another attempt may do better, else it is the caller's."""
-        if self.is_over():
-            return
-        self.attempts.roster.note_alive(self.runner)
-        request = self.request
-        if (
-            status >= 500
-            and not request.is_one_time
+    def is_read_again(self, request):
+        """Whether a further attempt would read the prompt a second time, which counts as a send."""
+        return bool(
+            request.prompt_tokens
             and not request.written
-            and self.attempts.try_elsewhere(request, self.runner, status)
-        ):
-            return
-        self.attempts.leave_runner(request)
-        self.attempts.node.end_answered(request, status, headers, body)
-
-    def on_trouble(self, trouble, has_begun):
-        if self.is_over():
-            return
-        if trouble.code == "stream_broken":
-            self.attempts.leave_runner(self.request)
-            return self.attempts.node.end_in_trouble(self.request, trouble)
-        self.attempts.fail(self.request, self.runner, trouble, has_begun)
+            and request.reads > 0
+            and not self.desk.reads_are_runs
+        )
--- /dev/null
+++ b/packages/router/src/linkhaven/router/relay.py
@@ -0,0 +1,98 @@
+"""What a runner's answer means for its request, while the attempt that asked for it lasts."""
+
+from linkhaven.runner.roster import DECODE
+from linkhaven.schema import Trouble
+
+from . import request as states
+
+FAILURES = 500
+
+
+class Relay:
+    """Checks run and number of each piece and hands it to the caller; nothing is patched over."""
+
+    __slots__ = ("attempts", "request", "runner", "attempt", "is_handed")
+
+    def __init__(self, attempts, request, runner):
+        self.attempts = attempts
+        self.request = request
+        self.runner = runner
+        self.attempt = request.attempt
+        self.is_handed = request.handle is not None
+
+    def is_over(self):
+        return self.request.attempt != self.attempt or self.request.state != states.DECODING
+
+    def on_begin(self, run, after, head=None):
+        if self.is_over():
+            return
+        self.attempts.roster.note_alive(self.runner)
+        request, now_us, pairing = self.request, self.attempts.node.now_us(), self.attempts.pairing
+        if request.handle:
+            pairing.note_begin(
+                request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us
+            )
+            pairing.note_hand_over(request.handle[1])
+            request.handle = None
+        request.progress_us = now_us
+        if request.run is None:
+            request.run = run
+        if not request.call.is_begun:
+            request.head = head
+        is_same_run = request.run == run or self.attempts.desk.joins_runs
+        if not run or not is_same_run or after != request.written:
+            self._break("another run or place than asked for")
+
+    def _break(self, why):
+        self.request.part.abandon()
+        self.attempts.node.end_in_trouble(self.request, Trouble("stream_broken", why=why))
+
+    def on_piece(self, piece):
+        if self.is_over():
+            return
+        request, node = self.request, self.attempts.node
+        if not self.attempts.desk.follows(request, piece):
+            return self._break("a gap, a repeat or a foreign run")
+        now_us = node.now_us()
+        request.progress_us = now_us
+        self.attempts.roster.note_alive(self.runner)
+        self.attempts.pairing.end_read(
+            self.runner, self.attempt, is_seen=self.runner.phase == DECODE and not self.is_handed
+        )
+        tokens = piece.document.get("tokens", 1)
+        if not isinstance(tokens, int) or tokens < 0:
+            return self._break("a piece without its tokens")
+        self.attempts.pairing.grow_decode(self.runner, self.attempt, tokens)
+        node.relay_piece(request, piece, tokens, now_us)
+
+    def on_done(self, piece):
+        if self.is_over():
+            return
+        if piece is not None and piece.document.get("count") != self.request.written:
+            return self._break("an end that does not count the pieces")
+        self.attempts.leave_runner(self.request)
+        self.attempts.node.end_done(self.request)
+
+    def on_answer(self, status, headers, body):
+        """A whole answer that isn't a stream: another attempt may do better, else it is the caller's."""
+        if self.is_over():
+            return
+        self.attempts.roster.note_alive(self.runner)
+        request = self.request
+        if (
+            status >= FAILURES
+            and not request.is_one_time
+            and not request.written
+            and self.attempts.try_elsewhere(request, self.runner, status)
+        ):
+            return
+        self.attempts.leave_runner(request)
+        self.attempts.node.end_answered(request, status, headers, body)
+
+    def on_trouble(self, trouble, has_begun):
+        if self.is_over():
+            return
+        if trouble.code == "stream_broken":
+            self.attempts.leave_runner(self.request)
+            return self.attempts.node.end_in_trouble(self.request, trouble)
+        self.attempts.fail(self.request, self.runner, trouble, has_begun)
--- a/tests/test_resumed_head.py
+++ b/tests/test_resumed_head.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from linkhaven.router.attempts import Relay
+from linkhaven.router.relay import Relay
 from linkhaven.router.request import DECODING, Request
 
 FIRST, SECOND = (200, {"seal": "first"}), (200, {"seal": "second"})
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -11,7 +11,8 @@
 from linkhaven.register.seat import REJOINING
 from linkhaven.registry.gate import KeyGate
 from linkhaven.registry.keeper import RosterKeeper
-from linkhaven.router.attempts import Attempts, Relay
+from linkhaven.router.attempts import Attempts
+from linkhaven.router.relay import Relay
 from linkhaven.router.chain import Chain
 from linkhaven.router.keys import Keys
 from linkhaven.router.request import Request
