--- a/packages/ring/src/linkhaven/ring/messages.py
+++ b/packages/ring/src/linkhaven/ring/messages.py
@@ -72,7 +72,7 @@
 
 
 class Doubt(Message, tag="doubt", frozen=True):
-    """Asks a watcher to say its verdict again: the sender heard of a member that is up elsewhere."""
+    """Asks a watcher for its verdict again: another holds up whom the sender holds down."""
 
     about: str
     incarnation: int
--- a/tests/test_linearizability.py
+++ b/tests/test_linearizability.py
@@ -1,4 +1,4 @@
-"""The checker over histories of orders and reads: those that one register could have given, and others."""
+"""The checker over histories of orders and reads: what one register could have given, and not."""
 
 import random
 
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -12,9 +12,9 @@
 from linkhaven.registry.gate import KeyGate
 from linkhaven.registry.keeper import RosterKeeper
 from linkhaven.router.attempts import Attempts
-from linkhaven.router.relay import Relay
 from linkhaven.router.chain import Chain
 from linkhaven.router.keys import Keys
+from linkhaven.router.relay import Relay
 from linkhaven.router.request import Request
 from linkhaven.runner import Roster, RunnerDesk
 from linkhaven.stage.fleet import LICENSING, SimFleet
