Sight: which runners the list names, and what a refusal for want of a runner met

Cause: the incident's logs couldn't tell whether runners were missing from the list or not seen, nor what stood in a runner's queue when requests were refused. Before: only 'runner is leaving'; a request that ended in trouble had no times. After: events 1604 to 1606 (listed, gone, plays another part) where the list is kept, 2107 at routers every 2 s while they refuse for want of a runner, times in 2102. Conclusion: no logic changed; hypotheses can be told apart.

--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -190,6 +190,9 @@
                 runner = self.runners[name] = Runner(
                     name, record["address"], record["zone"], incarnation
                 )
+                self.node.ports.log(
+                    1604, runner=name, phase=record.get("phase"), zone=record["zone"]
+                )
                 self._ask_report(runner, sent_us)
             if incarnation in (ANY_INCARNATION, runner.incarnation):
                 runner.address = record["address"]
@@ -202,6 +205,7 @@
             runner.is_listed = runner.name in listed
         for name in [runner.name for runner in self.runners.values() if not runner.is_listed]:
             self.runners.drop(name)
+            self.node.ports.log(1605, runner=name)
         for name in [name for name in self.heard_us if name not in listed]:
             del self.heard_us[name]
             self.owed_us.pop(name, None)
@@ -262,7 +266,10 @@
                 runner.name, runner.address, runner.zone, report["incarnation"]
             )
         before = runner.as_record(0) if runner.reported_us is not None else None
+        phase_before = runner.phase
         runner.take_report(report, now_us)
+        if runner.phase != phase_before:
+            self.node.ports.log(1606, runner=runner.name, phase=runner.phase)
         if report["is_leaving"] or (runner.name, runner.incarnation) in self.leaving:
             self._mark_leaving(runner)
         self._hear_alive(runner, now_us)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -14,6 +14,7 @@
 from .explain import Explainer
 from .keys import Keys
 from .native import NativeCallers
+from .refusals import RefusalReport
 from .request import Request
 
 RATE_US = 1_000_000
@@ -64,6 +65,7 @@
         "keys",
         "callers",
         "doors",
+        "refusals",
     )
 
     def __init__(
@@ -100,6 +102,7 @@
         self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.attempts.move)
         self.chain = Filters(self).chain(self.end_in_trouble)
         self.explainer = Explainer(self, self.ring, self.requests)
+        self.refusals = RefusalReport(self, self.roster, self.pairing)
         self.requests_at_most = requests_at_most
         self.is_draining = False
         self.drain_us = None
@@ -376,9 +379,10 @@
             "code": trouble.code,
         }
         if is_refused:
+            self.refusals.note(trouble)
             self.ports.log(2103, **told)
         else:
-            self.ports.log(2102, **told)
+            self.ports.log(2102, **told, **request.times(self.now_us()))
         if is_refused and request.group:
             self.credit.note_refused(request.group)
         if is_refused and request.claim_key:
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -33,6 +33,9 @@
     1601: ("warning", "runner taken for dark"),
     1602: ("info", "runner answers again"),
     1603: ("info", "runner is leaving"),
+    1604: ("info", "runner is on the list"),
+    1605: ("info", "runner is no longer on the list"),
+    1606: ("info", "runner plays another part"),
     2001: ("info", "plan taken"),
     2002: ("warning", "node takes no new work"),
     2003: ("info", "node takes new work"),
@@ -42,4 +45,5 @@
     2104: ("warning", "extra shot"),
     2105: ("info", "stream moved"),
     2106: ("info", "attempt failed"),
+    2107: ("info", "what was refused for want of a runner, and how the runners stood"),
 }
