Placement: what is late anyway keeps room; reads in place by targets where none reads

Cause: a prompt too long for its target at any runner was placed at once, whatever waited there (choose_anyway had no room rule), while all others may join a queue only within the room of the tightest target. On one runner it fills the queue with work that is late, and everything else is refused. Also: a decode runner took a prompt in place only within a quarter of the tightest target, also where no runner was left that only reads. And a request for which no runner was open was held until its caller left. Ruled out: runners missing from the list (event 1604: the others left for good); the return of the core (refusals are the same 13 s before it went down).

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -120,6 +120,7 @@
         "start_us",
         "is_eligible",
         "has_memory",
+        "has_room",
     )
 
     def __init__(
@@ -143,9 +144,8 @@
         self.e_us = e_us
         self.has_memory = True
         self.t_us = t_us
-        leaves_room = (
-            q_us == 0 or q_us + e_us < room_us or is_overdue and q_us < room_us // OVERDUE_PART
-        )
+        self.has_room = q_us == 0 or q_us < room_us // OVERDUE_PART
+        leaves_room = q_us == 0 or q_us + e_us < room_us or is_overdue and self.has_room
         self.is_eligible = self.total_us < ttft_us and leaves_room
 
     @property
@@ -398,6 +398,7 @@
 
     def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
         candidates, now_us = [], self.node.now_us()
+        in_place_us = self._in_place_bound_us(work.pool)
         fit = self._few(
             [runner for runner in self.open_runners(work.pool) if runner.name not in without], work
         )
@@ -416,13 +417,28 @@
             candidate = Candidate(
                 runner, queued, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue
             )
-            if runner.phase == DECODE and work.pool is not None and q_us + e_us > self.in_place_us:
+            if runner.phase == DECODE and q_us + e_us > in_place_us:
                 candidate.is_eligible = False
             if self.book(runner).would_overtake(unread, now_us):
                 candidate.is_eligible = False
             candidates.append(candidate)
         return candidates
 
+    def _in_place_bound_us(self, pool):
+        """How long queue and reading at a decode runner may take, for a prompt read in place there.
+
+        In a pool, reads in place slow the streams of their runner, so that only short ones go there
+        while other runners read. Where none does, the targets alone bound them (TaiChi, 4.2: any
+        instance may read). Test: `test_the_last_runner_serves_short_prompts_beside_long_ones`.
+        """
+        if pool is None or not self.has_prefill(pool):
+            return NO_BOUND_US
+        return self.in_place_us
+
+    def has_prefill(self, pool=None):
+        """Whether a runner that only reads is open."""
+        return any(runner.phase == PREFILL for runner in self.open_runners(pool))
+
     def _least(self, candidates, worth):
         best = min(worth(candidate) for candidate in candidates)
         ties = [candidate for candidate in candidates if worth(candidate) == best]
@@ -460,18 +476,25 @@
             candidates, self._least(eligible, lambda candidate: self._ahead(candidate, work))
         )
 
-    def choose_anyway(self, work, ttft_us, why, without=()):
-        decision = self.choose(work, ttft_us, without)
-        if decision.winner is not None or not decision.candidates:
+    def choose_anyway(self, work, ttft_us, why, without=(), room_us=NO_BOUND_US):
+        """A runner for what none can answer in time; none where all queues are beyond the room.
+
+        What is late anyway may not make others late: it joins a queue only while that is shorter
+        than a part of `room_us`, the tightest target of the others.
+        """
+        decision = self.choose(work, ttft_us, without, room_us)
+        if decision.winner is not None:
             return decision
-        readers = (
-            [candidate for candidate in decision.candidates if candidate.runner.phase == PREFILL]
-            if work.pool is not None
-            else []
-        )
-        decision.winner = self._least(
-            readers or decision.candidates, lambda candidate: candidate.total_us
-        )
+        readers = [each for each in decision.candidates if each.runner.phase == PREFILL]
+        is_left_to_readers = readers and work.pool is not None
+        fit = [
+            candidate
+            for candidate in (readers if is_left_to_readers else decision.candidates)
+            if candidate.has_room
+        ]
+        if not fit:
+            return decision
+        decision.winner = self._least(fit, lambda candidate: candidate.total_us)
         decision.exception = why
         self.exceptions[why] = self.exceptions.get(why, 0) + 1
         return decision
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -11,6 +11,9 @@
 FAILED_HAND_OVERS = {"handle_lapsed", "handle_foreign", "hand_over_failed"}
 GONE = {"runner_leaving", "incarnation_other"}
 FULL = {"runner_full", "connections_taken"}
+AWAY_US = 1_000_000
+"""When to come back where no runner is open: a switch of parts or a start takes longer."""
+BEYOND_TARGET = "prompt_beyond_target"
 TURNED_AWAY = FAILED_HAND_OVERS | {"runner_full", "runner_leaving", "phase_wrong"}
 
 
@@ -64,22 +67,38 @@
         why = self._exception_for(request, decision, now_us)
         if why is None:
             return False
+        if not decision.candidates:
+            return self._give_up(request, decision, why, retry_us=AWAY_US)
         return self._begin_anyway(request, work, ttft_us, why, now_us)
 
     def _begin_anyway(self, request, work, ttft_us, why, now_us):
-        """Places what no runner can answer in time, or ends it at once where it has no prospect."""
-        decision = self.pairing.choose_anyway(work, ttft_us, why)
+        """Places what no runner can answer in time, or ends it at once where it has no prospect.
+
+        What no runner at all could answer in time waits for room like everything else, as long as
+        anything may be held here: placed at once whatever waits there, the longest prompts would
+        fill the queues and keep out what could be answered in time.
+        """
+        is_bounded = why == BEYOND_TARGET and not self._has_waited_half(request, now_us)
+        room_us = self.node.rooms.get(request.group, NO_BOUND_US) if is_bounded else NO_BOUND_US
+        decision = self.pairing.choose_anyway(work, ttft_us, why, room_us=room_us)
         if decision.winner is None:
-            return False
+            is_held_out = decision.candidates and self._has_waited_its_share(request, now_us)
+            if not is_held_out:
+                return False
+            return self._give_up(request, decision, why, self._room_us(decision, ttft_us))
         if not self._is_hopeless(request, decision, now_us):
             self._place(request, decision)
             return True
+        return self._give_up(request, decision, why, self._room_us(decision, ttft_us))
+
+    def _give_up(self, request, decision, why, retry_us):
+        """The final answer, at once, with when to come back; gives False, as nothing was placed."""
         request.decisions.append(decision)
         trouble = Trouble(
             "no_runner",
-            retry_us=self._room_us(decision, ttft_us),
-            why=decision.exception,
-            soonest_us=min(candidate.total_us for candidate in decision.candidates),
+            retry_us=retry_us,
+            why=why,
+            soonest_us=min((each.total_us for each in decision.candidates), default=None),
             has_memory=any(candidate.has_memory for candidate in decision.candidates),
         )
         self.node.end_in_trouble(request, trouble)
@@ -108,16 +127,29 @@
         return now_us + decision.winner.total_us + answer_us > request.deadline_us
 
     def _exception_for(self, request, decision, now_us):
+        """Why a request that no runner can answer in time is dealt with now; None: it waits on."""
+        has_waited = self._has_waited_its_share(request, now_us)
         if not decision.candidates:
-            return None
-        ttft_us, hold_share = request.kind["ttft_us"], self.node.terms.hold_share
+            return "no_open_runner" if has_waited else None
+        ttft_us = request.kind["ttft_us"]
         if min(candidate.e_us + candidate.t_us for candidate in decision.candidates) >= ttft_us:
-            return "prompt_beyond_target"
-        if hold_share is not None:
-            return "held_its_share" if now_us - request.arrived_us >= ttft_us * hold_share else None
-        if now_us - request.arrived_us >= request.kind["deadline_us"] // 2:
-            return "waited_half_the_deadline"
-        return None
+            return BEYOND_TARGET
+        if self.node.terms.hold_share is not None:
+            return "held_its_share" if has_waited else None
+        return "waited_half_the_deadline" if self._has_waited_half(request, now_us) else None
+
+    def _has_waited_its_share(self, request, now_us):
+        """Whether it was held for as long as the terms let a request be held that isn't placed."""
+        hold_share = self.node.terms.hold_share
+        if hold_share is None:
+            return False
+        return now_us - request.arrived_us >= request.kind["ttft_us"] * hold_share
+
+    def _has_waited_half(self, request, now_us):
+        """Where callers may be held: whether half of the deadline went by in the queue."""
+        if self.node.terms.hold_share is not None:
+            return False
+        return now_us - request.arrived_us >= request.kind["deadline_us"] // 2
 
     def _place(self, request, decision):
         request.decisions.append(decision)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -382,7 +382,7 @@
             self.refusals.note(trouble)
             self.ports.log(2103, **told)
         else:
-            self.ports.log(2102, **told, **request.times(self.now_us()))
+            self.ports.log(2102, **{**request.times(self.now_us()), **told})
         if is_refused and request.group:
             self.credit.note_refused(request.group)
         if is_refused and request.claim_key:
--- a/tests/test_last_runner.py
+++ b/tests/test_last_runner.py
@@ -1,7 +1,7 @@
-"""One runner of a pool is left: what it can serve is served, and no kind of request takes all of it.
+"""One runner of a pool is left: what it can serve is served, and no kind takes all of it.
 
-The users' incident RECOVER (docs/incidents/inc1-recover.md): four of five runners left in order, and
-of what the last one could read in time next to nothing was served.
+The users' incident RECOVER (docs/incidents/inc1-recover.md): four of five runners left in order,
+and of what the last one could read in time next to nothing was served.
 """
 
 import pytest
@@ -96,7 +96,7 @@
 
 
 def served_by_kind(one, since_us):
-    """Of what was asked since then, the share that was served in full, by kind; first tries only."""
+    """Of what was asked since then, the share that was served in full, by kind."""
     shares = {}
     for name in POOLED.kinds:
         asked = [
