--- /dev/null
+++ b/tests/pooled_fleet.py
@@ -0,0 +1,103 @@
+"""A simulated fleet of one pool, with the terms of the users' platform, for tests of placement."""
+
+from linkhaven.clockwork import Terms
+from linkhaven.router import RouterNode
+from linkhaven.stage.fleet import SECOND, Deployment, SimFleet
+from linkhaven.stage.standins import Speeds
+
+POOL = "models"
+SLOTS = 64
+LAST = "runner-5"
+
+
+def kind(group, ttft_s, deadline_s):
+    return {
+        "group": group,
+        "ttft_us": int(ttft_s * SECOND),
+        "tpot_us": 300_000,
+        "deadline_us": int(deadline_s * SECOND),
+        "prompt_tokens": 60_000,
+        "answer_tokens": 800,
+        "pools": [{"pool": POOL, "weight": 1}],
+    }
+
+
+def uncapped():
+    return {"weight": 1.0}
+
+
+POOLED = Deployment(
+    "pooled",
+    ("north", "south", "west"),
+    7,
+    5,
+    3,
+    {"digests": uncapped(), "questions": uncapped(), "checks": uncapped()},
+    {
+        "digest": kind("digests", 0.8, 8),
+        "question": kind("questions", 0.8, 8),
+        "check": kind("checks", 1.5, 2.5),
+    },
+    {
+        "digest": (0.23, 14_000, 120),
+        "question": (0.42, 600, 96),
+        "check": (0.35, 1_600, 8),
+    },
+    18.0,
+)
+SPEEDS = Speeds(
+    prefill_rate=48_000,
+    read_base_us=14_000,
+    step_us=2_600,
+    step_each_us=120,
+    kv_bytes=18_000,
+    link_rate=90_000_000_000,
+)
+
+
+class PooledFleet(SimFleet):
+    """Runners of one named pool, and routers that refuse early, as on the users' platform."""
+
+    __slots__ = ()
+
+    def _build_router(self, host, ports):
+        terms = Terms(hold_share=0.2, retry_least_us=100_000, roster_stale_us=None)
+        incarnation = host.wall_us() + host.starts
+        return RouterNode(
+            host.name, host.address, ports, host.zone, self.seeds, incarnation, terms=terms
+        )
+
+    def list_runners(self, at_once=False, **states):
+        super().list_runners(at_once, **states)
+        for record in self.platform.node.history[-1][1].values():
+            record.update(pool=POOL, slots=SLOTS)
+
+
+def fleet(seed, left=1):
+    """A fleet under load of which only the last `left` runners stay, and those decode."""
+    plan = POOLED.plan(pools={POOL: {}})
+    plan["taichi"] = {"prefill_tokens_per_s": 0, "search": False}
+    one = PooledFleet(
+        POOLED, seed, speeds=SPEEDS, plan=plan, runner_given={"kv_total": 403_000}
+    ).start()
+    one.load()
+    one.world.run_for(6 * SECOND)
+    gone = {f"runner_{place}": "gone" for place in range(1, POOLED.runners - left + 1)}
+    one.list_runners(**gone)
+    for name in gone:
+        one.runners[name.replace("_", "-")].kill()
+    return one
+
+
+def served_by_kind(one, since_us):
+    """Of what was asked since then, the share that was served in full, by kind."""
+    shares = {}
+    for name in POOLED.kinds:
+        asked = [
+            each
+            for each in one.caller.node.asked.values()
+            if each.kind == name and each.asked_us >= since_us and each.ended_us is not None
+        ]
+        served = sum(1 for each in asked if each.how == "done")
+        shares[name] = served / max(1, len(asked))
+    return shares
