Credit: standard names, typed reports, the scheduler and the bucket apart

The package read in words of its own (bursar, desk, book, extra shots), and passed bare maps between its classes; most public items had no doc comment. After: QuotaAllocator, AdmissionQueues, GroupAccount, DeficitRoundRobin, RetryBudget, TokenBucket, OutstandingGrants, RouterDemands; reports and grants are types in messages.py, which write the same fields as before; a group of the plan is read into GroupSettings. Importers change only in what they import and call; the check for a later grant and the one for lacking credit moved from the router's node into the package. SHARE_US, which nobody used, is gone. Conclusion: names and structure only.

--- a/packages/credit/src/linkhaven/credit/__init__.py
+++ b/packages/credit/src/linkhaven/credit/__init__.py
@@ -1,5 +1,7 @@
-from .bursar import GRANTS_A_FENCE, SHARE_US, Bursar
-from .desk import CreditDesk
-from .extra import ExtraBudget
+"""Quotas of groups: token buckets, fair queueing, their allocation over routers, and retries."""
 
-__all__ = ["GRANTS_A_FENCE", "SHARE_US", "Bursar", "CreditDesk", "ExtraBudget"]
+from .admission_queues import AdmissionQueues
+from .quota_allocator import GRANT_NUMBERS_PER_FENCE, QuotaAllocator
+from .retry_budget import RetryBudget
+
+__all__ = ["GRANT_NUMBERS_PER_FENCE", "AdmissionQueues", "QuotaAllocator", "RetryBudget"]
--- /dev/null
+++ b/packages/credit/src/linkhaven/credit/quota_allocator.py
@@ -0,0 +1,219 @@
+"""The quota allocator: divides each allowance over the routers while its lease is held.
+
+The lease is on the duty `bursar` of the register. Routers report what they want and hold
+(`DemandReport`); each answer grants rates and a part of the retry budget (`AllocatedShares`).
+"""
+
+from .demand import RouterDemands
+from .grants import OutstandingGrants
+from .group_settings import read_allowance
+from .messages import AllocatedGrant, AllocatedShares, read_demand, write_fields
+from .units import MICROSECONDS
+
+DEMAND_TIMEOUT_US = 5_000_000
+"""A router that wasn't heard for this long wants nothing."""
+
+GRANT_NUMBERS_PER_FENCE = 1_000_000_000
+"""A grant's number is its lease's fence times this, plus a serial."""
+
+RETRY_BUDGET = "retry budget"
+"""Where the retry budget stands among the groups; no group's name has a space."""
+
+UNCLAIMED_INTERVAL_US = 250_000
+"""How often the attempts that no router wants are counted anew."""
+
+ROUNDING_RATIO = 1e-9
+"""This part of an allowance is kept back, so that sums of floats never exceed it."""
+
+EVEN_SHARE = 0.2
+"""The part of an allowance that is divided evenly over the routers."""
+
+DEMAND_SHARE = 0.8
+"""The part of an allowance that is divided in proportion to demand."""
+
+
+class QuotaAllocator:
+    """Divides each group's allowance, and the margin of the retry budget, over the routers.
+
+    Invariant: the grants that may be held never sum above the allowance. A grant counts until it
+    expires or its router reports a later one
+    (`test_shares_granted_from_what_is_left_never_sum_above_the_whole`).
+    """
+
+    __slots__ = (
+        "node",
+        "lease",
+        "image",
+        "elected_us",
+        "grants",
+        "demands",
+        "serial",
+        "unclaimed",
+        "unclaimed_counted_us",
+        "on_won",
+    )
+
+    def __init__(self, node, lease, image):
+        """Allocate under `lease`, by the configuration of which `image` holds a copy."""
+        self.node = node
+        self.lease = lease
+        self.image = image
+        self.elected_us = None
+        self.grants = {}
+        self.demands = {}
+        self.serial = 0
+        self.unclaimed = 0
+        self.unclaimed_counted_us = None
+        self.on_won = lambda: None
+        lease.on_won = self.on_lease_won
+        lease.on_lapsed = self.on_lease_lapsed
+
+    # the lease
+
+    def on_lease_won(self):
+        """Start anew: routers report the grants of earlier holders, or these expire."""
+        self.elected_us = self.node.now_us()
+        self.grants = {}
+        self.demands = {}
+        self.unclaimed_counted_us = None
+        self.on_won()
+
+    def on_lease_lapsed(self):
+        """Grant nothing more."""
+        self.elected_us = None
+
+    def _is_settling(self, now_us):
+        """Whether a router may still hold a grant of an earlier holder that it didn't report."""
+        return self.lease.fence > 1 and now_us - self.elected_us < self.node.terms.lease_us
+
+    # what routers report
+
+    def on_ask(self, ask):
+        """Take the demand reports of a router's question."""
+        if self.elected_us is None:
+            return
+        now_us = self.node.now_us()
+        router = ask["name"]
+        for group, fields in ask.get("credit", {}).items():
+            self._record(group, router, read_demand(fields), now_us)
+        if "extra" in ask:
+            self._record(RETRY_BUDGET, router, read_demand(ask["extra"]), now_us)
+
+    def _record(self, name, router, report, now_us):
+        self._demands_for(name).record(router, report.wanted, now_us)
+        expires_us = now_us + self.node.terms.lease_us
+        grants = self._grants_of(name, now_us)
+        grants.confirm(router, report.grant, report.rate, expires_us, now_us)
+
+    def _demands_for(self, name):
+        demands = self.demands.get(name)
+        if demands is None:
+            demands = self.demands[name] = RouterDemands(DEMAND_TIMEOUT_US)
+        return demands
+
+    def _grants_of(self, name, now_us):
+        grants = self.grants.get(name)
+        if grants is None:
+            grants = self.grants[name] = OutstandingGrants(now_us)
+        return grants
+
+    # what routers are granted
+
+    def add_shares(self, ask, answer):
+        """Add the grants to the answer to a router's question, if the lease is held."""
+        if self.elected_us is None or not self.lease.is_held() or self.image.plan is None:
+            return
+        now_us = self.node.now_us()
+        rates = self._grant_rates(ask, now_us)
+        shares = AllocatedShares(self.lease.fence, rates)
+        if "extra" in ask:
+            extra = self._grant_attempts(ask["name"], read_demand(ask["extra"]), now_us)
+            shares = AllocatedShares(self.lease.fence, rates, extra)
+        answer["shares"] = write_fields(shares)
+
+    def _grant_rates(self, ask, now_us):
+        """Return the grants, by group, for the groups on which the router reported."""
+        router, groups = ask["name"], self.image.plan["groups"]
+        rates = {}
+        for name, fields in ask.get("credit", {}).items():
+            allowance = read_allowance(groups[name]) if name in groups else None
+            if allowance is None:
+                continue
+            if self._is_settling(now_us):
+                rate = read_demand(fields).rate
+            else:
+                rate = self._rate_for(name, router, allowance, now_us)
+            if rate > 0:
+                rates[name] = self._grant(name, router, rate, now_us)
+        return rates
+
+    def _grant_attempts(self, router, report, now_us):
+        attempts = report.rate
+        if not self._is_settling(now_us):
+            attempts = self._attempts_for(router, self.image.plan["extra"]["margin"], now_us)
+        return self._grant(RETRY_BUDGET, router, attempts, now_us)
+
+    def _grant(self, name, router, amount, now_us):
+        self.serial += 1
+        number = self.lease.fence * GRANT_NUMBERS_PER_FENCE + self.serial
+        expires_us = now_us + self.node.terms.lease_us
+        self._grants_of(name, now_us).add(router, number, amount, expires_us)
+        return AllocatedGrant(amount, number)
+
+    # rates of groups, in tokens a second
+
+    def _rate_for(self, group, router, allowance, now_us):
+        """Return a router's rate: by demand, at least the plan's floor, at most what is left."""
+        demands = self._demands_for(group)
+        demands.expire(now_us)
+        demand = demands.amount_of(router)
+        if demand is None:
+            return 0.0
+        share = even_share = 1 / len(demands.by_router)
+        if demands.total > 0:
+            share = EVEN_SHARE * even_share + DEMAND_SHARE * demand / demands.total
+        total_rate = allowance.tokens * MICROSECONDS / allowance.period_us
+        rate = total_rate * max(share, self.image.plan["floor"])
+        return max(0.0, min(rate, self._unallocated(group, router, total_rate, now_us)))
+
+    def _unallocated(self, group, router, total_rate, now_us):
+        """Return what no other router can hold."""
+        held_by_others = self._grants_of(group, now_us).amount_of_others(router, now_us)
+        return total_rate - held_by_others - total_rate * ROUNDING_RATIO
+
+    # the retry budget, in whole attempts, since a part of one can't be spent
+
+    def _attempts_for(self, router, margin, now_us):
+        """Return a router's attempts of the margin.
+
+        One at least for a router with requests, more where retries are wanted, and one for an idle
+        router as long as no other router wants it.
+        """
+        demands = self._demands_for(RETRY_BUDGET)
+        demands.expire(now_us)
+        demand = demands.amount_of(router)
+        if demand:
+            attempts = self._proportional_attempts(demand, demands.total, margin)
+        else:
+            attempts = 1 if self._unclaimed_attempts(demands, margin, now_us) > 0 else 0
+        grants = self._grants_of(RETRY_BUDGET, now_us)
+        unallocated = int(margin - grants.amount_of_others(router, now_us))
+        return max(0, min(attempts, unallocated))
+
+    def _proportional_attempts(self, demand, total_demand, margin):
+        return max(1, int(margin * demand / total_demand))
+
+    def _unclaimed_attempts(self, demands, margin, now_us):
+        """Return the attempts that no router wants, counted anew at each interval.
+
+        The grants that may be held bound what is granted of them in between.
+        """
+        counted_us = self.unclaimed_counted_us
+        if counted_us is None or now_us - counted_us >= UNCLAIMED_INTERVAL_US:
+            self.unclaimed_counted_us = now_us
+            self.unclaimed = margin - sum(
+                self._proportional_attempts(demand, demands.total, margin)
+                for demand in demands.amounts()
+                if demand
+            )
+        return self.unclaimed
--- /dev/null
+++ b/packages/credit/src/linkhaven/credit/scheduler.py
@@ -0,0 +1,97 @@
+"""Deficit round robin over the groups that have queued requests and credit.
+
+Each round gives a group a quantum of prompt tokens by its weight. A group serves requests from the
+head of its queue while its deficit counter covers them; what is left over is kept while the queue
+isn't empty (Shreedhar and Varghese, "Efficient fair queueing using deficit round robin", 1995).
+"""
+
+QUANTUM_TOKENS = 2_000
+"""The prompt tokens that a round adds to a group of weight 1."""
+
+
+class DeficitRoundRobin:
+    """Serves the group accounts of one router in turn.
+
+    Invariant: a group that lacks credit, or whose first request can't be started, delays no other
+    group (`test_a_group_without_credit_waits_alone_and_its_overflow_is_refused`,
+    `test_a_group_that_floods_delays_neither_of_the_others`).
+    """
+
+    __slots__ = ("accounts", "order", "first", "is_running", "is_run_requested")
+
+    def __init__(self, accounts):
+        """Schedule over `accounts`, a table by name whose rows may come and go."""
+        self.accounts = accounts
+        self.order = []
+        self.first = 0
+        self.is_running = False
+        self.is_run_requested = False
+
+    def refresh_order(self):
+        """Follow the accounts as they are now."""
+        self.order = list(self.accounts)
+
+    def run(self, start, now_us_of):
+        """Start queued requests until none is ready.
+
+        `start(request)` returns whether the request was started; one that wasn't stays at the head.
+        It may call `run` again, which then only asks for another pass.
+        """
+        self.is_run_requested = True
+        if self.is_running:
+            return
+        self.is_running = True
+        try:
+            while self.is_run_requested:
+                self.is_run_requested = False
+                self._run_rounds(start, now_us_of())
+        finally:
+            self.is_running = False
+
+    def _run_rounds(self, start, now_us):
+        blocked = set()
+        while True:
+            ready = self._ready_groups(blocked, now_us)
+            if not ready:
+                return
+            for name in self._rotate(ready):
+                if not self._run_turn(self.accounts[name], start, now_us):
+                    blocked.add(name)
+            self.first += 1
+
+    def _ready_groups(self, blocked, now_us):
+        return {
+            name
+            for name in self.order
+            if name not in blocked and self._is_ready(self.accounts[name], now_us)
+        }
+
+    def _is_ready(self, account, now_us):
+        return bool(account.queue) and account.has_credit_for(account.queue[0], now_us)
+
+    def _rotate(self, ready):
+        """Return the ready groups, beginning one place further with each round."""
+        self.first %= len(self.order)
+        turns = self.order[self.first :] + self.order[: self.first]
+        return [name for name in turns if name in ready]
+
+    def _run_turn(self, account, start, now_us):
+        """Add the quantum if it is needed, and serve the group.
+
+        Returns False if a request couldn't be started.
+        """
+        if account.queue[0].prompt_tokens > account.deficit:
+            account.deficit += QUANTUM_TOKENS * account.settings.weight
+        while account.queue and account.queue[0].prompt_tokens <= account.deficit:
+            request = account.queue[0]
+            if not account.has_credit_for(request, now_us):
+                break
+            is_started = start(request)
+            if not account.queue or account.queue[0] is not request:
+                continue
+            if not is_started:
+                return False
+            account.pop_served()
+        if not account.queue:
+            account.deficit = 0
+        return True
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -1,7 +1,7 @@
 from msgspec.structs import asdict
 
 from linkhaven.clockwork import Node
-from linkhaven.credit import Bursar
+from linkhaven.credit import QuotaAllocator
 from linkhaven.duty import Lease, LeaseRecord
 from linkhaven.plan import BodyStore, NewsDesk, PlanDesk, PlanImage, write_plan
 from linkhaven.register import Proposer, Seat, default_terms
@@ -120,7 +120,7 @@
         self.keeper.on_blind = self.duties["roster"].step_down
         self.keeper.on_ready = self.news.answer_all
         self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
-        self.bursar = Bursar(self, self.duties["bursar"], self.image)
+        self.bursar = QuotaAllocator(self, self.duties["bursar"], self.image)
         self.bursar.on_won = self.news.shorten_holds
         self.ring.on_mark.append(self._hear_mark)
         self.views = Views(self)
@@ -129,7 +129,7 @@
             self.views.hear_ask,
             self.keeper.hear_evidence,
             self.steward.hear_ask,
-            self.bursar.hear_ask,
+            self.bursar.on_ask,
             self._hear_asked_mark,
             self._hear_fences,
             self._hear_usage,
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -1,5 +1,5 @@
 from linkhaven.clockwork import Node, Table
-from linkhaven.credit import GRANTS_A_FENCE, CreditDesk, ExtraBudget
+from linkhaven.credit import GRANT_NUMBERS_PER_FENCE, AdmissionQueues, RetryBudget
 from linkhaven.pairing import NO_BOUND_US, Flow, Pairing
 from linkhaven.plan import NewsReader, PlanImage
 from linkhaven.register import Proposer
@@ -95,8 +95,8 @@
         self.desk = desk_of(self)
         self.keys = Keys(self, self.proposer)
         self.pairing = Pairing(self, self.roster, lambda: self.ring.live("router"))
-        self.extra = ExtraBudget(self)
-        self.credit = CreditDesk(self, self._pace_at_first, self.end_in_trouble)
+        self.extra = RetryBudget(self)
+        self.credit = AdmissionQueues(self, self._pace_at_first, self.end_in_trouble)
         self.requests = Table()
         self.attempts = Attempts(self, self.pairing, self.desk, self.roster, self.extra)
         self.flow = Flow(self, self.pairing, self.roster, self.requests.rows, self.attempts.move)
@@ -141,8 +141,8 @@
     def _take_plan(self):
         plan = self.image.plan
         self.pairing.take_plan(plan)
-        self.extra.take_plan(plan)
-        self.credit.take_plan(plan)
+        self.extra.apply_plan(plan)
+        self.credit.apply_plan(plan)
         self.keys.take_plan(plan)
         self.doors.take_plan(plan)
         self.rooms = {group: room_for_others(plan, group) for group in plan["groups"]}
@@ -150,7 +150,7 @@
         for request in self.requests.rows():
             if request.state == states.QUEUED:
                 self._place_anew(request, plan)
-        self.credit.take_plan(plan)
+        self.credit.apply_plan(plan)
 
     def _place_anew(self, request, plan):
         """Queued work of a kind that is gone is refused at once; that of one now in another group goes to its queue."""
@@ -159,7 +159,7 @@
             return self.end_in_trouble(request, Trouble("unknown_kind", kind=request.kind_name))
         if kind["group"] == request.group:
             return
-        self.credit.leave(request.group, request)
+        self.credit.remove(request.group, request)
         request.kind, request.group, request.admitted_mark = kind, kind["group"], self.image.mark
         try:
             self.credit.enqueue(request.group, request)
@@ -175,16 +175,16 @@
 
     def _is_pressed(self):
         """Whether this router waits for a larger share than it has."""
-        return self.extra.is_pressed() or self.credit.is_waiting()
+        return self.extra.was_refused_lately() or self.credit.is_waiting()
 
     def _add_facts(self, facts, seat):
         """What a seat is told: its duties' holders hear what only these need."""
         now_us, pace = self.now_us(), self.news.pace
         is_roster = pace.is_teller(seat, "roster", now_us)
         if pace.is_teller(seat, "shares", now_us):
-            facts["credit"] = self.credit.tell_demand()
-            facts["extra"] = self.extra.tell_want()
-        facts["usage"] = self.credit.tell_usage()
+            facts["credit"] = self.credit.demand_reports()
+            facts["extra"] = self.extra.demand_report()
+        facts["usage"] = self.credit.usage_reports()
         is_keeping = is_roster or pace.is_teller(seat, "steward", now_us)
         facts["evidence"] = self.roster.tell_evidence(is_keeping)
         facts["rates"] = [*self.rates, self.pairing.estimator.seen_rate()]
@@ -192,11 +192,11 @@
         facts["steward"] = self.steward_place
         if is_roster and self.pairing.is_large():
             facts["views"] = self.pairing.own_views()
-        grants = [self.extra.grant, *(book.grant for book in self.credit.groups.values())]
+        newest_grant = max(self.extra.grant_number, self.credit.newest_grant())
         facts["fences"] = {
             "roster": self.roster.place[0],
             "steward": self.steward_place[0],
-            "bursar": max(grants, default=0) // GRANTS_A_FENCE,
+            "bursar": newest_grant // GRANT_NUMBERS_PER_FENCE,
         }
 
     def _hear_news(self, message, sent_us):
@@ -214,11 +214,9 @@
         shares = message.get("shares")
         if shares is not None:
             for group, (rate, grant) in shares["rates"].items():
-                book = self.credit.groups.get(group)
-                if book is not None and grant > book.grant:
-                    self.credit.take_share(group, rate, grant, sent_us + self.terms.lease_us)
+                self.credit.apply_grant(group, rate, grant, sent_us + self.terms.lease_us)
             if "extra" in shares:
-                self.extra.take_part(*shares["extra"], sent_us + self.terms.lease_us)
+                self.extra.apply_grant(*shares["extra"], sent_us + self.terms.lease_us)
         self.wake_queue()
 
     def _hear_want_image(self, message):
@@ -384,7 +382,7 @@
         else:
             self.ports.log(2102, **{**request.times(self.now_us()), **told})
         if is_refused and request.group:
-            self.credit.note_refused(request.group)
+            self.credit.count_refusal(request.group)
         if is_refused and request.claim_key:
             self.keys.give_back(request)
         call = request.call
@@ -397,7 +395,7 @@
 
     def _close(self, request, outcome):
         if request.state == states.QUEUED:
-            self.credit.leave(request.group, request)
+            self.credit.remove(request.group, request)
         request.state = states.ENDED
         request.parked = None
         request.outcome = outcome
@@ -435,12 +433,7 @@
             return "closed"
         if request.state == states.CLAIMING:
             return "claim"
-        book = self.credit.groups.get(request.group)
-        if (
-            book is not None
-            and book.queue
-            and not self.credit.has_credit(book, book.queue[0], self.now_us())
-        ):
+        if self.credit.lacks_credit(request.group):
             return "credit"
         return "no_runner" if not self.roster.open_runners() else "no_room"
 
@@ -525,16 +518,16 @@
                 "runners": [runner.as_record(now_us) for runner in self.roster.runners.values()],
                 "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
                 "groups": {
-                    book.name: {
-                        "queued": len(book.queue),
-                        "queued_tokens": book.queued_tokens,
-                        "credit": int(book.bucket.fill(now_us)),
-                        "rate": book.bucket.rate,
+                    account.name: {
+                        "queued": len(account.queue),
+                        "queued_tokens": account.queued_tokens,
+                        "credit": int(account.bucket.refill(now_us)),
+                        "rate": account.bucket.rate,
                     }
-                    for book in self.credit.groups.values()
+                    for account in self.credit.accounts.values()
                 },
                 "extra": {
-                    "left": self.extra.bucket.level,
+                    "left": self.extra.default_bucket.level,
                     "spent": self.extra.spent,
                     "refused": self.extra.refused,
                 },
--- a/tests/connections_world.py
+++ b/tests/connections_world.py
@@ -653,7 +653,7 @@
         document = {"revision": 1, "route_rules": routes, "services": [service]}
         self.node.image.take({"mark": 1, "plan": read_plan(document, 0.2, 50)})
         self.node.extra.share = 1.0
-        self.node.extra.take_part(50, 1, 1 << 60)
+        self.node.extra.apply_grant(50, 1, 1 << 60)
 
     def renew_runners(self):
         """The platform's list as it is now: each address with the runner that stands there."""
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -322,7 +322,7 @@
 
     def rates():
         return {
-            name: host.node.credit.groups["seats"].bucket.rate
+            name: host.node.credit.accounts["seats"].bucket.rate
             for name, host in fleet.routers.items()
             if host.node
         }
@@ -720,7 +720,7 @@
             "shunned": len(router.pairing.shunned),
             "heard": len(core.keeper.heard_us),
             "leaving": len(core.keeper.leaving),
-            "out": sum(map(len, core.bursar.out.values())),
+            "out": sum(map(len, core.bursar.grants.values())),
             "fellows": len(core.ring.fellows),
             "rates": len(core.steward.rates),
             "asks": len(core.news.asks),
--- a/tests/test_outstanding.py
+++ b/tests/test_grants.py
@@ -1,10 +1,11 @@
-"""Grants of one allowance: the sum that is kept equals the sum that is counted anew."""
+"""Grants of one allowance and demands for it: the sums that are kept equal those counted anew."""
 
 import random
 
 import pytest
 
-from linkhaven.credit.outstanding import Demand, Grants
+from linkhaven.credit.demand import RouterDemands
+from linkhaven.credit.grants import OutstandingGrants
 
 SECOND = 1_000_000
 LEASE_US = 3 * SECOND
@@ -16,20 +17,20 @@
     def __init__(self):
         self.held = {}
 
-    def note_held(self, router, number, rate, until_us, now_us):
+    def confirm(self, router, number, amount, expires_us, now_us):
         held = self.held.setdefault(router, [])
         held[:] = [grant for grant in held if grant[2] > now_us]
         if any(other == number for other, _, _ in held):
             held[:] = [grant for grant in held if grant[0] >= number]
-        elif rate > 0:
-            held.append((number, rate, until_us))
+        elif amount > 0:
+            held.append((number, amount, expires_us))
 
-    def add(self, router, number, rate, until_us):
-        self.held.setdefault(router, []).append((number, rate, until_us))
+    def add(self, router, number, amount, expires_us):
+        self.held.setdefault(router, []).append((number, amount, expires_us))
 
-    def of_others(self, router, now_us):
+    def amount_of_others(self, router, now_us):
         return sum(
-            max((rate for _, rate, until_us in held if until_us > now_us), default=0.0)
+            max((amount for _, amount, expires_us in held if expires_us > now_us), default=0.0)
             for other, held in self.held.items()
             if other != router
         )
@@ -38,78 +39,79 @@
 def test_the_kept_sum_is_what_counting_all_grants_gives():
     for seed in range(30):
         dice, now_us = random.Random(seed), SECOND
-        kept, counted, number, newest = Grants(now_us), Counted(), 0, {}
+        kept, counted, number, newest = OutstandingGrants(now_us), Counted(), 0, {}
         for _ in range(400):
             now_us += dice.randrange(300_000)
             router = f"router-{dice.randrange(12)}"
             if dice.random() < 0.3:
                 held = (router, newest.get(router, 0) - dice.randrange(3), dice.random() * 100)
                 for grants in (kept, counted):
-                    grants.note_held(*held, now_us + LEASE_US, now_us)
-            out = kept.of_others(router, now_us)
-            assert out == pytest.approx(counted.of_others(router, now_us), abs=1e-6)
+                    grants.confirm(*held, now_us + LEASE_US, now_us)
+            out = kept.amount_of_others(router, now_us)
+            assert out == pytest.approx(counted.amount_of_others(router, now_us), abs=1e-6)
             number, rate = number + 1, dice.random() * 100
             newest[router] = number
             for grants in (kept, counted):
                 grants.add(router, number, rate, now_us + LEASE_US)
         now_us += 2 * LEASE_US
-        assert kept.of_others("nobody", now_us) == 0.0
+        assert kept.amount_of_others("nobody", now_us) == 0.0
         assert len(kept) == 0
 
 
 def test_shares_granted_from_what_is_left_never_sum_above_the_whole():
     for seed in range(30):
         dice, now_us, total = random.Random(seed), SECOND, 1000.0
-        grants, held, number = Grants(now_us), {}, 0
+        grants, held, number = OutstandingGrants(now_us), {}, 0
         for _ in range(600):
             now_us += dice.randrange(100_000)
             router = f"router-{dice.randrange(20)}"
-            left = total - grants.of_others(router, now_us)
+            left = total - grants.amount_of_others(router, now_us)
             rate, number = max(0.0, min(left, dice.random() * 400)), number + 1
             grants.add(router, number, rate, now_us + LEASE_US)
             if dice.random() < 0.8:
                 held[router] = (rate, now_us + LEASE_US)
-                grants.note_held(router, number, rate, now_us + LEASE_US, now_us)
-            spent = sum(rate for rate, until_us in held.values() if until_us > now_us)
+                grants.confirm(router, number, rate, now_us + LEASE_US, now_us)
+            spent = sum(amount for amount, expires_us in held.values() if expires_us > now_us)
             assert spent <= total * (1 + 1e-9)
 
 
 def test_demand_of_quiet_routers_counts_no_more():
-    demand = Demand(5 * SECOND)
-    demand.note("router-1", 10.0, SECOND)
-    demand.note("router-2", 30.0, 2 * SECOND)
-    demand.note("router-1", 20.0, 3 * SECOND)
-    demand.forget_quiet(6 * SECOND)
-    assert (demand.total, demand.of("router-1"), demand.of("router-2")) == (50.0, 20.0, 30.0)
-    demand.forget_quiet(7 * SECOND)
-    assert (demand.total, demand.of("router-2")) == (20.0, None)
-    demand.forget_quiet(8 * SECOND)
-    assert (demand.total, demand.of("router-1")) == (0.0, None)
+    demand = RouterDemands(5 * SECOND)
+    demand.record("router-1", 10.0, SECOND)
+    demand.record("router-2", 30.0, 2 * SECOND)
+    demand.record("router-1", 20.0, 3 * SECOND)
+    demand.expire(6 * SECOND)
+    assert demand.total == 50.0
+    assert (demand.amount_of("router-1"), demand.amount_of("router-2")) == (20.0, 30.0)
+    demand.expire(7 * SECOND)
+    assert (demand.total, demand.amount_of("router-2")) == (20.0, None)
+    demand.expire(8 * SECOND)
+    assert (demand.total, demand.amount_of("router-1")) == (0.0, None)
 
 
 def test_a_demand_that_ended_leaves_nothing_behind():
     """A rest of rounding would give an idle fleet a fifth of its even parts."""
-    demand = Demand(LEASE_US)
+    demand = RouterDemands(LEASE_US)
     dice = random.Random(5)
     for _ in range(200):
         for router in range(7):
-            demand.note(router, dice.random() * 1_000, SECOND)
+            demand.record(router, dice.random() * 1_000, SECOND)
     for router in range(7):
-        demand.note(router, 0.0, SECOND)
+        demand.record(router, 0.0, SECOND)
     assert demand.total == 0.0
-    demand.note(3, 8.5, SECOND)
+    demand.record(3, 8.5, SECOND)
     assert demand.total == 8.5
-    demand.forget_quiet(SECOND + LEASE_US)
-    assert (demand.total, demand.told) == (0.0, {})
+    demand.expire(SECOND + LEASE_US)
+    assert (demand.total, demand.by_router) == (0.0, {})
 
 
 def test_demand_that_falls_to_nothing_keeps_its_ratios():
     dice = random.Random(3)
-    demand, told = Demand(5 * SECOND), {}
+    demand, told = RouterDemands(5 * SECOND), {}
     for step in range(4_000):
         router = f"router-{dice.randrange(7)}"
         amount = 0.0 if step > 3_900 else dice.random() * 1e6 * 0.98**step
         told[router] = amount
-        demand.note(router, amount, SECOND)
+        demand.record(router, amount, SECOND)
         assert demand.total == pytest.approx(sum(told.values()), rel=1e-6, abs=0)
     assert demand.total == 0.0
--- /dev/null
+++ b/tests/test_retry_budget.py
@@ -0,0 +1,55 @@
+"""The retry budget: what requests of a pool earn, who may spend it, and when it lapses."""
+
+from linkhaven.credit import RetryBudget
+
+GRANT_EXPIRES_US = 3_000_000
+
+
+class Node:
+    def __init__(self):
+        self.us, self.systems = 0, []
+
+    def now_us(self):
+        return self.us
+
+
+def budget_with(attempts=3):
+    budget = RetryBudget(Node())
+    budget.apply_plan({"extra": {"share": 0.2, "margin": 10}, "pools": {"one": {}, "two": {}}})
+    budget.apply_grant(attempts, 1, GRANT_EXPIRES_US)
+    return budget
+
+
+def test_what_requests_of_one_pool_earn_is_not_spent_on_another():
+    budget = budget_with()
+    for _ in range(11):
+        budget.earn("one")
+    assert not budget.spend("retry", pool="two")
+    assert (
+        budget.spend("retry", pool="one")
+        and budget.spend("retry", pool="one")
+        and not budget.spend("retry", pool="one")
+    )
+
+
+def test_earnings_of_each_pool_are_bounded_by_the_grant_and_lapse_with_it():
+    budget = budget_with(attempts=1)
+    for _ in range(50):
+        budget.earn("one")
+        budget.earn("two")
+    assert budget.spend("retry", pool="one") and not budget.spend("retry", pool="one")
+    budget.node.us = 4_000_000
+    assert not budget.spend("retry", pool="two")
+
+
+def test_a_pool_that_the_plan_no_longer_names_leaves_nothing_behind():
+    budget = budget_with()
+    budget.earn("one")
+    budget.apply_plan({"extra": {"share": 0.2, "margin": 10}, "pools": {"two": {}}})
+    assert set(budget.buckets) == {None}
+
+
+def test_a_grant_older_than_the_one_held_changes_nothing():
+    budget = budget_with(attempts=3)
+    budget.apply_grant(9, 1, 2 * GRANT_EXPIRES_US)
+    assert budget.demand_report() == {"wanted": 0, "rate": 3, "grant": 1}
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from linkhaven.credit import Bursar, ExtraBudget
+from linkhaven.credit import QuotaAllocator, RetryBudget
 from linkhaven.duty import Lease
 from linkhaven.plan import NewsReader, PlanImage
 from linkhaven.plan.check import fill_plan
@@ -95,7 +95,9 @@
 
 
 def spend_freely(monkeypatch):
-    monkeypatch.setattr(ExtraBudget, "spend", lambda self, why, keep=0.0, cost=1, pool=None: True)
+    monkeypatch.setattr(
+        RetryBudget, "spend", lambda self, reason, reserve=0.0, cost=1, pool=None: True
+    )
 
 
 def break_every_stream(fleet_of):
@@ -104,11 +106,11 @@
 
 
 def keep_a_shot_at_every_router(monkeypatch):
-    def take_part(self, part, grant, until_us):
-        self.until_us = 1 << 60
-        self.bucket.resize(0.0, 1.0, self.node.now_us())
+    def apply_grant(self, attempts, number, expires_us):
+        self.grant_expires_us = 1 << 60
+        self.default_bucket.resize(0.0, 1.0, self.node.now_us())
 
-    monkeypatch.setattr(ExtraBudget, "take_part", take_part)
+    monkeypatch.setattr(RetryBudget, "apply_grant", apply_grant)
 
 
 def fail_after_a_crowd_at_more_routers_than_planned(fleet_of):
@@ -151,9 +153,13 @@
 
 
 def share_without_counting(monkeypatch):
-    monkeypatch.setattr(Bursar, "_left", lambda self, name, router, total, now_us: total)
     monkeypatch.setattr(
-        Bursar, "_rate_for", lambda self, group, router, total, now_us, floor: total / 2
+        QuotaAllocator, "_unallocated", lambda self, group, router, total_rate, now_us: total_rate
+    )
+    monkeypatch.setattr(
+        QuotaAllocator,
+        "_rate_for",
+        lambda self, group, router, allowance, now_us: allowance.rate / 2,
     )
 
 
