--- a/packages/credit/src/linkhaven/credit/retry_budget.py
+++ b/packages/credit/src/linkhaven/credit/retry_budget.py
@@ -126,7 +126,7 @@
         self.spent[reason] = self.spent.get(reason, 0) + cost
         return True
 
-    def keep_back(self):
+    def reserve_for_retries(self):
         """Return the attempts that moves of running requests must leave for retries."""
         return max(0.0, (self.default_bucket.capacity - 1) / 2)
 
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -372,7 +372,7 @@
 
     def move(self, request, target, why):
         if not self.node.may_start() or not self.extra.spend(
-            "move", self.extra.keep_back(), pool=request.pool
+            "move", self.extra.reserve_for_retries(), pool=request.pool
         ):
             return False
         now_us = self.node.now_us()
