Clockwork: the token bucket is gone, credit has its own

Only credit used Bucket, and has TokenBucket now. Before: Bucket in clockwork/tables.py. After: tables.py holds Table alone. Conclusion: a move only; nothing else imported it.

--- a/packages/clockwork/src/linkhaven/clockwork/__init__.py
+++ b/packages/clockwork/src/linkhaven/clockwork/__init__.py
@@ -1,4 +1,4 @@
-"""What every node rests on: the node's base, its ports, typed messages, JSON, tables and bounds."""
+"""What every node rests on: the node's base, its ports, typed messages, JSON and tables."""
 
 from .messages import (
     PROTOCOL_VERSION,
@@ -10,13 +10,12 @@
 )
 from .node import Node
 from .ports import Call, Hearer, Ports
-from .tables import Bucket, Table
+from .tables import Table
 from .terms import Terms
 from .text import read_json, write_json
 
 __all__ = [
     "PROTOCOL_VERSION",
-    "Bucket",
     "Call",
     "Hearer",
     "LineReader",
