Runner: doc comments on all modules and public items, two constants

No attribute or method is renamed: the names (desk, hearer, roster, dark) are still to do. Conclusion: comments and constants only.

--- a/packages/runner/src/linkhaven/runner/__init__.py
+++ b/packages/runner/src/linkhaven/runner/__init__.py
@@ -1,3 +1,5 @@
+"""Runners: the adapter that calls them, the stream of their answers, and the list of them."""
+
 from .adapter import RunnerDesk
 from .pieces import Piece, PieceReader, write_event
 from .roster import Roster, Runner, Starts
--- a/packages/runner/src/linkhaven/runner/adapter.py
+++ b/packages/runner/src/linkhaven/runner/adapter.py
@@ -1,18 +1,29 @@
+"""The client of the runners: prefill, decode, phase orders, reports, and the list of them."""
+
 from linkhaven.clockwork import Hearer, read_json, write_json
 from linkhaven.schema import Trouble, read_trouble
 
 from .pieces import PieceReader
 
 ANSWER_BYTES = 1_000_000
+"""The longest JSON answer that is read, in bytes."""
+
+OK = 200
+"""The HTTP status of an answer without an error."""
+
 HEADERS = {"content-type": "application/json"}
 
 
 class Reply:
-    """One JSON answer awaited from a runner; done(trouble, document, has_begun) is called once."""
+    """One JSON answer awaited from a runner; `done(trouble, document, has_begun)` is called once.
+
+    `has_begun` tells whether the runner may have begun the work; False only if it can't have.
+    """
 
     __slots__ = ("done", "outing", "status", "body", "is_done")
 
     def __init__(self, done):
+        """Await an answer; the caller sets `outing`, the call that can be closed."""
         self.done = done
         self.outing = None
         self.status = 0
@@ -20,24 +31,28 @@
         self.is_done = False
 
     def on_head(self, status, headers):
+        """Note the status of the answer."""
         self.status = status
 
     def on_data(self, data):
+        """Collect the body; one above `ANSWER_BYTES` ends as `runner_lost`."""
         self.body += data
         if len(self.body) > ANSWER_BYTES:
             self.close()
             self._end(Trouble("runner_lost", why="an answer without end"), None, True)
 
     def on_end(self):
+        """Hand on the document, or the error that the runner told."""
         try:
             document = read_json(self.body)
         except Trouble:
             return self._end(Trouble("runner_lost", why="an answer that is not JSON"), None, True)
-        if self.status != 200 or not isinstance(document, dict):
+        if self.status != OK or not isinstance(document, dict):
             return self._end(read_trouble(document, "runner_lost"), None, True)
         self._end(None, document, True)
 
     def on_trouble(self, has_begun):
+        """End as `runner_lost`: the connection failed."""
         self._end(Trouble("runner_lost", done="unknown" if has_begun else "no"), None, has_begun)
 
     def _end(self, trouble, document, has_begun):
@@ -47,20 +62,27 @@
         self.done(trouble, document, has_begun)
 
     def close(self):
+        """Close the call."""
         if self.outing is not None:
             self.outing.close()
 
     def abandon(self):
+        """Close the call without calling `done`."""
         self.is_done = True
         self.close()
 
 
 class Stream:
-    """A decode's stream: on_begin(run, after), on_piece(piece), on_done(piece), on_trouble(trouble, has_begun)."""
+    """The event stream that answers a decode.
+
+    Its handler hears `on_begin(run, after)` once, `on_piece(piece)` for each piece, and at last
+    either `on_done(piece)` or `on_trouble(trouble, has_begun)`.
+    """
 
     __slots__ = ("request", "hearer", "outing", "status", "body", "reader", "is_over")
 
     def __init__(self, request, hearer):
+        """Await the stream of the request with this id."""
         self.request = request
         self.hearer = hearer
         self.outing = None
@@ -70,8 +92,9 @@
         self.is_over = False
 
     def on_head(self, status, headers):
+        """Check that the answer is this request's, and tell the run and the piece it follows."""
         self.status = status
-        if status != 200:
+        if status != OK:
             return
         if headers.get("request-id") != self.request:
             return self._end(Trouble("stream_broken", why="an answer for another request"))
@@ -79,9 +102,10 @@
         self.hearer.on_begin(headers.get("run", ""), int(after) if after.isdigit() else -1)
 
     def on_data(self, data):
+        """Hand on the pieces in the data; what is malformed ends as `stream_broken`."""
         if self.is_over:
             return
-        if self.status != 200:
+        if self.status != OK:
             self.body += data[:ANSWER_BYTES]
             return
         try:
@@ -100,7 +124,8 @@
                 self._end(read_trouble(piece.document, "runner_lost"))
 
     def on_end(self):
-        if self.status == 200:
+        """End as `runner_lost` if the stream was cut, else with the error that the runner told."""
+        if self.status == OK:
             return self._end(Trouble("runner_lost", why="a stream without its end"))
         try:
             document = read_json(self.body)
@@ -109,6 +134,7 @@
         self._end(read_trouble(document, "runner_lost"))
 
     def on_trouble(self, has_begun):
+        """End as `runner_lost`: the connection failed."""
         self._end(Trouble("runner_lost", done="unknown" if has_begun else "no"), has_begun)
 
     def _end(self, trouble, has_begun=True):
@@ -120,17 +146,18 @@
         self.hearer.on_trouble(trouble, has_begun)
 
     def abandon(self):
+        """Close the call; the handler hears nothing more."""
         self.is_over = True
         if self.outing is not None:
             self.outing.close()
 
 
 class RunnerDesk:
-    """The one adapter to runners that speak our own protocol: it stands here and in the schema file.
+    """The client of runners that speak our own protocol, which the OpenAPI file describes.
 
-    A runners' port has prefill, decode, free (a handle that nobody will fetch), order_phase, report and
-    list_runners; `follows` says whether a piece is the next of its request. `reads_are_runs`: a prompt that was read
-    counts as begun work. `joins_runs`: a new run may go on after the last piece of another."""
+    Another protocol has a class with the same methods. `reads_are_runs`: a prompt that was read
+    counts as begun work. `joins_runs`: a new run may continue after the last piece of another.
+    """
 
     __slots__ = ("node",)
 
@@ -138,6 +165,7 @@
     joins_runs = False
 
     def __init__(self, node):
+        """Call by the node's ports."""
         self.node = node
 
     def _call(self, address, method, path, document, part):
@@ -156,7 +184,10 @@
         }
 
     def prefill(self, runner, request, done):
-        """done(trouble, handle, has_begun) with the handle of the memory that the runner holds."""
+        """Have a runner read the request's prompt; return the pending reply.
+
+        `done(trouble, handle, has_begun)` gets the handle of the KV cache that the runner holds.
+        """
 
         def check(trouble, document, has_begun):
             if trouble is not None:
@@ -168,10 +199,16 @@
         return self._call(runner.address, "POST", "/v1/prefill", self._ask(request), Reply(check))
 
     def is_answer_to(self, request, runner, document):
+        """Whether an answer names this request, attempt and incarnation of the runner."""
         told = (document.get("request"), document.get("shot"), document.get("incarnation"))
         return told == (request.id, request.attempts, runner.incarnation)
 
     def decode(self, runner, request, handle, hearer):
+        """Have a runner decode; return the pending stream, which tells `hearer` its pieces.
+
+        `handle` is the KV cache's handle with the runner that holds it, or None: then the runner
+        reads the prompt itself. A request that has a run is resumed after its last piece.
+        """
         ask = self._ask(request)
         ask["answer_tokens"] = request.answer_tokens
         if handle:
@@ -182,16 +219,20 @@
         return self._call(runner.address, "POST", "/v1/decode", ask, Stream(ask["request"], hearer))
 
     def follows(self, request, piece):
+        """Whether a piece is the next one of its request."""
         return piece.run == request.run and piece.number == request.written + 1
 
     def free(self, runner, handle):
-        """Our runners let go of a handle by themselves."""
+        """Give up a handle that nobody will fetch; our runners free it by themselves."""
 
     def order_phase(self, address, order, done):
+        """Order a runner to prefill or to decode; `done` as in `Reply`."""
         return self._call(address, "POST", "/v1/phase", order, Reply(done))
 
     def report(self, address, done):
+        """Ask a runner for its report; `done` as in `Reply`."""
         return self._call(address, "GET", "/v1/report", None, Reply(done))
 
     def list_runners(self, address, done):
+        """Ask the platform for its list of runners; `done` as in `Reply`."""
         return self._call(address, "GET", "/v1/runners", None, Reply(done))
--- a/packages/runner/src/linkhaven/runner/pieces.py
+++ b/packages/runner/src/linkhaven/runner/pieces.py
@@ -1,18 +1,28 @@
+"""Pieces of an answer as server-sent events: written by the router, read from runners."""
+
 from linkhaven.clockwork import read_json, write_json
 from linkhaven.schema import Trouble
 
 EVENT_BYTES = 1_000_000
+"""The longest event that is read, in bytes."""
+
+RUN_CHARACTERS = 128
+"""The longest name of a run."""
 
 
 def write_event(event, document, id=None):
+    """Return the bytes of one server-sent event with a JSON document as its data."""
     head = f"id: {id}\n" if id else ""
     return f"{head}event: {event}\ndata: ".encode() + write_json(document) + b"\n\n"
 
 
 class Piece:
+    """One event of a stream: `piece`, `done` or `trouble`."""
+
     __slots__ = ("event", "run", "number", "document")
 
     def __init__(self, event, run, number, document):
+        """Hold what an event says; without an id `run:number` the run is empty, the number 0."""
         self.event = event
         self.run = run
         self.number = number
@@ -20,19 +30,27 @@
 
 
 def read_place(text):
+    """Read an id `run:number`; return both, or None where it is malformed."""
     run, _, number = text.rpartition(":")
-    if not run or not number.isascii() or not number.isdigit() or len(run) > 128:
+    if not run or not number.isascii() or not number.isdigit() or len(run) > RUN_CHARACTERS:
         return None
     return run, int(number)
 
 
 class PieceReader:
+    """Reads the server-sent events of one stream, however their bytes are cut up."""
+
     __slots__ = ("rest",)
 
     def __init__(self):
+        """Start with nothing read."""
         self.rest = b""
 
     def feed(self, data):
+        """Return the events that are complete with this data.
+
+        Raises `stream_broken` for an event that is too long or whose data is not JSON.
+        """
         blocks = (self.rest + data).split(b"\n\n")
         self.rest = blocks.pop()
         if len(self.rest) > EVENT_BYTES:
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -1,12 +1,25 @@
+"""The list of runners at a node, and what the node itself saw of them."""
+
 from linkhaven.clockwork import Table
 
 PREFILL, DECODE = "prefill", "decode"
 DARK_US = 1_500_000
+"""How long this node's own evidence on a runner counts."""
+
 ALIVE_US = 500_000
+"""How long a byte from a runner outweighs the word of others that it is dark."""
+
 FORMER = 8
+"""How many former incarnations of a runner are remembered."""
 
 
 class Runner:
+    """One incarnation of a runner, as its last report, the list and this node's evidence have it.
+
+    `kv_used` and `kv_total` are tokens of KV cache, `queued` and `running` counts of requests;
+    `reported_us` and the other times are by this node's clock.
+    """
+
     __slots__ = (
         "name",
         "address",
@@ -33,6 +46,7 @@
     )
 
     def __init__(self, name, address, zone, incarnation):
+        """Start as a decode runner that was not heard yet."""
         self.name = name
         self.address = address
         self.zone = zone
@@ -55,6 +69,7 @@
         self.silent_us = None
 
     def take_report(self, report, now_us):
+        """Take a runner's own report, whose `age_us` counts back from `now_us`."""
         if report["incarnation"] != self.incarnation:
             self.incarnation = report["incarnation"]
             self.is_leaving = False
@@ -70,7 +85,7 @@
         self.is_leaving = self.is_leaving or report["is_leaving"]
 
     def as_figures(self, now_us):
-        """What changes with each report, in short: the list's differences consist mostly of these."""
+        """Return what changes with each report, as a short row for the list's differences."""
         age_us = now_us - self.reported_us
         return [
             self.name,
@@ -83,10 +98,12 @@
         ]
 
     def take_figures(self, figures, now_us):
+        """Take a row of `as_figures`."""
         _, _, self.queued, self.running, self.kv_used, self.kv_total, age_us = figures
         self.reported_us = now_us - age_us
 
     def is_open(self):
+        """Whether the runner takes new work."""
         return (
             self.is_listed
             and not self.is_leaving
@@ -96,6 +113,7 @@
         )
 
     def as_record(self, now_us):
+        """Return the runner as it stands in the list and in `standing`."""
         return {
             "name": self.name,
             "address": self.address,
@@ -120,15 +138,23 @@
 
 
 class Starts:
-    """Which starts of a runner are over. A runner's own report names its start, and one whose clock was set back
-    names a lower number than before; a list behind reality may still name the former one."""
+    """Which incarnations of a runner are over.
+
+    A runner's own report names its incarnation; after its clock was set back that number is lower
+    than before. A list that is behind may still name the former one.
+    """
 
     __slots__ = ("former",)
 
     def __init__(self):
+        """Start without a former incarnation."""
         self.former = {}
 
     def is_new(self, runner, incarnation, is_reported):
+        """Whether another incarnation took the place of the one that is known; notes it if so.
+
+        `is_reported` tells that the runner itself named it.
+        """
         former = self.former.get(runner.name, ())
         if incarnation == runner.incarnation or incarnation in former:
             return False
@@ -138,16 +164,21 @@
         return True
 
     def forget(self, names):
+        """Drop the runners that are not among `names`."""
         for name in [name for name in self.former if name not in names]:
             del self.former[name]
 
 
 class Roster:
-    """A router's list of runners, told by the roster duty's holder, with its own first-hand word on top."""
+    """A router's list of runners: told by the holder of the duty `roster`, corrected by evidence.
+
+    The evidence is what this router itself saw of a runner; it counts for `DARK_US`.
+    """
 
     __slots__ = ("node", "runners", "place", "taken_us", "evidence", "on_new", "starts")
 
     def __init__(self, node):
+        """Start empty, older than any list."""
         self.node = node
         self.runners = Table()
         self.place = (0, 0)
@@ -157,13 +188,17 @@
         self.starts = Starts()
 
     def is_fresh(self):
+        """Whether the list is recent enough to place work by it."""
         stale_us = self.node.terms.roster_stale_us
         return self.taken_us is not None and (
             stale_us is None or self.node.now_us() - self.taken_us <= stale_us
         )
 
     def take(self, document, sent_us):
-        """A whole list, what changed since the one that is held, or only how old that is."""
+        """Take a whole list, the changes since the list that is held, or only that list's age.
+
+        `sent_us` is when the list was asked for: ages count from then.
+        """
         place = (document["fence"], document["serial"])
         if "runners" not in document:
             if place == self.place:
@@ -240,33 +275,43 @@
         return runner.alive_us is not None and now_us - runner.alive_us <= ALIVE_US
 
     def note_alive(self, runner):
+        """Note that a runner sent a byte."""
         runner.alive_us = self.node.now_us()
         if runner.silent_us is not None:
             runner.silent_us = None
             self.evidence.pop((runner.name, runner.incarnation, "silent"), None)
 
     def note_silent(self, runner):
-        """It owes this router answers and sends no byte: others are preferred until it does, or a while after."""
+        """Note that a runner owes this router answers and sends no byte.
+
+        Other runners are preferred until it sends one, or for `DARK_US`.
+        """
         runner.silent_us = self.node.now_us()
         self.evidence.setdefault((runner.name, runner.incarnation, "silent"), runner.silent_us)
 
     def is_silent(self, runner):
+        """Whether a runner was noted as silent within `DARK_US`."""
         return runner.silent_us is not None and self.node.now_us() - runner.silent_us <= DARK_US
 
     def note_dark(self, runner):
+        """Note that a runner can't be reached, or has been silent for too long."""
         runner.alive_us = None
         self.evidence[(runner.name, runner.incarnation, "dark")] = self.node.now_us()
         runner.is_dark = True
         self.node.ports.log(1601, runner=runner.name)
 
     def note_leaving(self, runner):
+        """Note that a runner said that it leaves."""
         if not runner.is_leaving:
             self.node.ports.log(1603, runner=runner.name)
         self.evidence[(runner.name, runner.incarnation, "leaving")] = self.node.now_us()
         runner.is_leaving = True
 
     def tell_evidence(self, is_keeping=True):
-        """Its own word on runners; to a seat that keeps no list only who leaves, which it remembers."""
+        """Return rows of name, incarnation, what was seen and its age in microseconds.
+
+        A seat that keeps no list (`is_keeping` is False) is told only who leaves.
+        """
         now_us = self.node.now_us()
         for key, seen_us in list(self.evidence.items()):
             if now_us - seen_us > DARK_US:
@@ -285,7 +330,10 @@
         return [[*key, now_us - seen_us] for key, seen_us in self.evidence.items()] + alive
 
     def open_runners(self):
-        """Without the silent ones, where another of the same pool plays the same part."""
+        """Return the runners that take work.
+
+        A silent one is left out where another one of its pool and phase isn't silent.
+        """
         runners = [runner for runner in self.runners.values() if runner.is_open()]
         silent = [
             runner for runner in runners if runner.silent_us is not None and self.is_silent(runner)
