Runners that leave take what nobody else can, for half of their notice

Ruled out: using it for the whole notice (what runs there must end, and a router's list may lag); a wire change (the last list that had it as serving gives a bound on when the notice began). Conclusion: the hole is shorter by half of the notice; what remains is the switch, which the switcher orders late.

--- a/packages/clockwork/src/linkhaven/clockwork/terms.py
+++ b/packages/clockwork/src/linkhaven/clockwork/terms.py
@@ -14,7 +14,9 @@
     `seats`: how many core seats there are (2f + 1). `silent_us`: how long an order or a read at
     a registry waits for a majority that says nothing; shorter than its sender's patience.
     `contact_us`: how old a core member's last answer from a majority may be while it still
-    calls its plan current. `bootstrap`: this is the first start of the whole system, on empty
+    calls its plan current. `stand_in_us`: how long a runner that leaves is still given what no
+    other can take, from the last list that had it as serving; 0 where runners take nothing once
+    they leave. `bootstrap`: this is the first start of the whole system, on empty
     disks.
     """
 
@@ -41,6 +43,7 @@
         "retry_least_us",
         "silent_us",
         "contact_us",
+        "stand_in_us",
     )
 
     DEFAULTS = {
@@ -66,6 +69,7 @@
         "retry_least_us": 1_000_000,
         "silent_us": 600_000,
         "contact_us": 1_500_000,
+        "stand_in_us": 0,
     }
 
     def __init__(self, **given):
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -43,6 +43,7 @@
         "is_switching",
         "silent_us",
         "is_told_dark",
+        "serves_until_us",
     )
 
     def __init__(self, name, address, zone, incarnation):
@@ -56,6 +57,7 @@
         self.kv_used = 0
         self.kv_total = 1
         self.is_leaving = False
+        self.serves_until_us = 0
         self.is_listed = True
         self.reported_us = None
         self.mark = 0
@@ -102,6 +104,15 @@
         _, _, self.queued, self.running, self.kv_used, self.kv_total, age_us = figures
         self.reported_us = now_us - age_us
 
+    def may_stand_in(self, now_us):
+        """Whether it leaves, but still takes what nobody else can take."""
+        return (
+            self.is_leaving
+            and now_us < self.serves_until_us
+            and self.is_listed
+            and not (self.is_dark or self.is_changing or self.is_switching)
+        )
+
     def is_open(self):
         """Whether the runner takes new work."""
         return (
@@ -210,23 +221,23 @@
             if self.place == (document["fence"], document["since"]):
                 self._take_changes(document, sent_us)
             return
-        now_us = self.node.now_us()
+        now_us, before_us = self.node.now_us(), self.taken_us
         self.place = place
         self.taken_us = sent_us - document["age_us"]
         named = set()
         for record in document["runners"]:
             named.add(record["name"])
-            self._take_record(record, now_us)
+            self._take_record(record, now_us, before_us)
         for name in [name for name in self.runners if name not in named]:
             self.runners.drop(name)
         self._end_taking()
 
     def _take_changes(self, document, sent_us):
-        now_us = self.node.now_us()
+        now_us, before_us = self.node.now_us(), self.taken_us
         self.place = (document["fence"], document["serial"])
         self.taken_us = sent_us - document["age_us"]
         for record in document["runners"]:
-            self._take_record(record, now_us)
+            self._take_record(record, now_us, before_us)
         for figures in document["figures"]:
             runner = self.runners.get(figures[0])
             if runner is not None and runner.incarnation == figures[1]:
@@ -242,16 +253,18 @@
         for hear in self.on_new:
             hear()
 
-    def _take_record(self, record, now_us):
+    def _take_record(self, record, now_us, before_us):
         runner = self.runners.get(record["name"])
-        if runner is None or self.starts.is_new(
+        was_known = runner is not None and not self.starts.is_new(
             runner, record["incarnation"], record["age_us"] is not None
-        ):
+        )
+        if not was_known:
             runner = self.runners[record["name"]] = Runner(
                 record["name"], record["address"], record["zone"], record["incarnation"]
             )
         elif record["incarnation"] != runner.incarnation:
             return
+        was_serving = was_known and not runner.is_leaving
         runner.address = record["address"]
         runner.is_listed = record["is_listed"]
         runner.pool, runner.slots = record.get("pool"), record.get("slots", 0)
@@ -260,6 +273,8 @@
         if record["age_us"] is not None:
             runner.take_report({**record, "is_leaving": record["is_leaving"]}, now_us)
         runner.is_leaving = runner.is_leaving or record["is_leaving"]
+        if runner.is_leaving and was_serving:
+            runner.serves_until_us = before_us + self.node.terms.stand_in_us
         runner.is_told_dark = record["is_dark"]
         self._weigh_dark(runner, now_us)
 
@@ -306,6 +321,7 @@
             self.node.ports.log(1603, runner=runner.name)
         self.evidence[(runner.name, runner.incarnation, "leaving")] = self.node.now_us()
         runner.is_leaving = True
+        runner.serves_until_us = 0
 
     def tell_evidence(self, is_keeping=True):
         """Return rows of name, incarnation, what was seen and its age in microseconds.
@@ -332,8 +348,24 @@
     def open_runners(self):
         """Return the runners that take work.
 
-        A silent one is left out where another one of its pool and phase isn't silent.
+        A silent one is left out where another one of its pool and phase isn't silent. One that
+        leaves is in only while no other of its pool and phase is, and only for `stand_in_us` from
+        the last list that had it as serving, so that nothing reaches it after its notice.
+        Test: `test_leaving_runners_take_what_nobody_else_can_until_half_of_their_notice_is_over`.
         """
+        runners = self._without_silent_ones()
+        leaving = [runner for runner in self.runners.values() if runner.serves_until_us]
+        if not leaving:
+            return runners
+        now_us = self.node.now_us()
+        played = {(runner.pool, runner.phase) for runner in runners}
+        return runners + [
+            runner
+            for runner in leaving
+            if (runner.pool, runner.phase) not in played and runner.may_stand_in(now_us)
+        ]
+
+    def _without_silent_ones(self):
         runners = [runner for runner in self.runners.values() if runner.is_open()]
         silent = [
             runner for runner in runners if runner.silent_us is not None and self.is_silent(runner)
--- a/tests/pooled_fleet.py
+++ b/tests/pooled_fleet.py
@@ -8,6 +8,7 @@
 POOL = "models"
 SLOTS = 64
 LAST = "runner-5"
+NOTICE_US = 3_000_000
 
 
 def kind(group, ttft_s, deadline_s):
@@ -61,7 +62,12 @@
     __slots__ = ()
 
     def _build_router(self, host, ports):
-        terms = Terms(hold_share=0.2, retry_least_us=100_000, roster_stale_us=None)
+        terms = Terms(
+            hold_share=0.2,
+            retry_least_us=100_000,
+            roster_stale_us=None,
+            stand_in_us=NOTICE_US // 2,
+        )
         incarnation = host.wall_us() + host.starts
         return RouterNode(
             host.name, host.address, ports, host.zone, self.seeds, incarnation, terms=terms
@@ -73,8 +79,8 @@
             record.update(pool=POOL, slots=SLOTS)
 
 
-def fleet(seed, left=1):
-    """A fleet under load of which only the last `left` runners stay, and those decode."""
+def loaded_fleet(seed):
+    """The whole fleet under load for six seconds: three runners read, two decode."""
     plan = POOLED.plan(pools={POOL: {}})
     plan["taichi"] = {"prefill_tokens_per_s": 0, "search": False}
     one = PooledFleet(
@@ -82,6 +88,12 @@
     ).start()
     one.load()
     one.world.run_for(6 * SECOND)
+    return one
+
+
+def fleet(seed, left=1):
+    """A fleet under load of which only the last `left` runners stay, and those decode."""
+    one = loaded_fleet(seed)
     gone = {f"runner_{place}": "gone" for place in range(1, POOLED.runners - left + 1)}
     one.list_runners(**gone)
     for name in gone:
--- a/tests/test_last_runner.py
+++ b/tests/test_last_runner.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from pooled_fleet import fleet, served_by_kind
+from pooled_fleet import NOTICE_US, fleet, loaded_fleet, served_by_kind
 
 from linkhaven.stage.fleet import SECOND
 
@@ -21,3 +21,26 @@
     assert shares["question"] >= 0.5, shares
     assert shares["check"] >= 0.4, shares
     assert shares["digest"] >= 0.02, shares
+
+
+@pytest.mark.parametrize("seed", range(1, 9))
+def test_leaving_runners_take_what_nobody_else_can_until_half_of_their_notice_is_over(seed):
+    one = loaded_fleet(seed)
+    decoding = ("runner-4", "runner-5")
+    one.list_runners(**{name.replace("-", "_"): "leaving" for name in decoding})
+    lag_us = one.platform.node.lag_us
+    listed_us = one.world.now_us + lag_us
+    one.world.run_for(lag_us + SECOND)
+    last_us = max(
+        at_us
+        for at_us, what, facts in one.world.record
+        if what == "offered" and facts["runner"] in decoding
+    )
+    assert last_us > listed_us + SECOND // 2
+    one.world.run_for(6 * SECOND)
+    sent = [
+        facts["sent_us"]
+        for _, what, facts in one.world.record
+        if what == "offered" and facts["runner"] in decoding
+    ]
+    assert max(sent) < listed_us + NOTICE_US
