Invariants of placement: checked at every router, counted, and logged as 1902

Cause: nothing in the running code said that the last runner's queue was filled by late work, or that requests were held to their end. After: refused_beside_idle_runners, late_work_beyond_room, held_too_long; counts in the router's standing; tests of the pooled fleet expect none, and three mechanisms taken out are each seen (tests/test_placement_invariants.py). A refusal where no runner is open says the plan's switch time as the time to come back.

--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -11,8 +11,8 @@
 FAILED_HAND_OVERS = {"handle_lapsed", "handle_foreign", "hand_over_failed"}
 GONE = {"runner_leaving", "incarnation_other"}
 FULL = {"runner_full", "connections_taken"}
-AWAY_US = 1_000_000
-"""When to come back where no runner is open: a switch of parts or a start takes longer."""
+SWITCH_US = 1_000_000
+"""When to come back where no runner is open and the plan doesn't say how long a switch takes."""
 BEYOND_TARGET = "prompt_beyond_target"
 TURNED_AWAY = FAILED_HAND_OVERS | {"runner_full", "runner_leaving", "phase_wrong"}
 
@@ -68,7 +68,7 @@
         if why is None:
             return False
         if not decision.candidates:
-            return self._give_up(request, decision, why, retry_us=AWAY_US)
+            return self._give_up(request, decision, why, self._switch_us(request))
         return self._begin_anyway(request, work, ttft_us, why, now_us)
 
     def _begin_anyway(self, request, work, ttft_us, why, now_us):
@@ -87,13 +87,20 @@
                 return False
             return self._give_up(request, decision, why, self._room_us(decision, ttft_us))
         if not self._is_hopeless(request, decision, now_us):
+            self.node.invariants.check_placement(request, decision.winner, room_us)
             self._place(request, decision)
             return True
         return self._give_up(request, decision, why, self._room_us(decision, ttft_us))
 
+    def _switch_us(self, request):
+        """How long a runner takes to play another part: sooner, none is open again."""
+        pools = (self.node.image.plan or {}).get("pools", {})
+        return pools.get(request.pool, {}).get("switch_us", SWITCH_US)
+
     def _give_up(self, request, decision, why, retry_us):
         """The final answer, at once, with when to come back; gives False, as nothing was placed."""
         request.decisions.append(decision)
+        self.node.invariants.check_refusal(request)
         trouble = Trouble(
             "no_runner",
             retry_us=retry_us,
--- /dev/null
+++ b/packages/router/src/linkhaven/router/invariants.py
@@ -0,0 +1,70 @@
+"""What must hold of placement at every router, checked in the running code and counted.
+
+| name | what must hold | what breaks without it |
+| --- | --- | --- |
+| `refused_beside_idle_runners` | nothing is refused for want of a runner while all are idle | RECOVER |
+| `late_work_beyond_room` | what is late anyway joins no queue that others need to be short | RECOVER |
+| `held_too_long` | where callers are refused early, none is held long past that | answers at the end |
+"""
+
+from collections import Counter
+
+from linkhaven.runner.roster import DECODE
+
+TELL_US = 2_000_000
+"""How often a broken invariant is logged, at most; each violation is counted."""
+
+HELD_MARGIN_US = 500_000
+"""What a busy loop may add to the time for which a request is held."""
+
+
+class PlacementInvariants:
+    """Counts violations by name, and logs event 1902 for the first of each in a while."""
+
+    __slots__ = ("node", "pairing", "violations", "told_us")
+
+    def __init__(self, node, pairing):
+        """Nothing was violated yet."""
+        self.node = node
+        self.pairing = pairing
+        self.violations = Counter()
+        self.told_us = {}
+
+    def check_refusal(self, request):
+        """A request is about to be refused for want of a runner."""
+        runners = self.pairing.open_runners(request.pool)
+        can_serve = [runner for runner in runners if self._can_decode(runner, request)]
+        if can_serve and not any(self.pairing.book(runner).known()[0] for runner in runners):
+            names = [runner.name for runner in can_serve]
+            self._violate("refused_beside_idle_runners", request=request.id, runners=names)
+        self.check_hold(request)
+
+    def check_placement(self, request, candidate, room_us):
+        """A request that no runner could answer in time is about to be placed."""
+        if not candidate.has_room:
+            self._violate(
+                "late_work_beyond_room", request=request.id, wait_us=candidate.q_us, room_us=room_us
+            )
+
+    def check_hold(self, request):
+        """A request ends that was not placed."""
+        hold_share = self.node.terms.hold_share
+        if hold_share is None or not request.kind:
+            return
+        held_us = self.node.now_us() - max(request.arrived_us, self.node.calm_since_us)
+        if held_us > request.kind["ttft_us"] * hold_share + HELD_MARGIN_US:
+            self._violate("held_too_long", request=request.id, held_us=held_us)
+
+    def _can_decode(self, runner, request):
+        if runner.phase != DECODE or not self.pairing.fits(runner, request.prompt_tokens):
+            return False
+        streams = self.pairing.book(runner).known()[3]
+        return not runner.slots or streams < runner.slots
+
+    def _violate(self, name, **facts):
+        self.violations[name] += 1
+        now_us = self.node.now_us()
+        if now_us - self.told_us.get(name, -TELL_US) < TELL_US:
+            return
+        self.told_us[name] = now_us
+        self.node.ports.log(1902, invariant=name, count=self.violations[name], **facts)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -12,6 +12,7 @@
 from .chain import Filters
 from .doors import Doors
 from .explain import Explainer
+from .invariants import PlacementInvariants
 from .keys import Keys
 from .native import NativeCallers
 from .refusals import RefusalReport
@@ -66,6 +67,8 @@
         "callers",
         "doors",
         "refusals",
+        "invariants",
+        "calm_since_us",
     )
 
     def __init__(
@@ -103,6 +106,9 @@
         self.chain = Filters(self).chain(self.end_in_trouble)
         self.explainer = Explainer(self, self.ring, self.requests)
         self.refusals = RefusalReport(self, self.roster, self.pairing)
+        self.invariants = PlacementInvariants(self, self.pairing)
+        self.calm_since_us = self.now_us()
+        self.on_late.append(self._note_disturbance)
         self.requests_at_most = requests_at_most
         self.is_draining = False
         self.drain_us = None
@@ -422,6 +428,8 @@
                 )
                 continue
             cause = self._find_cause(request)
+            if request.state == states.QUEUED and cause != "credit":
+                self.invariants.check_hold(request)
             self.unserved[cause] = self.unserved.get(cause, 0) + 1
             retry_us = max(1_000_000, self.credit.wait_us(request.group))
             self.end_in_trouble(
@@ -452,10 +460,15 @@
     def _serve_queue(self, now_us):
         self.wake_queue()
 
+    def _note_disturbance(self, now_us):
+        """This process slept, or was closed: what was held meanwhile was not held by choice."""
+        self.calm_since_us = now_us
+
     def _watch_openness(self, now_us):
         is_open = self.may_start()
         if is_open == self.is_open:
             return
+        self._note_disturbance(now_us)
         self.is_open = is_open
         self.closed_us = now_us
         if is_open:
@@ -533,6 +546,7 @@
                 },
                 "moves": self.flow.moves,
                 "exceptions": self.pairing.exceptions,
+                "violations": dict(self.invariants.violations),
                 "counts": self.counts,
                 "unserved": self.unserved,
                 "keys": len(self.keys.won),
--- a/tests/pooled_fleet.py
+++ b/tests/pooled_fleet.py
@@ -1,5 +1,7 @@
 """A simulated fleet of one pool, with the terms of the users' platform, for tests of placement."""
 
+from collections import Counter
+
 from linkhaven.clockwork import Terms
 from linkhaven.router import RouterNode
 from linkhaven.stage.fleet import SECOND, Deployment, SimFleet
@@ -113,3 +115,12 @@
         served = sum(1 for each in asked if each.how == "done")
         shares[name] = served / max(1, len(asked))
     return shares
+
+
+def violations(one):
+    """Violated invariants of all routers, by name."""
+    counts = Counter()
+    for host in one.routers.values():
+        if host.node:
+            counts.update(host.node.invariants.violations)
+    return dict(counts)
--- a/tests/test_last_runner.py
+++ b/tests/test_last_runner.py
@@ -5,7 +5,7 @@
 """
 
 import pytest
-from pooled_fleet import NOTICE_US, fleet, loaded_fleet, served_by_kind
+from pooled_fleet import NOTICE_US, fleet, loaded_fleet, served_by_kind, violations
 
 from linkhaven.stage.fleet import SECOND
 
@@ -21,6 +21,7 @@
     assert shares["question"] >= 0.5, shares
     assert shares["check"] >= 0.4, shares
     assert shares["digest"] >= 0.02, shares
+    assert violations(one) == {}
 
 
 @pytest.mark.parametrize("seed", range(1, 9))
@@ -44,3 +45,4 @@
         if what == "offered" and facts["runner"] in decoding
     ]
     assert max(sent) < listed_us + NOTICE_US
+    assert violations(one) == {}
--- /dev/null
+++ b/tests/test_placement_invariants.py
@@ -0,0 +1,44 @@
+"""The invariants of placement are seen to break where a mechanism behind them is taken out."""
+
+import pytest
+from pooled_fleet import fleet, violations
+
+from linkhaven.pairing import Pairing
+from linkhaven.router.attempts import Attempts
+from linkhaven.stage.fleet import SECOND
+
+
+def run(seed):
+    one = fleet(seed)
+    one.world.run_for(10 * SECOND)
+    one.settle()
+    return violations(one)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_late_work_that_is_placed_at_once_is_counted(seed, monkeypatch):
+    def choose_any(self, work, ttft_us, why, without=(), room_us=0):
+        decision = self.choose(work, ttft_us, without)
+        if decision.winner is None and decision.candidates:
+            decision.winner = self._least(decision.candidates, lambda each: each.total_us)
+        return decision
+
+    def weigh_by_room(self, work, ttft_us, without=(), room_us=0, is_overdue=False):
+        return plain_weigh(self, work, ttft_us, without, self.node.rooms["digests"], is_overdue)
+
+    plain_weigh = Pairing.weigh
+    monkeypatch.setattr(Pairing, "weigh", weigh_by_room)
+    monkeypatch.setattr(Pairing, "choose_anyway", choose_any)
+    assert run(seed)["late_work_beyond_room"] > 0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_refusals_beside_an_idle_runner_are_counted(seed, monkeypatch):
+    monkeypatch.setattr(Attempts, "_is_hopeless", lambda self, request, decision, now_us: True)
+    assert run(seed)["refused_beside_idle_runners"] > 0
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_requests_that_are_held_to_their_deadline_are_counted(seed, monkeypatch):
+    monkeypatch.setattr(Attempts, "_has_waited_its_share", lambda self, request, now_us: False)
+    assert run(seed)["held_too_long"] > 0
