Log: the standard library, and a writer thread behind a bounded queue

Cause: the users withdrew picologging. Its handlers wrote in the loop, so a stalled disk or a pipe that nobody reads held the one thread, and a bad log file ended the start with a traceback. Ruled out: a write in the loop after poll (a long line or another writer of the pipe still holds it, and files are always ready); QueueHandler and QueueListener (a record and a write a line, three times the caller's time in a burst); a logging record a line (6 to 7 us against 0.4). Before: test_a_pipe_that_nobody_reads_holds_no_caller fails on (the child hangs, timeout of 10 s). Lines that are lost are counted and told by the new event 1007. log.queue_lines is a setting; log.file is checked with the others. Lines are byte for byte as before. Tests changed: test_traces waits until a line was written before it moves the file, since writing is no longer done by the call; the catalogue's test takes numbers told to event_line as used, beside those told to log, since 1007 is put into the write itself. Both compare as strictly as before. Conclusion: the loop never waits for its log; a lone line costs the process somewhat more.

--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -45,15 +45,8 @@
 
     def act(self):
         settings = self.read_core()
-        log_path = settings["log"].get("file")
-        disk = open_disk(
-            settings["data"],
-            settings["data_bytes"],
-            settings["name"],
-            lambda *number, **facts: make_log(settings["name"], settings["log"]["level"], log_path)(
-                *number, **facts
-            ),
-        )
+        log = make_log(settings["name"], **settings["log"])
+        disk = open_disk(settings["data"], settings["data_bytes"], settings["name"], log)
 
         def build(ports, incarnation):
             return RegistryNode(
@@ -74,10 +67,9 @@
                 settings["http"],
                 build,
                 disk,
-                settings["log"]["level"],
-                settings["log"].get("file"),
-                settings["body_bytes"],
-                settings["conns"],
+                body_bytes=settings["body_bytes"],
+                conns=settings["conns"],
+                log=log,
             )
             return shell.run_to_end()
         finally:
--- a/packages/router/src/linkhaven/router/program.py
+++ b/packages/router/src/linkhaven/router/program.py
@@ -1,7 +1,7 @@
 from cleo.helpers import argument, option
 
 from linkhaven.traces import TraceWriter
-from linkhaven.wire import Shell
+from linkhaven.wire import Shell, make_log
 from linkhaven.wire.console import PLACE_OPTIONS, CodedCommand, call_json, run_application
 
 from .node import RouterNode
@@ -36,10 +36,9 @@
             settings["lines"],
             settings["http"],
             build,
-            level=settings["log"]["level"],
-            log_path=settings["log"].get("file"),
             body_bytes=settings["body_bytes"],
             conns=settings["conns"],
+            log=make_log(settings["name"], **settings["log"]),
         )
         if traces:
             shell.node.on_end.append(traces.write)
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -5,6 +5,7 @@
     1004: ("warning", "tick came late; grants are checked anew"),
     1005: ("error", "a message or call could not be handled"),
     1006: ("warning", "a line from another process was refused"),
+    1007: ("error", "log lines were lost: the queue was full, or a write was refused"),
     1101: ("info", "fellow is up"),
     1102: ("warning", "fellow is down by its watchers' word"),
     1103: ("info", "a member of another protocol version said hello"),
--- a/packages/wire/src/linkhaven/wire/settings.py
+++ b/packages/wire/src/linkhaven/wire/settings.py
@@ -7,6 +7,8 @@
 from linkhaven.schema import Trouble
 from linkhaven.schema.fields import NAME, list_places, whole
 
+from .log_writer import QUEUE_LINES
+
 
 def split_address(text):
     host, _, port = text.rpartition(":")
@@ -49,6 +51,17 @@
     return value
 
 
+def _log_file(value):
+    if not isinstance(value, str) or not value:
+        return t.DataError("is not a file")
+    if os.path.isdir(value):
+        return t.DataError("is a folder")
+    parent = os.path.dirname(os.path.abspath(value))
+    if not os.path.isdir(parent):
+        return t.DataError(f"cannot be made: {parent} is not a folder")
+    return value
+
+
 ADDRESS = t.Call(_address)
 COMMON = {
     t.Key("name"): NAME,
@@ -59,7 +72,8 @@
     t.Key("log", default=dict): t.Dict(
         {
             t.Key("level", default="info"): t.Enum("debug", "info", "warning", "error"),
-            t.Key("file", optional=True): t.String(),
+            t.Key("file", optional=True): t.Call(_log_file),
+            t.Key("queue_lines", default=QUEUE_LINES): whole(16, 1_000_000),
         }
     ),
     t.Key("body_bytes", default=2_000_000): whole(1_000, 100_000_000),
--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -23,7 +23,9 @@
 
 
 class Shell(BaseComponent):
-    """One process: a node, its sockets, its clock and its log, on one loop and one thread."""
+    """One process: a node, its sockets, its clock and its log, on one loop and one thread.
+
+    Only the log's lines are written by a second thread; `log` wins over `level`."""
 
     channel = "shell"
 
@@ -35,7 +37,7 @@
         build,
         disk=None,
         level="info",
-        log_path=None,
+        log=None,
         body_bytes=2_000_000,
         conns=4_000,
         tick_us=TICK_US,
@@ -47,7 +49,7 @@
         self.looked_us = 0
         self.on_hangup = on_hangup
         self.doors = []
-        self.log = make_log(name, level, log_path)
+        self.log = log or make_log(name, level)
         self.ticker = Ticker(self._tick, tick_us)
         self.poller = DirectPoller().register(self)
         self.outlet = Outlet(self.ticker, self.poller, lines or http, self._hear).register(self)
@@ -139,6 +141,7 @@
         gc.set_threshold(YOUNG_OBJECTS, 20, 20)
         self.run()
         self.log(1003)
+        self.log.close()
         return self.code
 
     @handler("signal", channel="*")
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -41,7 +41,8 @@
 
 def test_the_events_page_is_the_catalogue_and_the_code_uses_all_of_it():
     assert read_rows("events.md") == [(str(number), *EVENTS[number]) for number in sorted(EVENTS)]
-    assert {word for word in first_words("log") if isinstance(word, int)} == set(EVENTS)
+    told = first_words("log") | first_words("event_line")
+    assert {word for word in told if isinstance(word, int)} == set(EVENTS)
 
 
 def test_the_troubles_page_is_the_catalogue_and_the_code_uses_all_of_it():
--- /dev/null
+++ b/tests/test_log.py
@@ -0,0 +1,376 @@
+"""The log: its lines, and that neither its disk nor its pipe ever holds the caller."""
+
+import errno
+import os
+import re
+import signal
+import subprocess
+import sys
+import threading
+
+import pytest
+
+from linkhaven.schema import EVENTS, Trouble
+from linkhaven.wire import check_settings, make_log
+from linkhaven.wire.log import EventLog
+from linkhaven.wire.log_files import LineFileHandler, LineStreamHandler, WriteRefusedError
+
+WALL_NS = 1_796_170_836_229_354_999
+STAMP = "2026-12-02T00:20:36.229354Z"
+LONG_SECONDS = 10
+PIPE_FILLS_AFTER = 2_000
+
+
+class FakeHandler:
+    """Keeps what it is told to write; may be held in a write, or refuse it."""
+
+    def __init__(self):
+        self.lines = []
+        self.writes = 0
+        self.is_free = threading.Event()
+        self.is_free.set()
+        self.is_writing = threading.Event()
+        self.refusal = None
+        self.is_closed = False
+
+    def emit(self, record):
+        self.is_writing.set()
+        assert self.is_free.wait(LONG_SECONDS)
+        self.writes += 1
+        if self.refusal:
+            raise self.refusal
+        self.lines += record.getMessage().split("\n")
+
+    def close(self):
+        self.is_closed = True
+
+    def numbers(self):
+        return [int(re.search(r" LH(\d+) ", line)[1]) for line in self.lines]
+
+
+@pytest.fixture
+def handler():
+    handler = FakeHandler()
+    yield handler
+    handler.is_free.set()
+
+
+def hold(handler, log):
+    """Have the writer hang in the write of a first line."""
+    handler.is_free.clear()
+    log(1001)
+    assert handler.is_writing.wait(LONG_SECONDS)
+
+
+def write_all(log):
+    assert log.flush(LONG_SECONDS)
+
+
+def test_a_line_has_stamp_grade_number_name_text_and_facts(handler):
+    log = EventLog("edge-1", "debug", handler, wall_ns=lambda: WALL_NS)
+    log(1001)
+    log(2102, request="r-1", code="deadline", why="zu spät")
+    write_all(log)
+    assert handler.lines == [
+        f"{STAMP} INFO LH1001 edge-1: {EVENTS[1001][1]}",
+        f"{STAMP} WARNING LH2102 edge-1: {EVENTS[2102][1]} "
+        '{"request":"r-1","code":"deadline","why":"zu spät"}',
+    ]
+
+
+def test_stamps_follow_the_wall_clock_forwards_and_backwards(handler):
+    times = iter([WALL_NS, WALL_NS + 1_000_000_000, WALL_NS])
+    log = EventLog("edge-1", "info", handler, wall_ns=lambda: next(times))
+    for _ in range(3):
+        log(1001)
+    write_all(log)
+    assert [line[17:20] for line in handler.lines] == ["36.", "37.", "36."]
+
+
+def test_events_below_the_level_are_left_out(handler):
+    log = EventLog("edge-1", "warning", handler)
+    for number in (1001, 1004, 1005):
+        log(number)
+    write_all(log)
+    assert handler.numbers() == [1004, 1005]
+
+
+def test_a_file_gets_the_bytes_of_the_lines(tmp_path):
+    path = tmp_path / "log"
+    log = make_log("edge-1", file=str(path))
+    log(2103, why="zu spät")
+    assert log.close(LONG_SECONDS)
+    line = r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d{6}Z INFO LH2103 edge-1: request refused "
+    assert re.fullmatch(line.encode() + '{"why":"zu spät"}\n'.encode(), path.read_bytes())
+
+
+def test_a_pipe_that_nobody_reads_holds_no_caller():
+    """A process whose standard error is a full pipe logs on, ends, and ends with 0."""
+    program = f"""
+from linkhaven.wire import make_log
+log = make_log("edge-1")
+for turn in range({PIPE_FILLS_AFTER}):
+    log(1005, fault="x" * 100)
+"""
+    reading, writing = os.pipe()
+    try:
+        child = subprocess.Popen([sys.executable, "-c", program], stderr=writing)
+        try:
+            assert child.wait(LONG_SECONDS) == 0
+        finally:
+            child.kill()
+            child.wait()
+    finally:
+        os.close(reading)
+        os.close(writing)
+
+
+def test_a_write_that_hangs_holds_no_caller(handler):
+    log = EventLog("edge-1", "info", handler)
+    hold(handler, log)
+    for _ in range(100):
+        log(2101)
+    assert handler.lines == []
+    handler.is_free.set()
+    write_all(log)
+    assert handler.numbers() == [1001] + [2101] * 100
+
+
+def test_lines_that_waited_are_written_together(handler):
+    log = EventLog("edge-1", "info", handler)
+    hold(handler, log)
+    for _ in range(100):
+        log(2101)
+    handler.is_free.set()
+    write_all(log)
+    assert handler.writes == 2
+
+
+def test_a_full_queue_drops_counts_and_tells_once_there_is_room(handler):
+    log = EventLog("edge-1", "info", handler, queue_lines=16)
+    hold(handler, log)
+    for _ in range(20):
+        log(2101)
+    handler.is_free.set()
+    write_all(log)
+    assert handler.numbers() == [1001] + [2101] * 16 + [1007]
+    assert handler.lines[-1].endswith('{"dropped":4,"refused":0,"reason":null}')
+    log(1003)
+    write_all(log)
+    assert handler.numbers()[-2:] == [1007, 1003]
+
+
+def test_refused_writes_are_survived_not_repeated_and_told_once_they_work(handler):
+    log = EventLog("edge-1", "info", handler)
+    handler.refusal = WriteRefusedError(0, os.strerror(errno.ENOSPC))
+    for _ in range(3):
+        log(2101)
+        write_all(log)
+    assert handler.writes == 3 and handler.lines == []
+    handler.refusal = None
+    log(1003)
+    write_all(log)
+    assert handler.numbers() == [1003, 1007]
+    assert handler.lines[-1].endswith(
+        '{"dropped":0,"refused":3,"reason":"No space left on device"}'
+    )
+
+
+def test_a_log_of_errors_alone_tells_its_losses_too(handler):
+    log = EventLog("edge-1", "error", handler)
+    handler.refusal = WriteRefusedError(0, "full")
+    log(1005)
+    write_all(log)
+    handler.refusal = None
+    log(1005)
+    write_all(log)
+    assert handler.numbers() == [1005, 1007]
+
+
+def test_a_full_disk_refuses_and_nothing_of_it_is_written_later():
+    with open("/dev/full", "wb", buffering=0) as full:
+        handler = LineStreamHandler(full.fileno())
+        log = EventLog("edge-1", "info", handler)
+        log(1001)
+        write_all(log)
+        assert log.writer.refused == 1
+        assert log.writer.reason == os.strerror(errno.ENOSPC)
+
+
+class TornStream:
+    """Takes some bytes of a first write, refuses the rest, and takes all that comes later."""
+
+    def __init__(self, room):
+        self.room = room
+        self.data = b""
+        self.is_refusing = False
+
+    def write(self, data):
+        if self.is_refusing:
+            self.is_refusing, self.room = False, None
+            raise OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        taken = data if self.room is None else data[: self.room]
+        self.is_refusing = self.room is not None
+        self.data += taken
+        return len(taken)
+
+
+def test_after_a_line_that_went_out_in_part_the_next_begins_a_line(handler):
+    torn = LineStreamHandler()
+    first = f"{STAMP} INFO LH1001 edge-1: {EVENTS[1001][1]}\n".encode()
+    torn.stream = TornStream(room=len(first) + 5)
+    log = EventLog("edge-1", "info", handler, wall_ns=lambda: WALL_NS)
+    hold(handler, log)
+    log.writer.handler = torn
+    for number in (1001, 1003, 1003):
+        log(number)
+    handler.is_free.set()
+    write_all(log)
+    assert torn.stream.data == first + STAMP[:5].encode()
+    assert log.writer.refused == 2
+    log(1002)
+    write_all(log)
+    lines = torn.stream.data.decode().splitlines()
+    assert [re.sub(r".* LH(\d+) .*", r"\1", line) for line in lines] == [
+        "1001",
+        STAMP[:5],
+        "1002",
+        "1007",
+    ]
+
+
+def test_the_end_writes_what_is_queued_and_closes_the_file(handler):
+    log = EventLog("edge-1", "info", handler)
+    hold(handler, log)
+    for _ in range(600):
+        log(2101)
+    handler.is_free.set()
+    assert log.close(LONG_SECONDS)
+    assert handler.numbers() == [1001] + [2101] * 600
+    assert handler.is_closed
+
+
+def test_the_end_waits_no_longer_than_it_is_told_for_a_write_that_hangs(handler):
+    log = EventLog("edge-1", "info", handler)
+    hold(handler, log)
+    assert not log.close(timeout_seconds=0)
+    assert not handler.is_closed
+    log(1003)
+    assert not log.close(timeout_seconds=0)
+
+
+def test_a_log_without_a_line_has_no_thread_and_ends(handler):
+    log = EventLog("edge-1", "info", handler)
+    assert log.writer.thread is None
+    assert log.close(timeout_seconds=0)
+    assert handler.is_closed
+
+
+def test_a_process_that_ends_without_closing_its_log_has_written_it(tmp_path):
+    path = tmp_path / "log"
+    program = f"""
+import sys
+from linkhaven.wire import make_log
+log = make_log("edge-1", file={str(path)!r})
+for turn in range(1000):
+    log(2101, turn=turn)
+sys.exit(2)
+"""
+    assert subprocess.run([sys.executable, "-c", program]).returncode == 2
+    assert path.read_text().count("LH2101") == 1_000
+
+
+def test_a_file_that_was_moved_or_removed_is_begun_anew(tmp_path):
+    path = tmp_path / "log"
+    log = make_log("edge-1", file=str(path))
+    for turn, take_away in enumerate((lambda: path.rename(tmp_path / "moved"), path.unlink)):
+        log(2101, turn=turn)
+        write_all(log)
+        take_away()
+    log(2101, turn=2)
+    assert log.close(LONG_SECONDS)
+    assert '"turn":0' in (tmp_path / "moved").read_text()
+    assert '"turn":2' in path.read_text() and path.read_text().count("\n") == 1
+
+
+def test_a_file_whose_folder_is_gone_for_a_while_is_begun_anew(tmp_path):
+    folder = tmp_path / "logs"
+    folder.mkdir()
+    path = folder / "log"
+    log = make_log("edge-1", file=str(path))
+    path.unlink()
+    folder.rmdir()
+    for _ in range(2):
+        log(1002)
+        write_all(log)
+    assert log.writer.refused == 2
+    folder.mkdir()
+    log(1003)
+    write_all(log)
+    assert log.close(LONG_SECONDS)
+    assert [line.split()[2] for line in path.read_text().splitlines()] == ["LH1003", "LH1007"]
+
+
+def test_signals_of_the_loop_never_go_to_the_writer(handler):
+    masks = []
+    handler.emit = lambda record: masks.append(signal.pthread_sigmask(signal.SIG_BLOCK, ()))
+    log = EventLog("edge-1", "info", handler)
+    log(1001)
+    write_all(log)
+    assert masks[0] >= {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
+
+
+def test_no_thread_to_be_had_keeps_the_lines_for_the_next_try(handler, monkeypatch):
+    log = EventLog("edge-1", "info", handler)
+
+    def refuse(thread):
+        raise RuntimeError("can't start new thread")
+
+    with monkeypatch.context() as patched:
+        patched.setattr(threading.Thread, "start", refuse)
+        log(1001)
+    log(1003)
+    write_all(log)
+    assert handler.numbers() == [1001, 1003]
+
+
+SETTINGS = {
+    "name": "edge-1",
+    "zone": "z",
+    "lines": "10.0.0.1:7000",
+    "http": "10.0.0.1:80",
+    "seeds": ["10.0.0.2:7000", "10.0.0.3:7000", "10.0.0.4:7000"],
+}
+
+
+@pytest.mark.parametrize(
+    "setting, value, fault",
+    [
+        ("level", "loud", ""),
+        ("file", "/nowhere/at/all/log", "/nowhere/at/all is not a folder"),
+        ("file", "/", "is a folder"),
+        ("file", 7, "is not a file"),
+        ("queue_lines", 0, ""),
+        ("queue_lines", "many", ""),
+        ("colour", "red", ""),
+    ],
+)
+def test_a_bad_setting_of_the_log_is_told_with_its_key(setting, value, fault):
+    with pytest.raises(Trouble) as caught:
+        check_settings("router", {**SETTINGS, "log": {setting: value}})
+    (place,) = caught.value.detail["places"]
+    assert place["place"] == f"log/{setting}" and fault in place["fault"]
+
+
+def test_the_settings_of_the_log_are_those_of_its_maker(tmp_path):
+    settings = check_settings("router", {**SETTINGS, "log": {"file": str(tmp_path / "log")}})
+    log = make_log("edge-1", **settings["log"])
+    assert isinstance(log.writer.handler, LineFileHandler)
+    assert log.writer.queue_lines == 4_096
+    assert log.close(LONG_SECONDS)
+
+
+def test_a_file_that_cannot_be_opened_is_told_with_its_key(tmp_path):
+    with pytest.raises(Trouble) as caught:
+        make_log("edge-1", file=str(tmp_path))
+    assert caught.value.detail["places"][0]["place"] == "log/file"
--- a/tests/test_traces.py
+++ b/tests/test_traces.py
@@ -37,9 +37,10 @@
     request = Request("edge-1-1-1", None, 1_000_000)
     request.outcome = "done"
     log_file, trace_file = tmp_path / "log", tmp_path / "traces"
-    log, traces = make_log("edge-1", path=str(log_file)), TraceWriter(str(trace_file), "edge-1")
+    log, traces = make_log("edge-1", file=str(log_file)), TraceWriter(str(trace_file), "edge-1")
     for turn in range(2):
         log(1001)
+        assert log.flush(timeout_seconds=10)
         traces.write(request, 2_000_000)
         log_file.rename(tmp_path / f"log.{turn}")
         trace_file.rename(tmp_path / f"traces.{turn}")
