Lease: a holder announces what it does, so that a successor knows when nobody acted

Ruled out: shorter leases; reading the runners' counts of orders (nobody polls them while the duty is vacant). After: the record of a lease counts announced actions; a holder may act within renew_us of asking for the announcement; who has seen none for a lease and renew_us may act at once. Conclusion: not used by the switcher yet.

--- a/packages/duty/src/linkhaven/duty/lease.py
+++ b/packages/duty/src/linkhaven/duty/lease.py
@@ -7,6 +7,9 @@
 - Another node asks for the lease only after it has itself seen the same record for a whole lease
   and a margin, counted in time that it lived through
   (`test_a_leap_of_the_clock_is_no_wait_for_a_holder`).
+- A holder acts only after a quorum has recorded that it will, and within `renew_us` of asking for
+  that record. So who has seen no such record for a lease and `renew_us` knows that no other holder
+  acted within the last lease (`test_who_saw_no_announcement_knows_that_nobody_acted`).
 - Each new holder has a higher fence than all before, also after the core lost what it knew
   (`test_a_new_holder_has_a_fence_above_any_that_was_observed`).
 """
@@ -73,6 +76,11 @@
         "incarnation_of",
         "is_succession",
         "is_closed",
+        "actions",
+        "seen_actions",
+        "idle_us",
+        "is_action_requested",
+        "announced_us",
     )
 
     def __init__(
@@ -105,6 +113,11 @@
         self.incarnation_of = lambda name: None
         self.is_succession = False
         self.is_closed = False
+        self.actions = 0
+        self.seen_actions = None
+        self.idle_us = 0
+        self.is_action_requested = False
+        self.announced_us = None
         node.systems.append(self.tick)
         node.on_late.append(self.on_late_tick)
 
@@ -133,6 +146,24 @@
             return True
         return self.node.now_us() - self.last_seen_us > self.quiet_us
 
+    def request_action(self):
+        """Have a quorum record that this holder acts next; `may_act` tells when it has."""
+        self.is_action_requested = self.fence is not None
+
+    def may_act(self):
+        """Whether one action was announced and may still be taken."""
+        if not self.is_held() or self.announced_us is None:
+            return False
+        return self.node.now_us() - self.announced_us < self.renew_us
+
+    def use_action(self):
+        """The announced action is taken: the next one is announced anew."""
+        self.announced_us = None
+
+    def are_others_idle(self):
+        """Whether no other holder can have acted within the last lease."""
+        return self.seen_actions is not None and self.idle_us >= self.lease_us + self.renew_us
+
     def allow_election_now(self):
         """Nobody can have held the lease: it may be asked for at once."""
         self.waited_us = self.lease_us + MARGIN_US
@@ -166,7 +197,8 @@
             record = read_record(value)
             if not record or record.fence != fence or record.holder != self.node.name:
                 return "stop", value
-            return "set", write_record(LeaseRecord(None, fence, record.renewal + 1))
+            vacant = LeaseRecord(None, fence, record.renewal + 1, record.actions)
+            return "set", write_record(vacant)
 
         self.proposer.change(self.key, step, lambda outcome, value: done())
 
@@ -204,7 +236,7 @@
     def _renew_if_due(self, now_us):
         if self.least_fence > self.fence:
             self._request(now_us, self.least_fence + 1, 0)
-        elif now_us - self.requested_us >= self.renew_us:
+        elif self.is_action_requested or now_us - self.requested_us >= self.renew_us:
             self._request(now_us, self.fence, self.renewal + 1)
 
     def _may_stand(self, now_us):
@@ -213,7 +245,9 @@
         return self.waited_us >= self.lease_us + MARGIN_US
 
     def _count_wait(self, now_us):
-        self.waited_us += max(0, min(now_us - self.ticked_us, STEP_AT_MOST_US))
+        lived_us = max(0, min(now_us - self.ticked_us, STEP_AT_MOST_US))
+        self.waited_us += lived_us
+        self.idle_us += lived_us
         self.ticked_us = now_us
 
     def _wait_anew(self, now_us):
@@ -224,6 +258,8 @@
     def _lapse(self):
         self.node.ports.log(1402, duty=self.name, fence=self.fence)
         self.fence = None
+        self.is_action_requested = False
+        self.announced_us = None
         self.on_lapsed()
 
     # what it sees of others
@@ -246,6 +282,9 @@
             return
         self.last_seen = record.version
         self.last_seen_us = now_us
+        if record.actions != self.seen_actions and record.holder != self.node.name:
+            self.idle_us = 0
+        self.seen_actions = record.actions
         self._wait_anew(now_us)
         self.is_vacant = record.holder is None
         if self.is_vacant:
@@ -261,7 +300,9 @@
         self.is_requesting = True
         self.requested_us = now_us
         expected = (self.fence, self.renewal) if self.fence is not None else self.last_seen
-        wanted = LeaseRecord(self.node.name, fence, renewal)
+        is_announcing = self.is_action_requested and fence == self.fence
+        actions = self.actions if self.fence is not None else self.seen_actions or 0
+        wanted = LeaseRecord(self.node.name, fence, renewal, actions + is_announcing)
         is_succession = self.is_vacant and bool(self.last_seen)
 
         def step(value):
@@ -281,6 +322,9 @@
             if outcome != "chosen" or read_record(value) != wanted:
                 return self._rest()
             self._hold(wanted, now_us + self.lease_us, is_succession)
+            if is_announcing and self.fence == fence:
+                self.is_action_requested = False
+                self.announced_us = now_us
 
         self.proposer.change(self.key, step, done, is_patient=True)
 
@@ -291,6 +335,7 @@
         is_new = self.fence != record.fence
         self.fence = record.fence
         self.renewal = record.renewal
+        self.actions = record.actions
         self.expires_us = expires_us
         if is_new:
             self.is_succession = is_succession
--- a/packages/duty/src/linkhaven/duty/messages.py
+++ b/packages/duty/src/linkhaven/duty/messages.py
@@ -15,6 +15,9 @@
     renewal: int
     """How often the holder renewed under this fence."""
 
+    actions: int | None = None
+    """How many actions all holders have announced; None by a version that doesn't announce."""
+
     @property
     def version(self):
         """What tells a newer record from an older one."""
@@ -28,4 +31,7 @@
 
 def write_record(record):
     """The register's value for a record."""
-    return msgspec.to_builtins(record)
+    document = msgspec.to_builtins(record)
+    if record.actions is None:
+        del document["actions"]
+    return document
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -166,7 +166,7 @@
     one.run(TICK_US)
     two.run(TICK_US)
     one.lease.release(lambda: released.append(True))
-    assert released and register.value == {"holder": None, "fence": 1, "renewal": 1}
+    assert released and register.value == {"holder": None, "fence": 1, "renewal": 1, "actions": 0}
     two.run(2 * TICK_US)
     assert two.lease.is_held() and two.lease.is_succession
     one.run(10 * SECOND_US)
@@ -228,3 +228,103 @@
     register.value = {"holder": "two", "fence": "4", "renewal": 1}
     with pytest.raises(msgspec.ValidationError):
         one.lease.record()
+
+
+def test_a_holder_acts_only_soon_after_a_quorum_recorded_that_it_will():
+    register = Register()
+    one = Member(register, "one")
+    one.run(TICK_US)
+    assert not one.lease.may_act()
+    register.held = []
+    one.lease.request_action()
+    one.run(TICK_US)
+    assert not one.lease.may_act()
+    register.held.pop()()
+    assert one.lease.may_act() and register.value["actions"] == 1
+    one.time_us += one.lease.renew_us
+    assert not one.lease.may_act()
+    register.held = None
+    one.lease.request_action()
+    one.run(TICK_US)
+    assert one.lease.may_act()
+    one.lease.use_action()
+    assert not one.lease.may_act() and register.value["actions"] == 2
+
+
+def test_a_lapsed_holder_may_not_take_what_it_announced():
+    register = Register()
+    one = Member(register, "one")
+    one.run(TICK_US)
+    one.lease.request_action()
+    one.run(TICK_US)
+    one.lease.on_late_tick(one.time_us)
+    assert not one.lease.may_act()
+
+
+def test_who_saw_no_announcement_knows_that_nobody_acted():
+    register = Register()
+    one, two = Member(register, "one"), Member(register, "two")
+    one.run(TICK_US)
+    two.run(TICK_US)
+    assert not two.lease.are_others_idle()
+    for _ in range(10):
+        one.run(SECOND_US)
+        two.run(SECOND_US)
+    assert two.lease.are_others_idle()
+    one.lease.request_action()
+    one.run(TICK_US)
+    two.run(TICK_US)
+    assert one.lease.may_act() and not two.lease.are_others_idle()
+    two.run(LEASE_US + two.lease.renew_us - 2 * TICK_US)
+    assert two.lease.is_held() and not two.lease.are_others_idle()
+    two.run(2 * TICK_US)
+    assert two.lease.are_others_idle()
+
+
+def test_ones_own_announcements_are_no_action_of_others():
+    register = Register()
+    one = Member(register, "one")
+    one.run(6 * SECOND_US)
+    assert one.lease.are_others_idle()
+    one.lease.request_action()
+    one.run(3 * TICK_US)
+    assert one.lease.may_act() and one.lease.are_others_idle()
+
+
+def test_a_predecessor_of_a_version_that_announces_nothing_is_never_taken_for_idle():
+    register = Register()
+    register.value = {"holder": "old", "fence": 4, "renewal": 7}
+    two = Member(register, "two")
+    two.run(LEASE_US)
+    assert not two.lease.are_others_idle()
+    two.run(SECOND_US)
+    assert two.lease.is_held() and register.value["actions"] == 0
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_two_holders_act_within_a_lease_where_one_waits_for_others_to_be_idle(seed):
+    dice = random.Random(seed)
+    register = Register()
+    members = [Member(register, name, rank) for rank, name in enumerate(("one", "two", "three"))]
+    acted, asleep = [], {}
+    for turn in range(4_000):
+        for member in members:
+            member.time_us += TICK_US
+            if asleep.get(member, 0) > turn or dice.random() < 0.1:
+                continue
+            if asleep.pop(member, None):
+                member.lease.on_late_tick(member.time_us)
+            if dice.random() < 0.004:
+                asleep[member] = turn + dice.randrange(20, 200)
+                continue
+            member.lease.tick(member.time_us)
+            if not member.lease.are_others_idle():
+                continue
+            if member.lease.may_act():
+                member.lease.use_action()
+                acted.append((member.time_us, member.node.name))
+            elif dice.random() < 0.05:
+                member.lease.request_action()
+    assert len({name for _, name in acted}) > 1
+    for (before_us, before), (after_us, after) in zip(acted, acted[1:], strict=False):
+        assert before == after or after_us - before_us >= LEASE_US
