Placement: reading pace of decode runners, room for sizes alike, retries in time

Besides: no room rule where all kinds are of one group; a larger prompt of a kind needed a shorter queue than a smaller one; shunned readers counted as readers; retries sent milliseconds before the deadline; resumed streams held to their deadline where no runner was open. A line learned at one phase tells the other's, factors go back to 1 by half in ten seconds, a router that hears no other learns nothing, is_busy is gone: what is held for its share is placed where the queue is short, else refused.

--- a/packages/pairing/src/linkhaven/pairing/estimator.py
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -7,6 +7,10 @@
 GUESSED_RATE = 20_000
 STREAM_US = 2_000_000
 FACTOR_AT_MOST = 4.0
+FACTOR_HALF_US = 10_000_000
+"""A runner's factor goes back to 1 by half in this time, so that a wrong one doesn't stay."""
+LINE_US = 10_000_000
+"""How long after its last read a phase's own line counts, where the other phase has one too."""
 
 
 class Estimator:
@@ -21,9 +25,13 @@
         "prompt_mean",
         "answer_token_us",
         "links",
+        "now_us",
+        "noted_us",
     )
 
     def __init__(self, now_us):
+        self.now_us = now_us
+        self.noted_us = {}
         self.links = Links(now_us)
         self.taichi = None
         self.factors = {}
@@ -39,10 +47,12 @@
     def read_us(self, tokens, runner):
         if tokens <= 0:
             return 0
-        return int(
-            self._plain_us(tokens, runner.phase)
-            * self.factors.get((runner.name, runner.phase), 1.0)
-        )
+        return int(self._plain_us(tokens, runner.phase) * self._factor(runner.name, runner.phase))
+
+    def _factor(self, name, phase):
+        """How much slower a runner was than its phase's line, as far as that still counts."""
+        factor, noted_us = self.factors.get((name, phase), (1.0, 0))
+        return 1.0 + (factor - 1.0) * 0.5 ** ((self.now_us() - noted_us) / FACTOR_HALF_US)
 
     def _plain_us(self, tokens, phase):
         line = self._line(phase)
@@ -51,9 +61,26 @@
         return line[0] + tokens * line[1]
 
     def _line(self, phase):
-        if self.taichi is None or self.taichi["prefill_tokens_per_s"] or phase not in self.fits:
+        """Base and time a token, in microseconds, as seen; None before enough was seen.
+
+        Decode runners read at a share of the pace (`decode_read_share`), so that either phase's
+        line tells the other's. Test: `test_a_decode_runner_is_taken_to_read_about_as_fast_...`.
+        """
+        if self.taichi is None or self.taichi["prefill_tokens_per_s"]:
             return None
-        return self.fits[phase].line()
+        own = self._seen_line(phase)
+        if own is not None and self.now_us() - self.noted_us[phase] < LINE_US:
+            return own
+        other = self._seen_line(PREFILL if phase == DECODE else DECODE)
+        if other is None:
+            return own
+        share = self.taichi["decode_read_share"]
+        base_us, token_us = other
+        return base_us, token_us / share if phase == DECODE else token_us * share
+
+    def _seen_line(self, phase):
+        fit = self.fits.get(phase)
+        return fit.line() if fit is not None else None
 
     def seen_rate(self):
         """Tokens a second that reading runners were seen to read, 0 before enough was seen."""
@@ -93,13 +120,13 @@
         """A read of so many tokens that met no queue took so long."""
         if tokens <= 0:
             return
-        predicted_us = self._plain_us(tokens, phase) * self.factors.get((runner_name, phase), 1.0)
+        key, now_us = (runner_name, phase), self.now_us()
+        factor = self._factor(*key)
+        predicted_us = self._plain_us(tokens, phase) * factor
         fit = self.fits.get(phase)
         if fit is None:
             fit = self.fits[phase] = LineFit()
         fit.note(tokens, seen_us)
-        key = (runner_name, phase)
-        factor = self.factors.get(key, 1.0)
-        wanted = factor * seen_us / predicted_us
-        factor += SMOOTHING * (wanted - factor)
-        self.factors[key] = min(FACTOR_AT_MOST, max(1 / FACTOR_AT_MOST, factor))
+        self.noted_us[phase] = now_us
+        factor += SMOOTHING * (factor * seen_us / predicted_us - factor)
+        self.factors[key] = (min(FACTOR_AT_MOST, max(1 / FACTOR_AT_MOST, factor)), now_us)
--- a/packages/pairing/src/linkhaven/pairing/kept.py
+++ b/packages/pairing/src/linkhaven/pairing/kept.py
@@ -8,15 +8,21 @@
 
 
 class Work:
-    """What a request asks of a reader: its prompt tokens, the shared parts they are made of in order as (id, tokens),
-    and the pool whose runners may have it (None for any)."""
+    """What a request asks of a reader.
 
-    __slots__ = ("tokens", "parts", "pool")
+    Its prompt tokens, the shared parts they are made of in order as (id, tokens), and the pool
+    whose runners may have it (None for any). `typical_tokens` is what a prompt of its kind leaves
+    to read on the average, 0 where that isn't known.
+    """
 
-    def __init__(self, tokens, parts=(), pool=None):
+    __slots__ = ("tokens", "parts", "pool", "typical_tokens")
+
+    def __init__(self, tokens, parts=(), pool=None, typical_tokens=0):
+        """See above."""
         self.tokens = tokens
         self.parts = parts
         self.pool = pool
+        self.typical_tokens = typical_tokens
 
 
 class Kept:
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -24,6 +24,10 @@
 REST_MOST_US = 1_600_000
 SHUN_US = 2_000_000
 SHUN_MOST_US = 16_000_000
+DEAF_US = 2_500_000
+"""A router that heard no other for so long can't tell their queues from a slow runner."""
+ALONE_US = 60_000_000
+"""A router that heard no other for so long takes itself for the only one."""
 
 
 class Book:
@@ -135,6 +139,7 @@
         ttft_us,
         room_us,
         is_overdue=False,
+        typical_us=0,
     ):
         self.runner = runner
         self.start_us = start_us
@@ -145,7 +150,7 @@
         self.has_memory = True
         self.t_us = t_us
         self.has_room = q_us == 0 or q_us < room_us // OVERDUE_PART
-        leaves_room = q_us == 0 or q_us + e_us < room_us or is_overdue and self.has_room
+        leaves_room = q_us == 0 or q_us + typical_us < room_us or is_overdue and self.has_room
         self.is_eligible = self.total_us < ttft_us and leaves_room
 
     @property
@@ -205,6 +210,7 @@
         "kept",
         "in_place_us",
         "resting",
+        "heard_us",
     )
 
     def __init__(self, node, roster, fellows=list):
@@ -216,14 +222,24 @@
         self.kept = Kept()
         self.resting = {}
         self.in_place_us = NO_BOUND_US
+        self.heard_us = -ALONE_US
         self.exceptions = {}
         self.told_us = 0
         self.shunned = {}
         node.on_message(QueueViews, self.on_queue_views)
         node.on_message(RunnerShunned, self.on_runner_shunned)
         node.on_message(LinkSample, self.on_link_sample)
+        node.on_hear.append(self._note_heard)
         node.systems.append(self.tick)
 
+    def _note_heard(self, name):
+        if any(fellow.name == name for fellow in self.fellows()):
+            self.heard_us = self.node.now_us()
+
+    def is_deaf(self):
+        """Whether there are other routers that this one doesn't hear."""
+        return DEAF_US < self.node.now_us() - self.heard_us < ALONE_US
+
     def take_plan(self, plan):
         self.estimator.taichi = plan["taichi"]
         tightest_us = min((kind["ttft_us"] for kind in plan["kinds"].values()), default=NO_BOUND_US)
@@ -354,6 +370,10 @@
         )
         return tokens + max(0, unknown - read_since)
 
+    def read_wait_us(self, runner):
+        """How long the runner reads what is known to wait there."""
+        return self.estimator.read_us(self.queued_tokens(runner), runner)
+
     def kv_share(self, runner):
         book = self.book(runner)
         _, _, held, _ = book.known()
@@ -398,11 +418,12 @@
 
     def weigh(self, work, ttft_us, without=(), room_us=NO_BOUND_US, is_overdue=False):
         candidates, now_us = [], self.node.now_us()
-        in_place_us = self._in_place_bound_us(work.pool)
         fit = self._few(
             [runner for runner in self.open_runners(work.pool) if runner.name not in without], work
         )
-        for runner in [runner for runner in fit if not self._is_shunned(runner)] or fit:
+        fit = [runner for runner in fit if not self._is_shunned(runner)] or fit
+        in_place_us = self._in_place_bound_us(fit, work.pool)
+        for runner in fit:
             queued = self.queued_tokens(runner)
             q_us = (
                 self._queue_us(runner, queued, now_us)
@@ -414,8 +435,19 @@
             t_us, start_us = (
                 self._hand_over_us(runner, work, without) if runner.phase == PREFILL else (0, 0)
             )
+            typical_us = self.estimator.read_us(work.typical_tokens or unread, runner)
             candidate = Candidate(
-                runner, queued, unread, q_us, e_us, t_us, start_us, ttft_us, room_us, is_overdue
+                runner,
+                queued,
+                unread,
+                q_us,
+                e_us,
+                t_us,
+                start_us,
+                ttft_us,
+                room_us,
+                is_overdue,
+                typical_us,
             )
             if runner.phase == DECODE and q_us + e_us > in_place_us:
                 candidate.is_eligible = False
@@ -424,20 +456,15 @@
             candidates.append(candidate)
         return candidates
 
-    def _in_place_bound_us(self, pool):
+    def _in_place_bound_us(self, runners, pool):
         """How long queue and reading at a decode runner may take, for a prompt read in place there.
 
         In a pool, reads in place slow the streams of their runner, so that only short ones go there
         while other runners read. Where none does, the targets alone bound them (TaiChi, 4.2: any
         instance may read). Test: `test_the_last_runner_serves_short_prompts_beside_long_ones`.
         """
-        if pool is None or not self.has_prefill(pool):
-            return NO_BOUND_US
-        return self.in_place_us
-
-    def has_prefill(self, pool=None):
-        """Whether a runner that only reads is open."""
-        return any(runner.phase == PREFILL for runner in self.open_runners(pool))
+        is_read_apart = any(runner.phase == PREFILL for runner in runners)
+        return self.in_place_us if pool is not None and is_read_apart else NO_BOUND_US
 
     def _least(self, candidates, worth):
         best = min(worth(candidate) for candidate in candidates)
@@ -531,16 +558,6 @@
             return 0
         return self.book(candidate.runner).known()[3] * candidate.e_us
 
-    def is_busy(self, pool=None):
-        """Whether half of the places of the pool's runners are taken, or something waits there."""
-        runners = self.open_runners(pool)
-        known = [self.book(runner).known() for runner in runners]
-        places = sum(runner.slots for runner in runners)
-        return (
-            any(count > 1 for count, _, _, _ in known)
-            or 2 * sum(streams for _, _, _, streams in known) >= places
-        )
-
     def least_unread(self, work):
         """What of a prompt no runner of its pool keeps, about."""
         if not work.parts:
@@ -629,7 +646,7 @@
             return
         alone_tokens, begun_us = book.predictions.pop(attempt)
         self._change(runner, book)
-        if is_seen:
+        if is_seen and not self.is_deaf():
             self.estimator.note_read(
                 runner.name, runner.phase, alone_tokens, self.node.now_us() - begun_us
             )
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -1,6 +1,6 @@
 """Attempts of requests at runners, and what follows when one fails."""
 
-from linkhaven.pairing import NO_BOUND_US, Work
+from linkhaven.pairing import NO_BOUND_US, Decision, Work
 from linkhaven.runner.roster import DECODE, PREFILL
 from linkhaven.schema import Trouble
 
@@ -14,6 +14,7 @@
 SWITCH_US = 1_000_000
 """When to come back where no runner is open and the plan doesn't say how long a switch takes."""
 BEYOND_TARGET = "prompt_beyond_target"
+NO_OPEN_RUNNER = "no_open_runner"
 TURNED_AWAY = FAILED_HAND_OVERS | {"runner_full", "runner_leaving", "phase_wrong"}
 
 
@@ -78,7 +79,7 @@
         anything may be held here: placed at once whatever waits there, the longest prompts would
         fill the queues and keep out what could be answered in time.
         """
-        is_bounded = why == BEYOND_TARGET and not self._has_waited_half(request, now_us)
+        is_bounded = not self._has_waited_half(request, now_us)
         room_us = self.node.rooms.get(request.group, NO_BOUND_US) if is_bounded else NO_BOUND_US
         decision = self.pairing.choose_anyway(work, ttft_us, why, room_us=room_us)
         if decision.winner is None:
@@ -100,7 +101,7 @@
     def _give_up(self, request, decision, why, retry_us):
         """The final answer, at once, with when to come back; gives False, as nothing was placed."""
         request.decisions.append(decision)
-        self.node.invariants.check_refusal(request)
+        self.node.invariants.check_refusal(request, decision)
         trouble = Trouble(
             "no_runner",
             retry_us=retry_us,
@@ -112,7 +113,8 @@
         return False
 
     def work_of(self, request):
-        return Work(request.prompt_tokens, request.parts, request.pool)
+        typical = self.node.typical_tokens.get(request.kind_name, 0)
+        return Work(request.prompt_tokens, request.parts, request.pool, typical)
 
     def _spent_us(self, request, now_us):
         """Where a caller isn't held for long, the target counts from its arrival."""
@@ -126,18 +128,17 @@
         )
 
     def _is_hopeless(self, request, decision, now_us):
-        if self.node.terms.hold_share is not None:
-            if decision.exception == "held_its_share" and self.pairing.is_busy(request.pool):
-                return True
-            return now_us + decision.winner.total_us > request.deadline_us
-        answer_us = self.pairing.estimator.answer_us(request.answer_tokens)
-        return now_us + decision.winner.total_us + answer_us > request.deadline_us
+        """Whether the answer, or where it is enough its beginning, would come after the deadline."""
+        soonest_us = now_us + decision.winner.total_us
+        if self.node.terms.hold_share is None:
+            soonest_us += self.pairing.estimator.answer_us(request.answer_tokens)
+        return soonest_us > request.deadline_us
 
     def _exception_for(self, request, decision, now_us):
         """Why a request that no runner can answer in time is dealt with now; None: it waits on."""
         has_waited = self._has_waited_its_share(request, now_us)
         if not decision.candidates:
-            return "no_open_runner" if has_waited else None
+            return NO_OPEN_RUNNER if has_waited else None
         ttft_us = request.kind["ttft_us"]
         if min(candidate.e_us + candidate.t_us for candidate in decision.candidates) >= ttft_us:
             return BEYOND_TARGET
@@ -165,10 +166,12 @@
     def _begin_decode(self, request):
         """What goes on elsewhere, or has no prompt to read, starts at a decode runner."""
         runner = self.pairing.choose_decode(without=request.failed, pool=request.pool)
-        if runner is None:
+        if runner is not None:
+            self._start(request, runner)
+            return True
+        if not self._has_waited_its_share(request, self.node.now_us()):
             return False
-        self._start(request, runner)
-        return True
+        return self._give_up(request, Decision([], None), NO_OPEN_RUNNER, self._switch_us(request))
 
     def _start(self, request, runner):
         now_us = self.node.now_us()
@@ -322,12 +325,12 @@
         self._read_again(request, trouble)
 
     def _decode_again(self, request, trouble):
-        if not self._may_try_again(request, 1):
-            return self.node.end_in_trouble(request, self._spent(request, trouble))
         runner = self.pairing.choose_decode(
             without=request.failed, pool=request.pool
         ) or self.pairing.choose_decode(pool=request.pool)
-        if runner is None:
+        if runner is None or not self._has_time_for(request, self.pairing.read_wait_us(runner)):
+            return self.node.end_in_trouble(request, self._spent(request, trouble))
+        if not self._may_try_again(request, 1):
             return self.node.end_in_trouble(request, self._spent(request, trouble))
         self._log_retry(request, trouble)
         self._start(request, runner)
@@ -337,7 +340,8 @@
         decision = self.pairing.choose_anyway(work, ttft_us, "retry", request.failed)
         if decision.winner is None:
             decision = self.pairing.choose_anyway(work, ttft_us, "retry")
-        if decision.winner is None:
+        winner = decision.winner
+        if winner is None or not self._has_time_for(request, winner.total_us):
             return self.node.end_in_trouble(request, self._spent(request, trouble))
         is_second_read = (
             decision.winner.runner.phase == PREFILL
@@ -349,6 +353,10 @@
         self._log_retry(request, trouble)
         self._place(request, decision)
 
+    def _has_time_for(self, request, wait_us):
+        """Whether an attempt that is answered after so long still comes before the deadline."""
+        return self.node.now_us() + wait_us < request.deadline_us
+
     def _log_retry(self, request, trouble):
         self.node.ports.log(2104, request=request.id, why=trouble.code, shot=request.attempts + 1)
 
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -22,12 +22,18 @@
 CLOSED_US = 1_000_000
 CLOSED_MOST_US = 30_000_000
 REST_US = 50_000
+TYPICAL_GAIN = 0.1
+"""How much each new prompt counts in what is typical of its kind."""
 
 
 def room_for_others(plan, group):
-    """How long a queue at a runner a group may join, so that the others' tightest target can still be met."""
-    targets = [kind["ttft_us"] for kind in plan["kinds"].values() if kind["group"] != group]
-    return min(targets, default=NO_BOUND_US)
+    """How long a queue at a runner a group may join, so that tight targets can still be met.
+
+    That is the tightest target of the other groups, or of its own kinds where there is no other.
+    """
+    targets = {name: kind["ttft_us"] for name, kind in plan["kinds"].items()}
+    others = [targets[name] for name, kind in plan["kinds"].items() if kind["group"] != group]
+    return min(others or targets.values(), default=NO_BOUND_US)
 
 
 class RouterNode(Node):
@@ -69,6 +75,7 @@
         "refusals",
         "invariants",
         "calm_since_us",
+        "typical_tokens",
     )
 
     def __init__(
@@ -123,6 +130,7 @@
         self.closed_us = self.now_us()
         self.unserved = {}
         self.rooms = {}
+        self.typical_tokens = {}
         self.on_end = []
         self.image.on_new.append(self._take_plan)
         self.news.facts.append(self._add_facts)
@@ -152,6 +160,8 @@
         self.keys.take_plan(plan)
         self.doors.take_plan(plan)
         self.rooms = {group: room_for_others(plan, group) for group in plan["groups"]}
+        for kind in [kind for kind in self.typical_tokens if kind not in plan["kinds"]]:
+            del self.typical_tokens[kind]
         self.ports.log(2001, mark=self.image.mark)
         for request in self.requests.rows():
             if request.state == states.QUEUED:
@@ -292,7 +302,10 @@
     def enqueue(self, request):
         self.credit.enqueue(request.group, request)
         request.state = states.QUEUED
-        self.arrived += self.pairing.least_unread(request)
+        unread = self.pairing.least_unread(request)
+        self.arrived += unread
+        typical = self.typical_tokens.get(request.kind_name, unread)
+        self.typical_tokens[request.kind_name] = typical + TYPICAL_GAIN * (unread - typical)
         request.note(self.now_us(), "queued")
         self.wake_queue()
 
--- a/packages/router/src/linkhaven/router/silence.py
+++ b/packages/router/src/linkhaven/router/silence.py
@@ -50,8 +50,7 @@
         return owing
 
     def _queued_us(self, runner):
-        pairing = self.attempts.pairing
-        return pairing.estimator.read_us(pairing.queued_tokens(runner), runner)
+        return self.attempts.pairing.read_wait_us(runner)
 
     def _is_lost(self, request, now_us):
         """Its runner is dark and sent nothing for a moment, and it can go on elsewhere."""
--- a/tests/test_placement_invariants.py
+++ b/tests/test_placement_invariants.py
@@ -34,6 +34,13 @@
 
 @pytest.mark.parametrize("seed", [1, 2])
 def test_refusals_beside_an_idle_runner_are_counted(seed, monkeypatch):
+    def choose_none(self, *work, **bounds):
+        decision = plain_choose(self, *work, **bounds)
+        decision.winner = None
+        return decision
+
+    plain_choose = Pairing.choose
+    monkeypatch.setattr(Pairing, "choose", choose_none)
     monkeypatch.setattr(Attempts, "_is_hopeless", lambda self, request, decision, now_us: True)
     assert run(seed)["refused_beside_idle_runners"] > 0
 
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -27,6 +27,9 @@
     def choose_decode(self, without=(), source=None, tokens=0, pool=None):
         return SimpleNamespace(name="decode-1", phase="decode")
 
+    def read_wait_us(self, runner):
+        return 0
+
     def begin_read(self, runner, attempt, work):
         self.reads.append(runner.name)
 
@@ -63,6 +66,7 @@
     )
     request = Request("r-1", call, 0)
     PlatformCallers().read(request)
+    request.deadline_us = 1_000_000
     request.kind = {
         "ttft_us": 1_000_000,
         "deadline_us": 1_000_000,
