--- a/tests/test_days.py
+++ b/tests/test_days.py
@@ -32,7 +32,7 @@
     "node_kill": "power leader reader seed race meet drain hard swarm",
     "node_freeze": "leader reader seed race meet drain hard swarm",
     "node_slow": "leader",
-    "herd_kill": "power race meet drain hard taken swarm",
+    "herd_kill": "power core off race meet drain hard taken swarm",
     "replace_core": "leader",
     "after_ack_kill": "kill timed taken",
     "after_ack_wipe": "timed taken",
