Switcher: an empty side is covered at once, in each pool, and watched

Sides were counted over all pools together, and with runners that had not answered for long; an order decided on was sent whatever had left since.

The steward is now the phase switcher (PhaseSwitcher, PhaseChange, PoolSides, EmptySideWatch); the duty keeps its name on the wire. A side whose players are known to be lost (leaving, off the list, or dark and owing us an answer for 500 ms) is covered at once, also during the dwell. Notice to routers is left out for an order to decode only: nothing read could be decoded in that pool, and what still reaches the runner is refused as not executed (421; 503 while it switches). Who leaves, is dark, owes an answer or switches is no member of a side. An unsent order is dropped where its pool lost a member since, or nobody sound would be left to its side. Leases, fences and may_order are as they were. A restarted runner keeps its pool until the next list.

Invariant empty_side, event 1901: the bound is 0.7 s + 0.5 s + two reports + 1 s for the read + the pool's switch_us to decode; to read 0.7 s more and the longest deadline instead of the read.

Partial: routers tell rates over all pools together, so a pool's demand is its share by sound runners.

--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -83,6 +83,15 @@
             self.is_settled = not is_owed or now_us - self.first_us >= SETTLE_US
         return self.is_settled and now_us - self.listed_us < self.blind_us
 
+    def is_suspect(self, runner):
+        """Whether it owes an answer for so long that more than lateness must be feared."""
+        now_us = self.node.now_us()
+        return now_us - self.owed_us.get(runner.name, now_us) >= UNANSWERED_US
+
+    def is_lost(self, runner):
+        """Whether it is dark for sure: by another's word or its silence, and it leaves us unanswered, too."""
+        return runner.is_dark and self.is_suspect(runner)
+
     def begin_serials(self, incarnation):
         """Each start of a seat tells higher serials than those before."""
         self.serial = max(self.serial, incarnation * SERIALS_A_START)
@@ -262,9 +271,11 @@
                 runner, report["incarnation"], is_reported=True
             ):
                 return
+            former = runner
             runner = self.runners[runner.name] = Runner(
                 runner.name, runner.address, runner.zone, report["incarnation"]
             )
+            runner.pool, runner.slots = former.pool, former.slots
         before = runner.as_record(0) if runner.reported_us is not None else None
         phase_before = runner.phase
         runner.take_report(report, now_us)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -14,7 +14,7 @@
 from .keeper import RosterKeeper
 from .messages import Image, WantImage
 from .status import CoreStatus
-from .steward import Steward
+from .switcher import PhaseSwitcher
 from .views import Views
 
 IMAGE_WAIT_US = 1_000_000
@@ -39,7 +39,7 @@
         "duties",
         "desk",
         "keeper",
-        "steward",
+        "switcher",
         "gate",
         "usage",
         "views",
@@ -119,7 +119,9 @@
         )
         self.keeper.on_blind = self.duties["roster"].step_down
         self.keeper.on_ready = self.news.answer_all
-        self.steward = Steward(self, self.duties["steward"], self.keeper, self.desk, self.image)
+        self.switcher = PhaseSwitcher(
+            self, self.duties["steward"], self.keeper, self.desk, self.image
+        )
         self.bursar = QuotaAllocator(self, self.duties["bursar"], self.image)
         self.bursar.on_won = self.news.shorten_holds
         self.ring.on_mark.append(self._hear_mark)
@@ -128,7 +130,7 @@
         self.news.on_ask += [
             self.views.hear_ask,
             self.keeper.hear_evidence,
-            self.steward.hear_ask,
+            self.switcher.hear_ask,
             self.bursar.on_ask,
             self._hear_asked_mark,
             self._hear_fences,
@@ -315,12 +317,12 @@
                 "fence": rank,
                 **self.keeper.document(serial if fence == rank else None),
             }
-        self.steward.add_news(facts)
+        self.switcher.add_news(facts)
 
     def _is_urgent(self, ask):
-        """Whether the asker lacks an order of the steward, or what happened to a runner."""
+        """Whether the asker lacks an order of the switcher, or what happened to a runner."""
         steward = self.duties["steward"]
-        place = (steward.fence, self.steward.serial)
+        place = (steward.fence, self.switcher.serial)
         if steward.is_held() and place > tuple(ask.get("steward") or (0, 0)):
             return True
         rank = self._roster_rank()
@@ -426,6 +428,6 @@
                 "standing": self.seat.standing,
                 "fellows": [fellow.as_record() for fellow in self.ring.fellows.values()],
                 "runners": [runner.as_record(now_us) for runner in self.keeper.runners.values()],
-                "orders": self.steward.orders,
+                **self.switcher.as_record(),
             },
         )
--- a/packages/schema/src/linkhaven/schema/events.py
+++ b/packages/schema/src/linkhaven/schema/events.py
@@ -37,6 +37,7 @@
     1604: ("info", "runner is on the list"),
     1605: ("info", "runner is no longer on the list"),
     1606: ("info", "runner plays another part"),
+    1901: ("warning", "invariant violated"),
     1902: ("warning", "an invariant of placement was violated"),
     2001: ("info", "plan taken"),
     2002: ("warning", "node takes no new work"),
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -165,9 +165,9 @@
 def test_a_holder_that_slept_past_its_grant_orders_nothing_when_it_wakes():
     fleet, _ = make(LICENSING, 8)
     old = holder_of(fleet, "steward")
-    steward = old.node.steward
+    switcher = old.node.switcher
     fleet.world.run_for(SECOND)
-    steward._change(old.node.keeper.runners["runner-3"], "prefill", fleet.world.now_us)
+    switcher.begin_change(old.node.keeper.runners["runner-3"], "prefill", fleet.world.now_us)
     fleet.world.run_for(300_000)
     old.freeze()
     assert fleet.world.wait_for(lambda: holder_of(fleet, "steward"), 10 * SECOND)
@@ -188,8 +188,8 @@
     fleet, _ = make(LICENSING, 9)
     runner = fleet.runners["runner-3"]
     runner.node.fence = 1_000
-    steward = holder_of(fleet, "steward").node.steward
-    steward._change(steward.keeper.runners["runner-3"], "prefill", fleet.world.now_us)
+    switcher = holder_of(fleet, "steward").node.switcher
+    switcher.begin_change(switcher.keeper.runners["runner-3"], "prefill", fleet.world.now_us)
     fleet.world.run_for(3 * SECOND)
     assert runner.node.phase == "decode"
     assert events(fleet, 1502)
@@ -216,9 +216,9 @@
     assert world.wait_for(lambda: fleet.is_ready() and router.roster.place[0] > known, 12 * SECOND)
     assert world.wait_for(lambda: holder_of(fleet, "steward"), 5 * SECOND)
     fleet.runners["runner-3"].node.fence = 50
-    steward = holder_of(fleet, "steward").node.steward
+    switcher = holder_of(fleet, "steward").node.switcher
     for _ in range(2):
-        steward._change(steward.keeper.runners["runner-3"], "prefill", world.now_us)
+        switcher.begin_change(switcher.keeper.runners["runner-3"], "prefill", world.now_us)
         world.run_for(4 * SECOND)
     assert fleet.runners["runner-3"].node.phase == "prefill"
 
@@ -249,8 +249,8 @@
     fleet, _ = make(LICENSING, 11)
     fleet.load(10.0)
     fleet.world.run_for(2 * SECOND)
-    steward = holder_of(fleet, "steward").node.steward
-    steward._change(steward.keeper.runners["runner-4"], "prefill", fleet.world.now_us)
+    switcher = holder_of(fleet, "steward").node.switcher
+    switcher.begin_change(switcher.keeper.runners["runner-4"], "prefill", fleet.world.now_us)
     fleet.world.run_for(2 * SECOND)
     ordered_us = next(
         at_us for at_us, facts in noted(fleet, "order") if facts["runner"] == "runner-4"
@@ -722,7 +722,7 @@
             "leaving": len(core.keeper.leaving),
             "out": sum(map(len, core.bursar.grants.values())),
             "fellows": len(core.ring.fellows),
-            "rates": len(core.steward.rates),
+            "rates": len(core.switcher.rates),
             "asks": len(core.news.asks),
         }
 
--- a/tests/test_sabotage.py
+++ b/tests/test_sabotage.py
@@ -11,6 +11,7 @@
 from linkhaven.register.seat import REJOINING
 from linkhaven.registry.gate import KeyGate
 from linkhaven.registry.keeper import RosterKeeper
+from linkhaven.registry.phase_change import PhaseChange
 from linkhaven.router.attempts import Attempts
 from linkhaven.router.chain import Chain
 from linkhaven.router.keys import Keys
@@ -202,6 +203,13 @@
     monkeypatch.setattr(Lease, "_lapse", lambda self: None)
 
 
+def send_order_now(registry, phase):
+    """An order to runner-3 without a word to the routers before."""
+    runner = registry.keeper.runners["runner-3"]
+    now_us = registry.now_us()
+    registry.switcher.send_order(PhaseChange(runner, phase, now_us), runner, now_us)
+
+
 def sleep_over_an_order(fleet_of):
     scenario = fleet_of("licensing", 12).load(1)
     world = scenario.fleet.world
@@ -215,16 +223,16 @@
 
     old = stewards()[0]
     runner = old.node.keeper.runners["runner-3"]
-    old.node.steward._change(runner, "prefill", world.now_us)
+    old.node.switcher.begin_change(runner, "prefill", world.now_us)
     world.run_for(300_000)
     old.freeze()
     world.wait_for(stewards)
     world.run_for(SECOND)
-    new = stewards()[0].node.steward
-    new._change(new.keeper.runners["runner-4"], "prefill", world.now_us)
+    new = stewards()[0].node.switcher
+    new.begin_change(new.keeper.runners["runner-4"], "prefill", world.now_us)
     world.run_for(3 * SECOND)
     old.wake()
-    old.node.steward._order(runner, world.now_us)
+    send_order_now(old.node, "prefill")
     return scenario.load(3).close().end(calm_s=3)
 
 
@@ -297,14 +305,12 @@
     world.cut([old.name], [host.name for host in fleet.registries.values()])
     world.run_until(duty.expires_us - 20_000)
     world.slow[(old.name, runner.name)] = 1_300_000
-    old.node.steward.wanted_phase = "prefill"
-    old.node.steward._order(old.node.keeper.runners["runner-3"], world.now_us)
+    send_order_now(old.node, "prefill")
     world.run_for(200_000)
     assert world.wait_for(steward, SECOND, 10_000)
     new = steward().node
     new.keeper.runners.setdefault("runner-3", old.node.keeper.runners["runner-3"])
-    new.steward.wanted_phase = "decode"
-    new.steward._order(new.keeper.runners["runner-3"], world.now_us)
+    send_order_now(new, "decode")
     world.run_for(100_000)
     runner.kill()
     runner.start()
