--- a/packages/duty/src/linkhaven/duty/lease.py
+++ b/packages/duty/src/linkhaven/duty/lease.py
@@ -81,6 +81,7 @@
         "idle_us",
         "is_action_requested",
         "announced_us",
+        "on_announced",
     )
 
     def __init__(
@@ -118,6 +119,7 @@
         self.idle_us = 0
         self.is_action_requested = False
         self.announced_us = None
+        self.on_announced = lambda: None
         node.systems.append(self.tick)
         node.on_late.append(self.on_late_tick)
 
@@ -146,9 +148,17 @@
             return True
         return self.node.now_us() - self.last_seen_us > self.quiet_us
 
-    def request_action(self):
-        """Have a quorum record that this holder acts next; `may_act` tells when it has."""
-        self.is_action_requested = self.fence is not None
+    def request_action(self, on_announced=lambda: None):
+        """Have a quorum record that this holder acts next, then call `on_announced`.
+
+        Nothing is called where the lease is lost meanwhile; `may_act` tells whether it may act.
+        """
+        if self.fence is None:
+            return
+        self.is_action_requested = True
+        self.on_announced = on_announced
+        if not self.is_requesting:
+            self._request(self.node.now_us(), self.fence, self.renewal + 1)
 
     def may_act(self):
         """Whether one action was announced and may still be taken."""
@@ -325,6 +335,7 @@
             if is_announcing and self.fence == fence:
                 self.is_action_requested = False
                 self.announced_us = now_us
+                self.on_announced()
 
         self.proposer.change(self.key, step, done, is_patient=True)
 
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -435,7 +435,7 @@
             t_us, start_us = (
                 self._hand_over_us(runner, work, without) if runner.phase == PREFILL else (0, 0)
             )
-            typical_us = self.estimator.read_us(work.typical_tokens or unread, runner)
+            typical_us = self.estimator.read_us(max(work.typical_tokens, unread), runner)
             candidate = Candidate(
                 runner,
                 queued,
--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -6,6 +6,8 @@
 APART_IDLE = 0.6
 COMFORT = 0.6
 SETTLE_US = 2_000_000
+SPARED_FROM = 4
+"""From how many runners on a second decode runner is kept, whatever the load."""
 
 
 class RatioSearch:
@@ -37,8 +39,16 @@
         decode_busy = answer_rate / (decodes * taichi["decode_tokens_per_s"])
         return max(read_busy, decode_busy, self.held / decodes)
 
+    def _spare_decoders(self, runners):
+        """How many decode runners are kept beside the one that must be.
+
+        Where reading and decoding are apart, the loss of the only decode runner ends all service
+        until another has switched, while without a reader prompts are read in place.
+        """
+        return 1 if not self.is_in_place and runners >= SPARED_FROM else 0
+
     def search(self, runners, prompt_rate, answer_rate, taichi):
-        counts = range(0, runners)
+        counts = range(0, runners - self._spare_decoders(runners))
         return min(
             counts,
             key=lambda count: (self.busy(count, runners, prompt_rate, answer_rate, taichi), -count),
--- a/packages/registry/src/linkhaven/registry/switcher.py
+++ b/packages/registry/src/linkhaven/registry/switcher.py
@@ -102,13 +102,17 @@
         self.woken_us = now_us
 
     def may_order(self, now_us):
-        """Whether a lease has passed since the duty was won, and the thaw since a late tick.
+        """Whether a lease lies between another holder's last order and now, and the thaw is over.
 
-        So a lease lies between the orders of two holders, also where the former one released it.
+        That is so at once where no announcement of another was seen for long enough, else a lease
+        after the duty was won; also where the former holder released it.
         """
-        terms = self.node.terms
-        after_us = max(terms.orders_after_us, self.duty.lease_us if self.duty.is_succession else 0)
-        return now_us - self.won_us >= after_us and now_us - self.woken_us >= terms.thaw_us
+        if now_us - self.woken_us < self.node.terms.thaw_us:
+            return False
+        if self.duty.are_others_idle():
+            return True
+        least_us = self.duty.lease_us if self.duty.is_succession else 0
+        return now_us - self.won_us >= max(self.node.terms.orders_after_us, least_us)
 
     def forget(self):
         """Drop what was being ordered and all that was seen of the pools."""
@@ -350,10 +354,22 @@
         if now_us - change.told_us >= change.notice_us:
             self.send_order(change, runner, now_us)
 
+    def _send_announced(self, change):
+        runner = self.keeper.runners.get(change.name)
+        is_pending = self.changes.get(change.name) is change and not change.is_sent
+        if is_pending and runner is not None:
+            self._work_off(change, self.node.now_us())
+
     def send_order(self, change, runner, now_us):
-        """Send it to the runner under the duty's fence, if the duty is held and may order."""
+        """Send it to the runner under the duty's fence, if the duty is held and may order.
+
+        A quorum records first that an order follows, so that a successor knows of it.
+        """
         if not self.duty.is_held() or not self.may_order(now_us):
             return
+        if not self.duty.may_act():
+            return self.duty.request_action(lambda: self._send_announced(change))
+        self.duty.use_action()
         change.is_sent = True
         change.sent_us = now_us
         fence = self.duty.fence
