Soak: seeds of real processes under overlapping faults, relays and a judge

There was one loopback test with a fixed course of kills and freezes, and nothing could cut a link or lose an answer.

Ruled out: cutting links without a relay needs root. Putting a relay before a node's lines needs it to listen elsewhere than it tells its fellows; the settings have one address for both, so the soak starts the same nodes by a small program of its own (`soak-node`) and changes no product code.

After: `linkhaven-stage soak`, a schedule drawn from the seed, relays before calls, lines, runners and the platform's list, runners that write down what they begin, an operator who changes the plan all the while, and a judge.

--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -121,11 +121,22 @@
         program, words = self.given[name]
         self._run(name, program, *words)
 
-    def _serve(self, name, program, settings):
+    def _write_settings(self, name, settings):
         path = os.path.join(self.folder, f"{name}.json")
         with open(path, "w", encoding="utf-8") as file:
             json.dump(settings, file, indent=2)
-        self._run(name, program, "serve", "--settings", path)
+        return path
+
+    def _serve(self, name, program, settings):
+        self._run(name, program, "serve", "--settings", self._write_settings(name, settings))
+
+    def listed_address(self, name, address, zone):
+        """Where the platform says that a runner is."""
+        return address
+
+    def runner_options(self, name):
+        """More options for the command of one runner."""
+        return []
 
     def start(self):
         zones = self.deployment.zones
@@ -146,8 +157,9 @@
                 "--phase",
                 phase,
                 *self.runner_words,
+                *self.runner_options(name),
             )
-            listed += ["--runner", f"{name}={address}={zone}"]
+            listed += ["--runner", f"{name}={self.listed_address(name, address, zone)}={zone}"]
         self._run("platform", "linkhaven-stage", "platform", "--http", self.platform, *listed)
         for place, seat in enumerate("abc"):
             name = f"core-{seat}"
--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -13,6 +13,8 @@
 from .loopback import LoadRun, measure_overhead, run_fleet
 from .measure import MEASURES
 from .slopes.program import SlopesCommand
+from .soak.program import SoakCommand, SoakNodeCommand
+from .soak.records import RecordFile
 from .standins import Speeds, StandInPlatform, StandInRunner
 from .sweep import sweep
 
@@ -58,11 +60,14 @@
         option("http", None, "IP number and port", flag=False, default="127.0.0.1:9001"),
         option("phase", None, "prefill or decode", flag=False, default="decode"),
         option("fast", None, "take next to no time, for measuring what stands in front"),
+        option("record", None, "append what it was offered and began to this file", flag=False),
     ]
 
     def act(self):
         if self.option("phase") not in ("prefill", "decode"):
             raise misfit("--phase", "is neither prefill nor decode")
+        path = self.option("record")
+        record = RecordFile(path).note if path else None
 
         def build(ports, incarnation):
             speeds = (
@@ -76,6 +81,7 @@
                 ports,
                 incarnation,
                 self.option("phase"),
+                record,
                 speeds=speeds,
             )
 
@@ -250,5 +256,7 @@
             OverheadCommand(),
             SlopesCommand(),
             ExploreCommand(),
+            SoakCommand(),
+            SoakNodeCommand(),
         ],
     )
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/soak/node.py
@@ -0,0 +1,77 @@
+"""A router or registry as a process whose lines pass through a relay.
+
+Its settings name the relay's address as that for its fellows, and it listens elsewhere. Node,
+sockets, disk and log are those of `linkhaven-router serve` and `linkhaven-registry serve`, which
+can only listen where their settings send their fellows.
+"""
+
+from linkhaven.registry import RegistryNode
+from linkhaven.registry.disk import open_disk
+from linkhaven.router import RouterNode
+from linkhaven.wire import Shell, make_log
+
+
+class RelayedShell(Shell):
+    """A shell that listens for lines at another address than the one it tells its fellows."""
+
+    def __init__(self, settings, listen, build, disk=None):
+        """`listen` is the address behind the relay."""
+        self.listen_address = listen
+        super().__init__(
+            settings["name"],
+            settings["lines"],
+            settings["http"],
+            build,
+            disk,
+            settings["log"]["level"],
+            settings["log"].get("file"),
+            settings["body_bytes"],
+            settings["conns"],
+        )
+
+    def add_lines(self, address):
+        """Listen behind the relay."""
+        return super().add_lines(self.listen_address)
+
+
+def run_router(settings, listen):
+    """Run a router until SIGTERM; gives its exit code."""
+
+    def build(ports, incarnation):
+        return RouterNode(
+            settings["name"],
+            settings["lines"],
+            ports,
+            settings["zone"],
+            settings["seeds"],
+            incarnation,
+            settings["requests"],
+        )
+
+    return RelayedShell(settings, listen, build).run_to_end()
+
+
+def run_registry(settings, listen):
+    """Run a registry until SIGTERM; gives its exit code."""
+    log = make_log(settings["name"], settings["log"]["level"], settings["log"].get("file"))
+    disk = open_disk(settings["data"], settings["data_bytes"], settings["name"], log)
+
+    def build(ports, incarnation):
+        return RegistryNode(
+            settings["name"],
+            settings["lines"],
+            ports,
+            settings["zone"],
+            settings["seeds"],
+            incarnation,
+            settings["seat"],
+            settings["platform"],
+        )
+
+    try:
+        return RelayedShell(settings, listen, build, disk).run_to_end()
+    finally:
+        disk.close()
+
+
+RUN = {"router": run_router, "registry": run_registry}
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/soak/operators.py
@@ -0,0 +1,96 @@
+"""An operator who changes the plan all the while, through every seat, and sends again what is unclear."""
+
+import threading
+
+from linkhaven.schema import Trouble
+from linkhaven.wire.console import call_json
+
+from .relay import now_us
+
+PACE_S = 0.2
+READ_EVERY = 5
+PATH = "/v1/plan"
+
+
+class PlanChanger(threading.Thread):
+    """Puts plan after plan and notes orders, answers and reads, until told to stop.
+
+    An order without a clear answer is sent again unchanged, at the next seat."""
+
+    def __init__(self, addresses, deployment, mark, record):
+        """`mark` is that of the plan in force."""
+        super().__init__(name="operator", daemon=True)
+        self.addresses = list(addresses)
+        self.deployment = deployment
+        self.mark = mark
+        self.record = record
+        self.serial = 0
+        self.turn = 0
+        self.plans = {}
+        self.is_over = threading.Event()
+
+    def run(self):
+        """One change after the other."""
+        while not self.is_over.wait(PACE_S):
+            self.change()
+            if self.serial % READ_EVERY == 0:
+                self.read(self._next_address())
+
+    def finish(self, seconds):
+        """No further change; answers whether the last one ended."""
+        self.is_over.set()
+        self.join(seconds)
+        return not self.is_alive()
+
+    def _next_address(self):
+        self.turn += 1
+        return self.addresses[self.turn % len(self.addresses)]
+
+    def _plan(self):
+        """A plan that differs from the last one and admits the same work."""
+        groups = {
+            name: {**group, "weight": 1.0 + self.serial % 10 / 100}
+            for name, group in self.deployment.groups.items()
+        }
+        return self.deployment.plan(groups=groups)
+
+    def change(self):
+        """One order, sent until its answer is clear or the operator goes."""
+        self.serial += 1
+        put_id = f"put-{self.serial}"
+        plan = self.plans[put_id] = self._plan()
+        order = {"expect": self.mark, "put_id": put_id, "plan": plan}
+        self.record("put", put_id=put_id, expect=self.mark, plan=plan)
+        while True:
+            try:
+                answer = call_json(self._next_address(), "PUT", PATH, order)
+            except Trouble as trouble:
+                if trouble.code == "mark_conflict":
+                    return self._conflict(put_id, trouble)
+                if self.is_over.wait(PACE_S):
+                    return
+                continue
+            self.mark = answer["mark"]
+            return self.record("acked", put_id=put_id, mark=self.mark)
+
+    def _conflict(self, put_id, trouble):
+        self.record("unacked", put_id=put_id, status=409, code=trouble.code, done=trouble.done)
+        self.mark = trouble.detail.get("mark", self.mark)
+
+    def read(self, address, **facts):
+        """Read the plan in force; answers whether it was told."""
+        begun_us = now_us()
+        try:
+            shown = call_json(address, "GET", PATH)
+        except Trouble:
+            return False
+        put_id = shown["put_id"]
+        self.record(
+            "shown",
+            mark=shown["mark"],
+            put_id=put_id,
+            begun_us=begun_us,
+            is_as_put=put_id not in self.plans or shown["plan"] == self.plans[put_id],
+            **facts,
+        )
+        return True
--- /dev/null
+++ b/packages/stage/src/linkhaven/stage/soak/program.py
@@ -0,0 +1,104 @@
+"""The commands `linkhaven-stage soak` and `soak-node`."""
+
+import json
+import os
+import shutil
+import tempfile
+
+import msgspec
+from cleo.helpers import option
+
+from linkhaven.wire.console import CodedCommand
+from linkhaven.wire.settings import check_settings, misfit, read_settings
+
+from ..fleet import DEPLOYMENTS
+from .node import RUN
+from .ports import find_range
+from .run import SoakRun
+from .schedule import draw_schedule
+
+FIRST_PORT = 21_000
+LEAST_SECONDS = 21
+MOST_SECONDS = 600
+
+
+class SoakCommand(CodedCommand):
+    """Seed after seed of a real fleet under overlapping faults; each is judged."""
+
+    name = "soak"
+    description = "Run a fleet of real processes under kills, pauses, cuts and lost answers, and judge each seed."
+    options = [
+        option("deployment", "d", "licensing or archive", flag=False, default="licensing"),
+        option("first", None, "first seed", flag=False, default="1"),
+        option("count", None, "how many seeds", flag=False, default="1"),
+        option("seconds", None, "how long the load of each lasts", flag=False, default="60"),
+        option(
+            "port", None, "first port of the ranges to look in", flag=False, default=str(FIRST_PORT)
+        ),
+        option(
+            "folder",
+            None,
+            "where a folder for each seed goes (default: a temporary one)",
+            flag=False,
+        ),
+        option("keep", None, "keep the folders of seeds that held, too"),
+        option("schedule", None, "only print the schedules"),
+    ]
+
+    def act(self):
+        """A line of JSON for each seed; the exit code says whether one was breached."""
+        deployment = DEPLOYMENTS.get(self.option("deployment"))
+        if deployment is None:
+            raise misfit("--deployment", f"is not one of {', '.join(DEPLOYMENTS)}")
+        first = self._whole("first", 0, 10**9)
+        seeds = range(first, first + self._whole("count", 1, 10_000))
+        seconds = self._whole("seconds", LEAST_SECONDS, MOST_SECONDS)
+        port = self._whole("port", 1_024, 60_000)
+        folder = None
+        if not self.option("schedule"):
+            folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-soak-")
+        breached = 0
+        for seed in seeds:
+            self._tell_schedule(seed, draw_schedule(seed, deployment, seconds))
+            if folder is not None:
+                breached += not self._run_seed(deployment, seed, seconds, folder, port)
+        return 1 if breached else 0
+
+    def _whole(self, name, least, most):
+        text = self.option(name)
+        if not str(text).isdigit() or not least <= int(text) <= most:
+            raise misfit(f"--{name}", f"is not a whole number from {least} to {most}")
+        return int(text)
+
+    def _tell_schedule(self, seed, schedule):
+        for fault in schedule:
+            self.line_error(f"{seed}: {json.dumps(msgspec.to_builtins(fault))}")
+
+    def _run_seed(self, deployment, seed, seconds, folder, port):
+        own = os.path.join(folder, f"{deployment.name}-{seed}")
+        self.line_error(f"{seed}: settings, data and logs in {own}")
+        result = SoakRun(deployment, seed, seconds, own, find_range(port)).run()
+        self.line(json.dumps(msgspec.to_builtins(result)))
+        if result.is_held and not self.option("keep"):
+            shutil.rmtree(own)
+        return result.is_held
+
+
+class SoakNodeCommand(CodedCommand):
+    """A node of a soak; started by it, of no use alone."""
+
+    name = "soak-node"
+    description = "Run a router or registry that hears its lines behind a relay (used by soak)."
+    options = [
+        option("program", None, "router or registry", flag=False),
+        option("settings", None, "its settings file", flag=False),
+        option("listen", None, "where it hears its lines, behind the relay", flag=False),
+    ]
+
+    def act(self):
+        """Runs until SIGTERM."""
+        program = self.option("program")
+        if program not in RUN:
+            raise misfit("--program", f"is not one of {', '.join(RUN)}")
+        settings = check_settings(program, read_settings(self.option("settings")))
+        return RUN[program](settings, self.option("listen"))
