Soak: what a relay delays goes on when its delay ends

Ruled out: a fault of the router; its runner was reached through the relay that had just been set back. Before: the new test times out. After: 10 relay tests pass. Conclusion: a fault of the tool.

--- a/packages/stage/src/linkhaven/stage/soak/relay.py
+++ b/packages/stage/src/linkhaven/stage/soak/relay.py
@@ -69,6 +69,10 @@
         self.chunks.append((due_us, data))
         self.size += len(data)
 
+    def hasten(self):
+        """Whatever waits for its time goes on now."""
+        self.chunks = deque((0, data) for _, data in self.chunks)
+
     def due_us(self):
         """From when the first chunk goes on, or None."""
         return self.chunks[0][0] if self.chunks else None
@@ -188,6 +192,9 @@
             for connection in list(self.connections):
                 self.loop.end(connection)
         for connection in list(self.connections):
+            if not delay_us:
+                for flow in connection.flows():
+                    flow.hasten()
             self.loop.settle(connection)
 
     def _set_absent(self, is_absent):
--- a/tests/test_soak_relay.py
+++ b/tests/test_soak_relay.py
@@ -144,6 +144,18 @@
         assert conn.recv(10) == b"SOON"
 
 
+def test_what_is_delayed_when_the_delay_ends_goes_on_at_once(relay, server):
+    relay.set_mode(Mode.DELAY, delay_us=1_000_000 * PATIENCE_S * 2)
+    with connect(relay) as conn:
+        conn.sendall(b"waits")
+        conn.settimeout(HELD_S)
+        with pytest.raises(TimeoutError):
+            conn.recv(10)
+        conn.settimeout(PATIENCE_S)
+        relay.set_mode(Mode.PASS)
+        assert conn.recv(10) == b"WAITS"
+
+
 def test_a_lost_answer_is_lost_after_its_request_went_through(relay, server):
     relay.set_mode(Mode.LOSE_ANSWERS)
     lost = kept = 0
