Soak: an interrupt at any time ends the processes and no further seed begins

Cause: a SIGTERM while the last callers were waited for ended that wait and the next seed began; one before the load killed the soak and left its processes. Ruled out: circuits dropping the signal. Conclusion: the load tells whether it came to its own end.

--- a/packages/stage/src/linkhaven/stage/soak/program.py
+++ b/packages/stage/src/linkhaven/stage/soak/program.py
@@ -3,6 +3,7 @@
 import json
 import os
 import shutil
+import signal
 import tempfile
 
 import msgspec
@@ -20,6 +21,12 @@
 FIRST_PORT = 21_000
 LEAST_SECONDS = 21
 MOST_SECONDS = 600
+INTERRUPTED = 130
+
+
+def interrupt(number, frame):
+    """Have SIGTERM end the soak as Ctrl-C does: its processes are ended first."""
+    raise KeyboardInterrupt
 
 
 class SoakCommand(CodedCommand):
@@ -57,11 +64,17 @@
         folder = None
         if not self.option("schedule"):
             folder = self.option("folder") or tempfile.mkdtemp(prefix="linkhaven-soak-")
+        signal.signal(signal.SIGTERM, interrupt)
         breached = 0
         for seed in seeds:
             self._tell_schedule(seed, draw_schedule(seed, deployment, seconds))
-            if folder is not None:
+            if folder is None:
+                continue
+            try:
                 breached += not self._run_seed(deployment, seed, seconds, folder, port)
+            except KeyboardInterrupt:
+                self.line_error(f"{seed}: interrupted, not judged")
+                return INTERRUPTED
         return 1 if breached else 0
 
     def _whole(self, name, least, most):
--- a/packages/stage/src/linkhaven/stage/soak/run.py
+++ b/packages/stage/src/linkhaven/stage/soak/run.py
@@ -71,6 +71,10 @@
         self.injector.begin(self.shell.ticker)
         return super().run()
 
+    def is_interrupted(self):
+        """Whether a signal ended it; the shell takes signals for itself while the load runs."""
+        return now_us() < self.stop_us and (now_us() < self.end_us or self.left > 0)
+
     def _watch(self, now_us):
         for name in set(self.injector.find_dead()) - self.noted_dead:
             self.noted_dead.add(name)
@@ -163,7 +167,7 @@
             told = load.run()
         finally:
             operator.is_over.set()
-        if now_us() < load.end_us:
+        if load.is_interrupted():
             raise KeyboardInterrupt
         self.record.entries.append((load.end_us, "load_ended", {}))
         if not operator.finish(OPERATOR_S):
