--- a/packages/stage/src/linkhaven/stage/loopback.py
+++ b/packages/stage/src/linkhaven/stage/loopback.py
@@ -306,7 +306,11 @@
             self.keyed += 1
             key = f"form-{self.keyed}"
         self.caller.ask(kind, prompt, answer_tokens, self.routers[:3], key)
-        self.shell.ticker.call_in(int(self.dice.expovariate(self.rate) * 1_000_000) + 1, self._next)
+        self.shell.ticker.call_in(self._gap_us(), self._next)
+
+    def _gap_us(self):
+        """How long until the next request."""
+        return int(self.dice.expovariate(self.rate) * 1_000_000) + 1
 
     def _note_end(self, asked):
         self.left -= 1
--- a/packages/stage/src/linkhaven/stage/soak/run.py
+++ b/packages/stage/src/linkhaven/stage/soak/run.py
@@ -71,6 +71,10 @@
         self.injector.begin(self.shell.ticker)
         return super().run()
 
+    def _gap_us(self):
+        """Evenly, so that each window of time has requests to judge."""
+        return SECOND_US // self.rate
+
     def is_interrupted(self):
         """Whether a signal ended it; the shell takes signals for itself while the load runs."""
         return now_us() < self.stop_us and (now_us() < self.end_us or self.left > 0)
