Soak: a fault late to end counts with all bounds of those that follow

Cause: only a second core seat or the same process was held back while a fault was not over; on a busy machine the last decode runner could be taken, too. Before: the new test of the last decode runner fails. After: 11 tests of the injector on a made-up clock pass. Conclusion: the injector asks the schedule's own bounds.

--- a/packages/stage/src/linkhaven/stage/soak/injector.py
+++ b/packages/stage/src/linkhaven/stage/soak/injector.py
@@ -1,7 +1,9 @@
 """Begins and ends the faults of a schedule on a running fleet, and notes when each was over."""
 
+from msgspec import structs
+
 from .relay import Mode
-from .schedule import Kind, Link
+from .schedule import Kind, Link, keeps_bounds
 
 TICK_US = 50_000
 LEAVING_US = 2_500_000
@@ -83,11 +85,10 @@
 
     def _is_free(self, fault):
         """Whether faults that still are on leave this one within the schedule's bounds."""
-        busy = {name for other in self.open.values() for name in other.targets}
-        if busy & set(fault.targets):
-            return False
-        cores = set(self.cast.cores)
-        return not (cores & busy and cores & set(fault.targets))
+        at_once = [
+            structs.replace(one, begin_us=0, end_us=1) for one in (*self.open.values(), fault)
+        ]
+        return keeps_bounds(at_once, self.cast)
 
     def _switch_off(self, number):
         fault = self.schedule[number]
