--- a/packages/pairing/src/linkhaven/pairing/ratio.py
+++ b/packages/pairing/src/linkhaven/pairing/ratio.py
@@ -39,16 +39,17 @@
         decode_busy = answer_rate / (decodes * taichi["decode_tokens_per_s"])
         return max(read_busy, decode_busy, self.held / decodes)
 
-    def _spare_decoders(self, runners):
-        """How many decode runners are kept beside the one that must be.
+    def _most_readers(self, runners):
+        """All but one; all but two where reading and decoding are apart and there are some more.
 
-        Where reading and decoding are apart, the loss of the only decode runner ends all service
-        until another has switched, while without a reader prompts are read in place.
+        There the loss of the only decode runner ends all service until another has switched, while
+        without a reader prompts are read in place.
         """
-        return 1 if not self.is_in_place and runners >= SPARED_FROM else 0
+        is_spared = not self.is_in_place and runners >= SPARED_FROM
+        return runners - 2 if is_spared else runners - 1
 
     def search(self, runners, prompt_rate, answer_rate, taichi):
-        counts = range(0, runners - self._spare_decoders(runners))
+        counts = range(0, self._most_readers(runners) + 1)
         return min(
             counts,
             key=lambda count: (self.busy(count, runners, prompt_rate, answer_rate, taichi), -count),
@@ -58,6 +59,8 @@
         if runners < 2 or prompt_rate + answer_rate <= 0:
             self.side = self.target = None
             return current if self.is_in_place or runners < 2 else (runners + 1) // 2
+        if current > self._most_readers(runners):
+            return self._most_readers(runners)
         gain, idle = (GAIN, IDLE) if self.is_in_place else (APART_GAIN, APART_IDLE)
 
         def busy(count):
--- a/packages/registry/src/linkhaven/registry/sides.py
+++ b/packages/registry/src/linkhaven/registry/sides.py
@@ -5,9 +5,6 @@
 
 PHASES = (PREFILL, DECODE)
 OTHER_PHASE = {PREFILL: DECODE, DECODE: PREFILL}
-DECODERS_LEFT = 2
-"""How many decode runners an order to cover the reading side leaves: prompts are read in place
-meanwhile, and one decode runner alone is one loss away from none."""
 
 
 class PoolSides:
@@ -57,10 +54,10 @@
     def is_empty(self, phase):
         """Whether nobody sound plays the phase, though a sound runner could be ordered to.
 
-        A reader is asked for only where enough decoders are left beside it.
+        A reader is asked for only where a decoder is left beside it.
         """
         spare = len(self.sound[OTHER_PHASE[phase]])
-        return not self.sound[phase] and spare > (DECODERS_LEFT if phase == PREFILL else 0)
+        return not self.sound[phase] and spare > (phase == PREFILL)
 
 
 class Side:
--- a/tests/test_empty_sides.py
+++ b/tests/test_empty_sides.py
@@ -294,7 +294,8 @@
     switcher = holder(one).switcher
     began_us = one.world.now_us
     one.list_runners(runner_4="leaving")
-    one.world.run_for(one.platform.node.lag_us - 300 * MS)
+    one.world.run_for(one.platform.node.lag_us)
+    assert not switcher.keeper.runners["runner-4"].is_leaving
     switcher.begin_change(switcher.keeper.runners["runner-5"], PREFILL, one.world.now_us)
     one.world.run_for(3 * SECOND)
     assert switcher.keeper.runners["runner-4"].is_leaving
