Shell: a caller that resets before its call is read is no fault

Cause: found by the soak (LH1005, OSError ENOTCONN in the HTTP server's request): the peer's address is asked for after a reset. After: tests/test_wire.py; the reproduction was not run again. Conclusion: nothing was begun and nobody is there to answer; other faults are logged as before.

--- a/packages/wire/src/linkhaven/wire/shell.py
+++ b/packages/wire/src/linkhaven/wire/shell.py
@@ -1,3 +1,4 @@
+import errno
 import gc
 import random
 import signal as signals
@@ -19,9 +20,19 @@
 from .ticker import TICK_US, Ticker
 
 LOOK_US = 1_000_000
+GONE_CALLER = errno.ENOTCONN
 YOUNG_OBJECTS = 20_000
 
 
+def is_caller_gone(fault):
+    """Whether a call could not be read because its caller had reset the connection by then.
+
+    The HTTP server asks for the peer's address when it makes the request. Nothing was begun, and
+    nobody is there to answer. Test: `test_a_caller_that_resets_before_it_is_read_is_no_fault`.
+    """
+    return isinstance(fault, OSError) and fault.errno == GONE_CALLER
+
+
 class Shell(BaseComponent):
     """One process: a node, its sockets, its clock and its log, on one loop and one thread.
 
@@ -159,5 +170,7 @@
 
     @handler("exception", channel="*")
     def _on_exception(self, kind, fault, trace, handler=None, fevent=None):
+        if is_caller_gone(fault):
+            return
         lines = [line.strip() for line in trace] if isinstance(trace, list) else [str(trace)]
         self.log(1005, fault=f"{kind.__name__}: {fault}", trace=lines[-6:])
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1091,3 +1091,24 @@
         shell._signal_handler(signal.SIGTERM, None)
     bench.until(lambda: not len(shell._queue))
     assert shell.node.on_drained is not None and shell.running
+
+
+def test_a_caller_that_resets_before_it_is_read_is_no_fault():
+    listener = socket.create_server(("127.0.0.1", 0))
+    caller = socket.create_connection(listener.getsockname())
+    served, _ = listener.accept()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    caller.close()
+    with pytest.raises(ConnectionResetError):
+        served.recv(1)
+    with pytest.raises(OSError) as gone:
+        served.getpeername()
+    served.close()
+    listener.close()
+    logged = []
+    shell = Shell("bench", None, None, Node, level="error", tick_us=2_000)
+    shell.log = lambda number, **facts: logged.append(number)
+    shell._on_exception(type(gone.value), gone.value, [])
+    assert logged == []
+    shell._on_exception(OSError, OSError(9, "Bad file descriptor"), [])
+    assert logged == [1005]
