--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -88,7 +88,7 @@
                 return False
             return self._give_up(request, decision, why, self._room_us(decision, ttft_us))
         if not self._is_hopeless(request, decision, now_us):
-            self.node.invariants.check_placement(request, decision.winner, room_us)
+            self.node.invariants.check_placement(request, decision, room_us)
             self._place(request, decision)
             return True
         return self._give_up(request, decision, why, self._room_us(decision, ttft_us))
--- a/tests/test_placement_invariants.py
+++ b/tests/test_placement_invariants.py
@@ -21,6 +21,7 @@
         decision = self.choose(work, ttft_us, without)
         if decision.winner is None and decision.candidates:
             decision.winner = self._least(decision.candidates, lambda each: each.total_us)
+            decision.exception = why
         return decision
 
     def weigh_by_room(self, work, ttft_us, without=(), room_us=0, is_overdue=False):
