Plan: changes by name, taken at the register as one change on the expected version

A patch is an order like a whole document: same numbers, history of taken orders, refusals; its result is checked and stored whole, so any member shows the same bytes. Our own interface has PATCH /v1/plan and `plan patch`. Document orders have a module and a type of their own. Tests: tests/test_patch.py, red without the change.

--- a/packages/plan/src/linkhaven/plan/desk.py
+++ b/packages/plan/src/linkhaven/plan/desk.py
@@ -3,7 +3,9 @@
 
 from .bodies import digests_of, name_bodies
 from .check import check_plan, fill_plan
+from .document_order import DocumentOrder
 from .overlay import lay_overlay, overlay_group, overlay_kind, overlay_of, overlay_without_group
+from .patch import apply_to_mappings, read_mapping_patch
 from .taken import (
     TakenOrder,
     digest_of_order,
@@ -11,12 +13,12 @@
     extend_history,
     find_order,
     knows_mark,
-    knows_revision,
 )
 
 KEY = "plan"
 SHOWN = ("mark", "put_id", "plan", "document", "revision", "overlay")
 GATHER_TRIES = 3
+PATCHED_PARTS = ("groups", "kinds", "pools")
 RETRY_US = 1_000_000
 
 
@@ -101,30 +103,6 @@
     )
 
 
-def is_document_taken(value, revision, document):
-    """Also of a value that an earlier version of this program wrote, without a history."""
-    taken = find_order(value, revision)
-    if taken is not None:
-        return taken.digest == digest_of_order(document)
-    return (
-        value is not None
-        and value.get("revision") == revision
-        and value.get("document") == document
-    )
-
-
-def refuse_document(value, base, revision):
-    """Why a document that the history has no row of isn't taken now; None where it may be."""
-    held = (value or {}).get("revision") or 0
-    if held == base:
-        return Trouble("revision_old", given=revision, revision=held) if revision <= held else None
-    is_found = find_order(value, revision) is not None
-    may_be_taken = base < revision <= held and not is_found
-    if may_be_taken and not knows_revision(value, revision):
-        return Trouble("put_unknown", put_id=f"revision-{revision}")
-    return Trouble("revision_conflict", base=base, revision=held)
-
-
 def is_put_taken(value, put_id, digest):
     """Also of a value that an earlier version of this program wrote, without a history."""
     taken = find_order(value, put_id)
@@ -166,6 +144,7 @@
             {
                 ("GET", "/v1/plan"): self.serve_show,
                 ("PUT", "/v1/plan"): self.serve_put,
+                ("PATCH", "/v1/plan"): self.serve_patch,
                 ("POST", "/v1/plan/check"): self.serve_check,
                 ("PUT", "/v1/groups/"): lambda call, name: self.serve_part(call, name, GROUP_PUT),
                 ("DELETE", "/v1/groups/"): lambda call, name: self.serve_part(
@@ -239,47 +218,81 @@
         return send
 
     def put_document(self, base, revision, document, plan, done):
-        """The document of another door, in place of the one of revision `base`.
-
-        done(trouble, taken): `taken` has the mark and the revision that the order got, now or when it came before."""
-        put_id = f"revision-{revision}"
-        digest = digest_of_order(document)
-        names, texts = name_bodies(plan, document)
-        send = self._sender_of(texts)
+        """Put the document of another door in place of the one of revision `base`.
+
+        done(trouble, taken): `taken` has the mark and the revision that the order got, now or when
+        it came before.
+        """
+        order = DocumentOrder(base, revision, digest_of_order(document))
+        order.document = document
+        order.make = lambda held: (document, plan)
+        self._order_document(order, done)
+
+    def patch_document(self, base, revision, patch, merge, done):
+        """Change the document of revision `base` by the text of a patch.
+
+        `merge(document)` gives the next document and its plan, or raises; the document is None
+        where none is in force. done(trouble, taken): as for `put_document`.
+        """
+        order = DocumentOrder(base, revision, digest_of_ordered(["patch", patch]))
+        order.make = merge
+        order.needs_bodies = True
+        self._order_document(order, done)
+
+    def _order_document(self, order, done, tries=GATHER_TRIES):
+        lacking = []
 
         def step(value):
-            if is_document_taken(value, revision, document):
+            if order.is_taken(value):
                 return "keep", None
-            trouble = refuse_document(value, base, revision)
+            trouble = order.refusal(value)
             if trouble is not None:
                 return "stop", trouble
-            try:
-                fill_plan(plan)
-            except Trouble as trouble:
-                return "stop", trouble
-            mark = (value["mark"] if value else 0) + 1
-            taken = TakenOrder(mark, revision, digest, revision)
-            send(value)
-            return "set", {
-                "mark": mark,
-                "put_id": put_id,
-                "bodies": names,
-                "revision": revision,
-                "overlay": overlay_of(value),
-                "taken": extend_history(value, taken),
-            }
+            if order.needs_bodies and value is not None and not self.bodies.has(value):
+                lacking.append(value)
+                return "stop", lacking_body()
+            return self._ordered(value, order)
+
+        def again(is_held):
+            if not is_held or tries <= 1:
+                return done(lacking_body(), None)
+            self._order_document(order, done, tries - 1)
 
         def end(outcome, value):
-            self._log_outcome(outcome, value, base, put_id)
+            if outcome == "stopped" and lacking and value.code == "core_unready":
+                return self.bodies.gather(lacking[-1], again)
+            self._log_outcome(outcome, value, order.base, order.put_id)
             if outcome != "chosen":
-                return done(outcome_trouble(outcome, value, put_id), None)
+                return done(outcome_trouble(outcome, value, order.put_id), None)
             self._take_image(value)
-            taken = find_order(value, revision)
+            taken = find_order(value, order.revision)
             mark = taken.mark if taken is not None else value["mark"]
-            done(None, {"mark": mark, "revision": revision})
+            done(None, {"mark": mark, "revision": order.revision})
 
         self.proposer.change(KEY, step, end)
 
+    def _ordered(self, value, order):
+        """Return the step that sets the document that the order makes, its bodies on their way."""
+        held = self.bodies.document_of(value) if order.needs_bodies and value else None
+        try:
+            document, plan = order.make(held)
+            fill_plan(plan)
+        except Trouble as trouble:
+            return "stop", trouble
+        names, texts = name_bodies(plan, document)
+        self._sender_of(texts)(value)
+        mark = (value["mark"] if value else 0) + 1
+        return "set", {
+            "mark": mark,
+            "put_id": order.put_id,
+            "bodies": names,
+            "revision": order.revision,
+            "overlay": overlay_of(value),
+            "taken": extend_history(
+                value, TakenOrder(mark, order.revision, order.digest, order.revision)
+            ),
+        }
+
     def _log_outcome(self, outcome, value, expect, put_id):
         if outcome == "chosen":
             self.node.ports.log(1301, mark=value["mark"], put_id=put_id)
@@ -309,6 +322,24 @@
 
         self.change(document["expect"], document["put_id"], edit, call, document)
 
+    def serve_patch(self, call):
+        """Groups, kinds and pools by name: one change of the plan with the expected mark."""
+        document = check_document("PlanPatch", read_json(call.body))
+        patch = read_mapping_patch(document)
+
+        def edit(value):
+            opened = self.bodies.opened(value) if value else {}
+            if opened.get("document") is not None:
+                fault = "came as a document; its sender changes it by name"
+                raise Trouble("plan_invalid", places=[{"place": ".", "fault": fault}])
+            if not opened:
+                raise Trouble("plan_absent")
+            plan = apply_to_mappings(opened["plan"], patch, PATCHED_PARTS)
+            fill_plan(plan)
+            return {**opened, "plan": plan}
+
+        self.change(document["expect"], document["put_id"], edit, call, document)
+
     def put(self, expect, put_id, plan, call):
         """Takes the place of a document, too: what that held is then no longer in force."""
 
--- a/packages/registry/src/linkhaven/registry/program.py
+++ b/packages/registry/src/linkhaven/registry/program.py
@@ -134,6 +134,31 @@
         self.show(chosen)
 
 
+class PlanPatchCommand(CodedCommand):
+    """Change groups, kinds and pools by name."""
+
+    name = "plan patch"
+    description = "Add, replace and remove groups, kinds and pools by name."
+    arguments = [argument("file", "JSON with upserts and removals by part: groups, kinds, pools")]
+    options = [
+        REGISTRY_OPTION,
+        option("expect", "e", "the mark of the plan that is changed", flag=False),
+        option(
+            "put-id", None, "id of this patch, to repeat one whose outcome is unknown", flag=False
+        ),
+    ]
+
+    def act(self):
+        """Send the patch and show the mark that it got."""
+        document = {
+            **read_document(self.argument("file")),
+            "expect": read_expect(self, 1),
+            "put_id": self.option("put-id") or str(uuid.uuid4()),
+        }
+        self.line_error(f"put id {document['put_id']}")
+        self.show(call_json(self.option("registry"), "PATCH", "/v1/plan", document))
+
+
 class PlanShowCommand(CodedCommand):
     name = "plan show"
     description = "Show the plan in force and its mark, read at a majority of the core."
@@ -329,6 +354,7 @@
             CheckCommand(),
             PlanCheckCommand(),
             PlanPutCommand(),
+            PlanPatchCommand(),
             PlanShowCommand(),
             PlanDiffCommand(),
             GroupListCommand(),
--- a/tests/test_catalogues.py
+++ b/tests/test_catalogues.py
@@ -68,7 +68,7 @@
     served = set()
     for path in SOURCES:
         for method, place in re.findall(
-            r'\("(GET|PUT|POST|DELETE)", "(/v1/[a-z/]*)"\)', path.read_text()
+            r'\("(GET|PUT|POST|PATCH|DELETE)", "(/v1/[a-z/]*)"\)', path.read_text()
         ):
             named = (
                 "{request}"
--- /dev/null
+++ b/tests/test_patch.py
@@ -0,0 +1,285 @@
+"""Changes by name: of a document that another door's sender put, and of the plan itself."""
+
+import json
+
+import pytest
+from test_documents import Answered, code, command, in_force, kind, make_core
+
+from linkhaven.clockwork import Call, write_json
+from linkhaven.plan.patch import (
+    Patch,
+    apply_to_lists,
+    apply_to_mappings,
+    read_list_patch,
+    read_mapping_patch,
+)
+from linkhaven.platform.operator import OperatorDoor
+from linkhaven.schema import Trouble
+
+SECOND = 1_000_000
+PARTS = ("route_rules", "services")
+ROUTE = {
+    "name": "r-1",
+    "hostname": "one.example",
+    "path_prefix": "/a/",
+    "route_type": "unsafe",
+    "timeout_ms": 2000,
+    "target_latency_ms": 200,
+    "priority": 2,
+    "target_service": "pool-1",
+    "max_attempts": 1,
+    "extra_field": {"kept": [1.50, "as sent"]},
+}
+DOCUMENT = {
+    "revision": 4,
+    "route_rules": [ROUTE, {**ROUTE, "name": "r-2", "path_prefix": "/b/"}],
+    "services": [
+        {"name": "pool-1", "health_path": "/health", "max_connections": 360, "protocol": "h1"},
+        {"name": "pool-2", "health_path": "/health", "max_connections": 20, "protocol": "h1"},
+    ],
+    "limits": {"max_header_bytes": 16384, "idle_timeout_ms": 15000},
+}
+
+
+class OperatorCall(Call):
+    """An operator's call with what was answered."""
+
+    __slots__ = ("status", "answered")
+
+    def answer(self, status, headers, body):
+        self.is_ended = True
+        self.status, self.answered = status, body
+
+
+def operate(core, name, method, path, body=b"", base=0, wait=True):
+    call = OperatorCall(method, path, {"base-version": str(base)}, body)
+    node = core.machines[name].node
+    OperatorDoor(node.plan_desk, 0.2, 10).serve(call)
+    if wait:
+        core.world.wait_for(lambda: call.is_ended, 5 * SECOND, 10_000)
+    return call
+
+
+def put(core, document=DOCUMENT, base=0, name="core-1"):
+    return operate(core, name, "POST", "/Configuration.Replace", write_json(document), base).status
+
+
+def patch(core, base, revision, upserts=None, removals=None, name="core-1", wait=True):
+    order = {"revision": revision, "upserts": upserts or {}, "removals": removals or {}}
+    body = write_json(order)
+    return operate(core, name, "POST", "/Configuration.Update", body, base, wait)
+
+
+def shown(core, name="core-2"):
+    return operate(core, name, "GET", "/Configuration.Describe").answered
+
+
+# the change itself
+
+
+def test_items_are_replaced_in_place_added_last_and_removed():
+    changed = apply_to_lists(
+        DOCUMENT,
+        Patch(
+            {"route_rules": {"r-1": {"name": "r-1", "new": 1}, "r-3": {"name": "r-3"}}},
+            {"services": ["pool-2"]},
+        ),
+        PARTS,
+    )
+    assert [item["name"] for item in changed["route_rules"]] == ["r-1", "r-2", "r-3"]
+    assert changed["route_rules"][0] == {"name": "r-1", "new": 1}
+    assert [item["name"] for item in changed["services"]] == ["pool-1"]
+    assert changed["limits"] == DOCUMENT["limits"] and len(DOCUMENT["services"]) == 2
+
+
+@pytest.mark.parametrize(
+    "order, place",
+    [
+        (
+            {"upserts": {"route_rules": [{"name": "r-1"}, {"name": "r-1"}]}},
+            "upserts/route_rules/r-1",
+        ),
+        ({"upserts": {"route_rules": [{"hostname": "a"}]}}, "upserts/route_rules/0"),
+        ({"upserts": {"route_rules": "r-1"}}, "upserts/route_rules"),
+        ({"upserts": ["r-1"]}, "upserts"),
+        ({"removals": {"route_rules": [1]}}, "removals/route_rules"),
+        ({"removals": {"route_rules": ["r-1", "r-1"]}}, "removals/route_rules/r-1"),
+        ({"removals": {"route_rules": ["r-9"]}}, "removals/route_rules/r-9"),
+        (
+            {"upserts": {"services": [{"name": "pool-1"}]}, "removals": {"services": ["pool-1"]}},
+            "removals/services/pool-1",
+        ),
+        ({"upserts": {"limits": [{"name": "x"}]}}, "limits"),
+        ({"upserts": {"nothing": [{"name": "x"}]}}, "nothing"),
+    ],
+)
+def test_a_patch_that_does_not_fit_is_refused_with_its_place(order, place):
+    with pytest.raises(Trouble) as refused:
+        apply_to_lists(DOCUMENT, read_list_patch(order), PARTS)
+    assert refused.value.code == "plan_invalid"
+    assert place in [found["place"] for found in refused.value.detail["places"]]
+
+
+def test_a_patch_of_mappings_keeps_to_known_parts():
+    order = {"upserts": {"kinds": {"k": {"new": 1}}}, "removals": {"groups": ["g"]}}
+    plan = {"groups": {"g": {}, "h": {}}, "kinds": {}, "taichi": {}}
+    changed = apply_to_mappings(plan, read_mapping_patch(order), ("groups", "kinds"))
+    assert changed == {"groups": {"h": {}}, "kinds": {"k": {"new": 1}}, "taichi": {}}
+    with pytest.raises(Trouble):
+        apply_to_mappings(plan, Patch({"taichi": {"moves": {}}}, {}), ("groups", "kinds"))
+
+
+# at the register
+
+
+def test_a_patch_is_acknowledged_shown_whole_and_byte_stable_from_any_member():
+    core = make_core()
+    assert put(core) == 200
+    added = {**ROUTE, "name": "r-3", "path_prefix": "/c/"}
+    assert patch(core, 4, 9, {"route_rules": [added]}, {"route_rules": ["r-1"]}).status == 200
+    texts = {shown(core, name) for name in core.machines}
+    assert len(texts) == 1
+    document = json.loads(texts.pop())
+    assert document == {
+        **DOCUMENT,
+        "revision": 9,
+        "route_rules": [DOCUMENT["route_rules"][1], added],
+    }
+    core.world.run_for(SECOND)
+    for host in core.machines.values():
+        assert set(host.node.image.plan["kinds"]) == {"r-2", "r-3"}
+
+
+@pytest.mark.parametrize(
+    "upserts, removals",
+    [
+        ({"route_rules": [{**ROUTE, "target_service": "gone"}]}, {}),
+        ({"route_rules": [{**ROUTE, "name": "r-3"}]}, {}),
+        ({"route_rules": [{**ROUTE, "timeout_ms": 0}]}, {}),
+        ({}, {"services": ["pool-1"]}),
+        ({}, {"route_rules": ["r-9"]}),
+        (
+            {
+                "route_rules": [
+                    {**ROUTE, "traffic_split": [{"target_service": "pool-1", "weight": 0}]}
+                ]
+            },
+            {},
+        ),
+    ],
+)
+def test_a_patch_whose_result_is_invalid_changes_nothing(upserts, removals):
+    core = make_core()
+    put(core)
+    before = shown(core)
+    assert 400 <= patch(core, 4, 9, upserts, removals).status < 500
+    assert shown(core) == before and core.read()[1]["revision"] == 4
+
+
+def test_wrong_base_old_revision_sent_again_and_another_under_the_same_number():
+    core = make_core()
+    assert patch(core, 0, 3, {"route_rules": [ROUTE]}).status == 422
+    put(core)
+    removals = {"route_rules": ["r-2"]}
+    assert patch(core, 3, 9, {}, removals).status == 412
+    assert patch(core, 4, 4, {}, removals).status == 409
+    assert patch(core, 4, 9, {}, removals).status == 200
+    assert patch(core, 4, 9, {}, removals, name="core-3").status == 200
+    assert patch(core, 4, 9, {}, {"route_rules": ["r-1"]}).status == 412
+    assert patch(core, 9, 12, {}, {"services": ["pool-2"]}).status == 200
+    assert patch(core, 4, 9, {}, removals, name="core-2").status == 200
+    assert json.loads(shown(core))["revision"] == 12
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_of_a_patch_and_a_whole_configuration_on_one_base_one_is_taken(seed):
+    core = make_core(seed)
+    put(core)
+    whole = write_json({**DOCUMENT, "revision": 7})
+    calls = [
+        patch(core, 4, 7, {}, {"route_rules": ["r-1"]}, "core-1", wait=False),
+        operate(core, "core-2", "POST", "/Configuration.Replace", whole, 4, wait=False),
+        patch(core, 4, 8, {}, {"route_rules": ["r-2"]}, "core-3", wait=False),
+    ]
+    core.world.wait_for(lambda: all(call.is_ended for call in calls), 5 * SECOND, 10_000)
+    assert sorted(call.status for call in calls) == [200, 412, 412]
+    won = next(place for place, call in enumerate(calls) if call.status == 200)
+    routes = [item["name"] for item in json.loads(shown(core))["route_rules"]]
+    assert routes == [["r-2"], ["r-1", "r-2"], ["r-1"]][won]
+
+
+@pytest.mark.parametrize("seed", range(8))
+def test_a_patch_with_a_lost_answer_is_acknowledged_again_after_a_restart(seed):
+    core = make_core(seed)
+    put(core)
+    call = patch(core, 4, 9, {}, {"route_rules": ["r-1"]}, "core-1", wait=False)
+    core.world.run_for(1_000 * (seed + 1))
+    for host in core.machines.values():
+        host.kill()
+    core.world.run_for(SECOND // 4)
+    for host in core.machines.values():
+        host.start()
+    assert core.wait_voting(3)
+    core.world.run_for(2 * SECOND)
+    for name in core.machines:
+        assert patch(core, 4, 9, {}, {"route_rules": ["r-1"]}, name).status == 200
+    routes = [item["name"] for item in json.loads(shown(core))["route_rules"]]
+    assert routes == ["r-2"] and (not call.is_ended or call.status in (200, 503, 504))
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_member_that_lacks_the_document_gathers_it_for_a_patch(seed):
+    core = make_core(seed)
+    put(core)
+    store = core.machines["core-2"].node.bodies
+    for digest in list(store.held):
+        del store.held[digest]
+    assert patch(core, 4, 9, {}, {"route_rules": ["r-1"]}, "core-2").status == 200
+    assert json.loads(shown(core, "core-3"))["revision"] == 9
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_a_patch_at_a_member_that_is_cut_off_is_never_half_taken(seed):
+    core = make_core(seed)
+    put(core)
+    core.world.cut(["core-1"], ["core-2", "core-3"])
+    lone = patch(core, 4, 9, {}, {"route_rules": ["r-1"]}, "core-1")
+    assert lone.status in (503, 504)
+    assert patch(core, 4, 9, {}, {"route_rules": ["r-2"]}, "core-2").status == 200
+    core.world.heal()
+    core.world.run_for(2 * SECOND)
+    assert patch(core, 4, 9, {}, {"route_rules": ["r-1"]}, "core-1").status == 412
+    assert [item["name"] for item in json.loads(shown(core))["route_rules"]] == ["r-1"]
+
+
+# our own interface
+
+
+def test_our_own_patch_changes_the_plan_by_name_once():
+    core = make_core()
+    plan = {"groups": {"g": {}, "h": {}}, "kinds": {"k": kind("g"), "other": kind("h")}}
+    call = Answered(
+        "PUT", "/v1/plan", {}, write_json({"expect": 0, "put_id": "first", "plan": plan})
+    )
+    core.machines["core-1"].node.serve(call)
+    core.world.wait_for(lambda: call.is_ended, 5 * SECOND, 10_000)
+    change = {
+        "upserts": {"kinds": {"new": kind("g")}},
+        "removals": {"kinds": ["other"], "groups": ["h"]},
+    }
+    assert command(core, "PATCH", "/v1/plan", **change)[0] == 200
+    laid = in_force(core)
+    assert set(laid["kinds"]) == {"k", "new"} and set(laid["groups"]) == {"g"}
+    again = command(core, "PATCH", "/v1/plan", expect=1, put_id="/v1/plan/1", **change)
+    assert again == (200, {"mark": 2, "put_id": "/v1/plan/1"})
+    status, told = command(core, "PATCH", "/v1/plan", removals={"groups": ["g"]})
+    assert (status, told["code"]) == (422, "plan_invalid")
+    assert core.read()[1]["mark"] == 2
+
+
+def test_our_own_patch_leaves_a_document_to_its_sender():
+    core = make_core()
+    assert code(core.put(0, 4, "text", {"groups": {"g": {}}, "kinds": {"k": kind("g")}})) is None
+    status, told = command(core, "PATCH", "/v1/plan", removals={"kinds": ["k"]})
+    assert (status, told["code"]) == (422, "plan_invalid") and "its sender" in str(told)
+    assert core.read()[1]["mark"] == 1
