Runners without an engine: open by what answers show, chosen by speed and places

Hypothesis: `voucher-receipt` is refused since its runners are taken for decode runners that never report: the keeper asks them for reports, which they turn away, and calls them dark. Change: the list says which runners play no phase. They are asked for no report and weighed for no order; a dark one is tried again after dark_us. Two are drawn in proportion to the speed seen, and the one with the smaller share of its places taken is picked; one that fails more often than the others' rate explains is ejected, at most a third of a pool, with trials until its failures fade. What each router saw goes to the others as sums by way of the core. Ruled out: active health probes: they take a place, are priced, and may be false either way.

--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -5,6 +5,7 @@
 from .estimator import Estimator
 from .kept import Kept, Work
 from .messages import LinkSample, QueueView, QueueViews, RunnerShunned
+from .plain import PlainScheduler
 
 HISTORY_US = 5_000_000
 TOLD_US = 2_500_000
@@ -211,6 +212,8 @@
         "in_place_us",
         "resting",
         "heard_us",
+        "plain",
+        "plain_pools",
     )
 
     def __init__(self, node, roster, fellows=list):
@@ -220,6 +223,10 @@
         self.estimator = Estimator(node.now_us)
         self.books = {}
         self.kept = Kept()
+        self.plain = PlainScheduler(
+            node.now_us, node.ports.dice, lambda runner: self.book(runner).known()[3]
+        )
+        self.plain_pools = frozenset()
         self.resting = {}
         self.in_place_us = NO_BOUND_US
         self.heard_us = -ALONE_US
@@ -230,6 +237,7 @@
         node.on_message(RunnerShunned, self.on_runner_shunned)
         node.on_message(LinkSample, self.on_link_sample)
         node.on_hear.append(self._note_heard)
+        roster.on_new.append(self._note_plain_pools)
         node.systems.append(self.tick)
 
     def _note_heard(self, name):
@@ -245,6 +253,15 @@
         tightest_us = min((kind["ttft_us"] for kind in plan["kinds"].values()), default=NO_BOUND_US)
         self.in_place_us = int(tightest_us * IN_PLACE_SHARE)
 
+    def _note_plain_pools(self):
+        self.plain_pools = frozenset(
+            runner.pool for runner in self.roster.runners.values() if runner.is_plain()
+        )
+
+    def is_plain(self, pool):
+        """Whether the runners of a pool have no engine, so that no prompt is read for it."""
+        return pool in self.plain_pools
+
     def reading_pace(self):
         """Tokens a second that all open runners could read."""
         if self.estimator.taichi is None:
@@ -350,6 +367,7 @@
         ]:
             del self.shunned[key]
         self.kept.forget(names)
+        self.plain.forget(names)
         self.estimator.forget(names)
 
     def _change(self, runner, book, parts=()):
@@ -535,7 +553,7 @@
             return runners
         now_us = self.node.now_us()
         fit = [runner for runner in runners if now_us >= self.resting.get(runner.name, (0, 0))[0]]
-        return fit if any(runner.phase == DECODE for runner in fit) else runners
+        return fit if any(runner.phase != PREFILL for runner in fit) else runners
 
     def note_turned_away(self, runner):
         """It took nothing though its list says it could: others are asked for a moment, longer each time."""
@@ -576,6 +594,8 @@
 
     def choose_decode(self, without=(), source=None, tokens=0, pool=None):
         """The decode runner using least memory, of those that the source's memory reaches without a clearly slower link."""
+        if self.is_plain(pool):
+            return self._choose_plain(without, pool)
         runners = [
             runner
             for runner in self.open_runners(pool)
@@ -599,6 +619,15 @@
             lambda runner: (self._start_us(runner, now_us) // START_US, self.kv_share(runner)),
         )
 
+    def _choose_plain(self, without, pool):
+        """A runner without an engine, of those that are open."""
+        runners = [
+            runner
+            for runner in self.open_runners(pool)
+            if runner.is_plain() and runner.name not in without
+        ]
+        return self.plain.choose(runners)
+
     def _start_us(self, runner, now_us):
         """How long a decode waits there: for the reads before it, and for a place where all are taken."""
         wait_us = self._queue_us(runner, self.queued_tokens(runner), now_us)
--- a/packages/registry/src/linkhaven/registry/keeper.py
+++ b/packages/registry/src/linkhaven/registry/keeper.py
@@ -79,7 +79,10 @@
             return False
         now_us = self.node.now_us()
         if not self.is_settled:
-            is_owed = any(runner.reported_us is None for runner in self.runners.values())
+            is_owed = any(
+                runner.reported_us is None and not runner.is_plain()
+                for runner in self.runners.values()
+            )
             self.is_settled = not is_owed or now_us - self.first_us >= SETTLE_US
         return self.is_settled and now_us - self.listed_us < self.blind_us
 
@@ -146,6 +149,7 @@
         if now_us - self.polled_us >= self.node.terms.poll_us:
             self._poll(now_us)
         self._judge_silent(now_us)
+        self._reopen_plain(now_us)
         if now_us - self.reported_us >= self.node.terms.report_us:
             self.reported_us = self.pressed_us = now_us
             for runner in self.runners.rows():
@@ -199,6 +203,7 @@
                 runner = self.runners[name] = Runner(
                     name, record["address"], record["zone"], incarnation
                 )
+                runner.phase = record.get("phase") or runner.phase
                 self.node.ports.log(
                     1604, runner=name, phase=record.get("phase"), zone=record["zone"]
                 )
@@ -247,6 +252,9 @@
         self.leaving[(runner.name, runner.incarnation)] = self.node.now_us()
 
     def _ask_report(self, runner, now_us):
+        """Ask for its report, if it gives any: a runner without an engine would refuse the call."""
+        if runner.is_plain():
+            return
         asked = self.reports.get(runner.name)
         if asked is not None:
             if now_us - asked[0] < ABANDON_US:
@@ -332,6 +340,18 @@
                 del self.silent[name]
                 self._darken(runner)
 
+    def _reopen_plain(self, now_us):
+        """Let routers try a dark runner that gives no report again, once `dark_us` has passed.
+
+        Nobody asks such a runner for anything but requests, so only these can find it well. Test:
+        `test_a_dark_plain_runner_is_tried_again_and_closed_anew_by_evidence`.
+        """
+        for runner in self.runners.rows():
+            if not (runner.is_plain() and runner.is_dark):
+                continue
+            if now_us - self.heard_us.get(runner.name, 0) >= self.node.terms.dark_us:
+                self._hear_alive(runner, now_us)
+
     def _judge_dark(self, runner, now_us):
         terms = self.node.terms
         heard_us = self.heard_us.setdefault(runner.name, now_us)
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -43,6 +43,7 @@
         "gate",
         "usage",
         "views",
+        "outcomes",
         "bursar",
         "is_draining",
         "told_image",
@@ -125,10 +126,12 @@
         self.bursar = QuotaAllocator(self, self.duties["bursar"], self.image)
         self.bursar.on_won = self.news.shorten_holds
         self.ring.on_mark.append(self._hear_mark)
-        self.views = Views(self)
+        self.views = Views(self, "views")
+        self.outcomes = Views(self, "outcomes")
         self.status = CoreStatus(self, self._core_facts)
         self.news.on_ask += [
             self.views.hear_ask,
+            self.outcomes.hear_ask,
             self.keeper.hear_evidence,
             self.switcher.hear_ask,
             self.bursar.on_ask,
@@ -311,8 +314,8 @@
         rank = self._roster_rank()
         if rank is not None and self.keeper.is_ready():
             fence, serial = ask.get("roster") or (None, None)
-            if "views" in ask:
-                facts["views"] = self.views.of_others(ask["name"])
+            self.views.add_news(ask, facts)
+            self.outcomes.add_news(ask, facts)
             facts["roster"] = {
                 "fence": rank,
                 **self.keeper.document(serial if fence == rank else None),
--- a/packages/registry/src/linkhaven/registry/sides.py
+++ b/packages/registry/src/linkhaven/registry/sides.py
@@ -27,7 +27,7 @@
 
     def add(self, runner, keeper, change):
         """Count one runner; `change`: what it was ordered to play, if that is under way."""
-        if not runner.is_listed or runner.is_leaving or keeper.is_lost(runner):
+        if runner.is_plain() or not runner.is_listed or runner.is_leaving or keeper.is_lost(runner):
             return
         if runner.reported_us is None:
             self.unreported += not runner.is_dark
--- a/packages/registry/src/linkhaven/registry/views.py
+++ b/packages/registry/src/linkhaven/registry/views.py
@@ -1,31 +1,35 @@
-"""What the routers of a large fleet have at the runners, added up at a seat."""
+"""Figures that routers tell of the runners, added up at a seat."""
 
 QUIET_US = 2_500_000
 """A router that told nothing for so long is left out."""
 
-NO_FIGURES = (0, 0, 0, 0)
-
 
 class Views:
     """The sums, told back late.
 
-    Each router tells the core its own figures with its asks, and hears the sum of the others'
-    with the list of runners.
+    Each router tells the core its own figures with its asks, in the field named `field` as rows of
+    runner, incarnation and figures, and hears the sum of the others' with the list of runners.
     """
 
-    __slots__ = ("node", "told", "sums")
+    __slots__ = ("node", "field", "told", "sums")
 
-    def __init__(self, node):
+    def __init__(self, node, field):
         """Nothing is told yet."""
         self.node = node
+        self.field = field
         self.told = {}
         self.sums = {}
         node.systems.append(self.tick)
 
     def hear_ask(self, message):
         """Take a router's figures in place of those that it told before."""
-        if "views" in message:
-            self._replace(message["name"], message["views"])
+        if self.field in message:
+            self._replace(message["name"], message[self.field])
+
+    def add_news(self, ask, facts):
+        """Add what the other routers told to the answer to a router that told its own."""
+        if self.field in ask:
+            facts[self.field] = self.of_others(ask["name"])
 
     def _replace(self, router, views):
         before, _ = self.told.pop(router, ((), 0))
@@ -37,7 +41,7 @@
     def _add(self, views, sign):
         for name, incarnation, *figures in views:
             key = (name, incarnation)
-            held = self.sums.get(key) or NO_FIGURES
+            held = self.sums.get(key) or (0,) * len(figures)
             total = tuple(one + sign * other for one, other in zip(held, figures, strict=False))
             if any(total):
                 self.sums[key] = total
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -1,7 +1,7 @@
 """Attempts of requests at runners, and what follows when one fails."""
 
 from linkhaven.pairing import NO_BOUND_US, Decision, Work
-from linkhaven.runner.roster import DECODE, PREFILL
+from linkhaven.runner.roster import PREFILL
 from linkhaven.schema import Trouble
 
 from . import request as states
@@ -15,6 +15,9 @@
 """When to come back where no runner is open and the plan doesn't say how long a switch takes."""
 BEYOND_TARGET = "prompt_beyond_target"
 NO_OPEN_RUNNER = "no_open_runner"
+NO_FAILURE = GONE | FULL
+"""Troubles that say nothing of how well a runner answers."""
+
 TURNED_AWAY = FAILED_HAND_OVERS | {"runner_full", "runner_leaving", "phase_wrong"}
 
 
@@ -286,6 +289,8 @@
     def _tell_of_runner(self, runner, trouble, has_begun):
         """What the failure says of the runner, for all later choices."""
         code = trouble.code
+        if runner.is_plain() and code not in NO_FAILURE:
+            self.pairing.plain.note_failed(runner)
         if not has_begun:
             self.roster.note_dark(runner)
         elif code in TURNED_AWAY:
@@ -299,6 +304,11 @@
         if code == "mark_old":
             self.node.image.hear_mark(trouble.detail.get("mark", 0))
 
+    def note_unanswered(self, request):
+        """The deadline passed while a runner owed an answer."""
+        if request.state == states.DECODING and request.runner.is_plain():
+            self.pairing.plain.note_failed(request.runner)
+
     def _take_back_begun(self, request):
         """This attempt did not run; whether an earlier one may have is kept."""
         had_read = any(step["step"] == "hand-over" for step in request.steps)
@@ -427,7 +437,7 @@
             return False
         runner = request.runner
         others = [other for other in self.pairing.open_runners(request.pool) if other is not runner]
-        return any(other.phase == DECODE for other in others)
+        return any(other.phase != PREFILL for other in others)
 
     def may_be_repeated(self, request):
         """Whether another attempt could neither run one-time work twice nor break a stream."""
--- a/packages/router/src/linkhaven/router/chain.py
+++ b/packages/router/src/linkhaven/router/chain.py
@@ -61,6 +61,8 @@
         request.kind = kind
         request.group = kind["group"]
         request.pool = self.node.choose_pool(kind)
+        if self.node.pairing.is_plain(request.pool):
+            request.prompt_tokens, request.parts = 0, ()
         request.admitted_mark = self.node.image.mark
         request.answer_tokens = request.answer_tokens or kind["answer_tokens"]
         request.deadline_us = request.arrived_us + min(
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -208,6 +208,8 @@
         facts["steward"] = self.steward_place
         if is_roster and self.pairing.is_large():
             facts["views"] = self.pairing.own_views()
+        if is_roster:
+            facts["outcomes"] = self.pairing.plain.own_rows()
         newest_grant = max(self.extra.grant_number, self.credit.newest_grant())
         facts["fences"] = {
             "roster": self.roster.place[0],
@@ -227,6 +229,8 @@
                 runner.is_changing = runner.name in steward["changing"] or is_behind
         if "views" in message:
             self.pairing.take_views(message["views"])
+        if "outcomes" in message:
+            self.pairing.plain.take_others(message["outcomes"])
         shares = message.get("shares")
         if shares is not None:
             for group, (rate, grant) in shares["rates"].items():
@@ -436,6 +440,7 @@
             if request.deadline_us is None or now_us < request.deadline_us:
                 continue
             if request.has_begun:
+                self.attempts.note_unanswered(request)
                 self.end_in_trouble(
                     request, Trouble("deadline", retry_us=self.credit.wait_us(request.group))
                 )
--- a/packages/router/src/linkhaven/router/relay.py
+++ b/packages/router/src/linkhaven/router/relay.py
@@ -79,6 +79,8 @@
             return
         self.attempts.roster.note_alive(self.runner)
         request = self.request
+        if self.runner.is_plain():
+            self._note_plain_answer(status)
         if (
             status >= FAILURES
             and not request.is_one_time
@@ -89,6 +91,13 @@
         self.attempts.leave_runner(request)
         self.attempts.node.end_answered(request, status, headers, body)
 
+    def _note_plain_answer(self, status):
+        """Tell the choice among runners without an engine how this one did."""
+        plain, request = self.attempts.pairing.plain, self.request
+        if status >= FAILURES:
+            return plain.note_failed(self.runner)
+        plain.note_answered(self.runner, self.attempts.node.now_us() - request.progress_us)
+
     def on_trouble(self, trouble, has_begun):
         if self.is_over():
             return
--- a/packages/runner/src/linkhaven/runner/__init__.py
+++ b/packages/runner/src/linkhaven/runner/__init__.py
@@ -2,6 +2,15 @@
 
 from .adapter import RunnerDesk
 from .pieces import Piece, PieceReader, write_event
-from .roster import Roster, Runner, Starts
+from .roster import PLAIN, Roster, Runner, Starts
 
-__all__ = ["Piece", "PieceReader", "Roster", "Runner", "RunnerDesk", "Starts", "write_event"]
+__all__ = [
+    "PLAIN",
+    "Piece",
+    "PieceReader",
+    "Roster",
+    "Runner",
+    "RunnerDesk",
+    "Starts",
+    "write_event",
+]
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -3,6 +3,9 @@
 from linkhaven.clockwork import Table
 
 PREFILL, DECODE = "prefill", "decode"
+PLAIN = "plain"
+"""A runner without an engine: it reads no prompt, plays no phase and gives no report."""
+
 DARK_US = 1_500_000
 """How long this node's own evidence on a runner counts."""
 
@@ -70,6 +73,10 @@
         self.is_switching = False
         self.silent_us = None
 
+    def is_plain(self):
+        """Whether it is a runner without an engine."""
+        return self.phase == PLAIN
+
     def take_report(self, report, now_us):
         """Take a runner's own report, whose `age_us` counts back from `now_us`."""
         if report["incarnation"] != self.incarnation:
