--- a/tests/test_explore.py
+++ b/tests/test_explore.py
@@ -135,7 +135,7 @@
                 return "stop", Trouble("revision_conflict", base=0, revision=value["revision"])
             return verb, fruit
 
-        is_put = "put_document" in done.__qualname__
+        is_put = "_order_document" in done.__qualname__
         change(self, key, anew, done, **more)
 
     monkeypatch.setattr(Proposer, "change", forgetful)
--- a/tests/test_gone_runner.py
+++ b/tests/test_gone_runner.py
@@ -28,7 +28,7 @@
     request = Request("r-1", SimpleNamespace(is_begun=False), 0)
     request.kind = {"repeatable": False, "resumable": False}
     request.state, request.attempt = READING, "r-1/1"
-    request.runner = runner = SimpleNamespace(name="runner-1")
+    request.runner = runner = SimpleNamespace(name="runner-1", is_plain=lambda: False)
     attempts = Attempts(node, pairing, SimpleNamespace(reads_are_runs=False), roster, None)
     attempts.fail(request, runner, trouble, True)
     return heard, request
@@ -69,7 +69,7 @@
     request = Request("r-1", SimpleNamespace(is_begun=False), 0)
     request.kind = {"repeatable": True, "resumable": False}
     request.state, request.attempt = READING, "r-1/1"
-    request.runner = runner = SimpleNamespace(name="runner-1")
+    request.runner = runner = SimpleNamespace(name="runner-1", is_plain=lambda: False)
     Attempts(node, pairing, SimpleNamespace(reads_are_runs=False), roster, None).fail(
         request, runner, Trouble(code, done="no"), True
     )
