Large plans: a router's cost follows what changes and who asks, not all kinds

Change: rooms in one pass; checked groups and kinds are kept by their text; only groups with queued requests, an allowance or a demand that hasn't faded are looked at.

--- a/packages/credit/src/linkhaven/credit/admission_queues.py
+++ b/packages/credit/src/linkhaven/credit/admission_queues.py
@@ -40,6 +40,9 @@
     __slots__ = (
         "node",
         "accounts",
+        "limited",
+        "active",
+        "used",
         "scheduler",
         "estimate_initial_rate",
         "on_hopeless",
@@ -56,6 +59,9 @@
         self.estimate_initial_rate = estimate_initial_rate
         self.on_hopeless = on_hopeless
         self.accounts = Table()
+        self.limited = []
+        self.active = {}
+        self.used = {}
         self.scheduler = DeficitRoundRobin(self.accounts)
         self.measured_us = node.now_us()
         node.systems.append(self.tick)
@@ -74,6 +80,10 @@
         for account in self.accounts.rows():
             if account.name not in plan["groups"] and not account.queue:
                 self.accounts.drop(account.name)
+        self.limited = [account for account in self.accounts.values() if account.is_limited]
+        for kept in (self.active, self.used):
+            for name in [name for name in kept if name not in self.accounts]:
+                del kept[name]
         self.scheduler.refresh_order()
 
     def apply_grant(self, group, rate, number, expires_us):
@@ -85,20 +95,18 @@
 
     def newest_grant(self):
         """Return the highest number of all grants received, 0 if there was none."""
-        return max((account.grant_number for account in self.accounts.values()), default=0)
+        return max((account.grant_number for account in self.limited), default=0)
 
     def demand_reports(self):
         """Return a demand report, as fields of the wire, for each group with an allowance."""
         now_us = self.node.now_us()
         return {
-            account.name: write_fields(account.demand_report(now_us))
-            for account in self.accounts.values()
-            if account.is_limited
+            account.name: write_fields(account.demand_report(now_us)) for account in self.limited
         }
 
     def usage_reports(self):
         """Return the usage, as fields of the wire, of each group that did anything here."""
-        usages = {account.name: account.usage() for account in self.accounts.values()}
+        usages = {account.name: account.usage() for account in self.used.values()}
         return {name: write_fields(usage) for name, usage in usages.items() if usage is not None}
 
     # what requests do
@@ -108,6 +116,8 @@
         account, now_us = self.accounts[group], self.node.now_us()
         self._check_admission(account, request, now_us)
         account.append(request, now_us)
+        self.active[group] = self.used[group] = account
+        self.scheduler.note_backlog(group)
 
     def _check_admission(self, account, request, now_us):
         credit_wait_us = account.credit_wait_us(
@@ -142,12 +152,14 @@
         account = self.accounts.get(group)
         if account is not None:
             account.charge(tokens)
+            self.used[group] = account
 
     def count_refusal(self, group):
         """Count a request that was refused before it began."""
         account = self.accounts.get(group)
         if account is not None:
             account.refused_requests += 1
+            self.used[group] = account
 
     def serve(self, start):
         """Start queued requests in turn; see `DeficitRoundRobin.run` for `start`."""
@@ -157,7 +169,7 @@
 
     def is_waiting(self):
         """Whether any group's queue holds a request."""
-        return any(account.queue for account in self.accounts.values())
+        return bool(self.scheduler.waiting_groups())
 
     def lacks_credit(self, group):
         """Whether a group's first queued request waits for credit."""
@@ -180,7 +192,7 @@
 
     def tick(self, now_us):
         """Let grants expire; measure, and refuse hopeless requests, at each interval."""
-        for account in self.accounts.values():
+        for account in self.limited:
             account.update_bucket_rate(now_us)
         elapsed_us = now_us - self.measured_us
         if elapsed_us < MEASURE_INTERVAL_US:
@@ -188,13 +200,15 @@
         self.measured_us = now_us
         self._refuse_hopeless(now_us)
         initial_rate = self.estimate_initial_rate()
-        for account in self.accounts.values():
+        for account in list(self.active.values()):
             account.measure_demand(elapsed_us)
             account.measure_service(elapsed_us, initial_rate)
+            if account.is_idle():
+                del self.active[account.name]
 
     def _refuse_hopeless(self, now_us):
-        for account in self.accounts.rows():
-            tokens_ahead = 0
+        for name in list(self.scheduler.waiting_groups()):
+            account, tokens_ahead = self.accounts[name], 0
             for request in list(account.queue):
                 wait_us = account.credit_wait_us(tokens_ahead, request.prompt_tokens, now_us)
                 if self._is_hopeless(request, wait_us, now_us):
--- a/packages/credit/src/linkhaven/credit/group_account.py
+++ b/packages/credit/src/linkhaven/credit/group_account.py
@@ -18,6 +18,9 @@
 LEAST_SERVICE_RATE = 1.0
 """Tokens a second; a measured rate below this counts as this."""
 
+FADED_RATE = 0.01
+"""Tokens a second; a demand below this counts as none."""
+
 QUEUED_PER_SECOND = 2
 """Queued tokens add to the wanted rate as if they were to be served within so many seconds."""
 
@@ -189,6 +192,13 @@
         self.was_backlogged = bool(self.queue)
         self.served_tokens = 0
 
+    def is_idle(self):
+        """Whether there is nothing left to measure: no queue, and a demand that has faded out."""
+        if self.queue or self.was_backlogged or self.demand_rate > FADED_RATE:
+            return False
+        self.demand_rate = 0.0
+        return True
+
     # reports
 
     def demand_report(self, now_us):
--- a/packages/credit/src/linkhaven/credit/scheduler.py
+++ b/packages/credit/src/linkhaven/credit/scheduler.py
@@ -17,19 +17,33 @@
     `test_a_group_that_floods_delays_neither_of_the_others`).
     """
 
-    __slots__ = ("accounts", "order", "first", "is_running", "is_run_requested")
+    __slots__ = ("accounts", "places", "backlogged", "first", "is_running", "is_run_requested")
 
     def __init__(self, accounts):
-        """Schedule over `accounts`, a table by name whose rows may come and go."""
+        """Schedule over `accounts`, a table by name whose rows may come and go.
+
+        Only `backlogged` groups are looked at, so that groups without requests cost nothing.
+        """
         self.accounts = accounts
-        self.order = []
+        self.places = {}
+        self.backlogged = set()
         self.first = 0
         self.is_running = False
         self.is_run_requested = False
 
     def refresh_order(self):
         """Follow the accounts as they are now."""
-        self.order = list(self.accounts)
+        self.places = {name: place for place, name in enumerate(self.accounts)}
+        self.backlogged = {account.name for account in self.accounts.values() if account.queue}
+
+    def note_backlog(self, name):
+        """Note that a group's queue holds a request."""
+        self.backlogged.add(name)
+
+    def waiting_groups(self):
+        """Return the groups whose queues hold requests."""
+        self.backlogged = {name for name in self.backlogged if self.accounts[name].queue}
+        return self.backlogged
 
     def run(self, start, now_us_of):
         """Start queued requests until none is ready.
@@ -62,18 +76,18 @@
     def _ready_groups(self, blocked, now_us):
         return {
             name
-            for name in self.order
+            for name in self.waiting_groups()
             if name not in blocked and self._is_ready(self.accounts[name], now_us)
         }
 
     def _is_ready(self, account, now_us):
-        return bool(account.queue) and account.has_credit_for(account.queue[0], now_us)
+        return account.has_credit_for(account.queue[0], now_us)
 
     def _rotate(self, ready):
         """Return the ready groups, beginning one place further with each round."""
-        self.first %= len(self.order)
-        turns = self.order[self.first :] + self.order[: self.first]
-        return [name for name in turns if name in ready]
+        count = len(self.places)
+        self.first %= count
+        return sorted(ready, key=lambda name: (self.places[name] - self.first) % count)
 
     def _run_turn(self, account, start, now_us):
         """Add the quantum if it is needed, and serve the group.
--- a/packages/plan/src/linkhaven/plan/check.py
+++ b/packages/plan/src/linkhaven/plan/check.py
@@ -1,5 +1,7 @@
 import trafaret as t
+from cachetools import LRUCache
 
+from linkhaven.clockwork import write_json
 from linkhaven.schema import Trouble
 from linkhaven.schema.fields import list_places, number, whole
 
@@ -186,10 +188,35 @@
     return places
 
 
+FILLED_MOST = 8_192
+_filled_parts = LRUCache(FILLED_MOST)
+"""Groups and kinds that were checked before, by their name and text: a change of a large plan checks
+only what it changed. A filled part is never altered."""
+
+
+def _fill_part(check, name, part):
+    key = (check, name, write_json(part))
+    filled = _filled_parts.get(key)
+    if filled is None:
+        NAME.check(name)
+        filled = _filled_parts[key] = check.check(part)
+    return filled
+
+
+def _fill(document):
+    """The plan with its defaults; raises DataError with each place that doesn't fit."""
+    try:
+        groups = {name: _fill_part(GROUP, name, part) for name, part in document["groups"].items()}
+        kinds = {name: _fill_part(KIND, name, part) for name, part in document["kinds"].items()}
+    except (t.DataError, AttributeError, KeyError, TypeError, ValueError):
+        return PLAN.check(document)
+    return {**PLAN.check({**document, "groups": {}, "kinds": {}}), "groups": groups, "kinds": kinds}
+
+
 def fill_plan(document):
     places, plan = [], None
     try:
-        plan = PLAN.check(document)
+        plan = _fill(document)
     except t.DataError as fault:
         places += list_places(fault)
     places += _list_clashes(document)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -26,14 +26,22 @@
 """How much each new prompt counts in what is typical of its kind."""
 
 
-def room_for_others(plan, group):
-    """How long a queue at a runner a group may join, so that tight targets can still be met.
+def rooms_for_others(plan):
+    """How long a queue at a runner each group may join, so that tight targets can still be met.
 
     That is the tightest target of the other groups, or of its own kinds where there is no other.
     """
-    targets = {name: kind["ttft_us"] for name, kind in plan["kinds"].items()}
-    others = [targets[name] for name, kind in plan["kinds"].items() if kind["group"] != group]
-    return min(others or targets.values(), default=NO_BOUND_US)
+    tightest = {}
+    for kind in plan["kinds"].values():
+        held_us = tightest.get(kind["group"], NO_BOUND_US)
+        tightest[kind["group"]] = min(held_us, kind["ttft_us"])
+    first, second, *_ = [*sorted(tightest, key=tightest.get), None, None]
+    if first is None:
+        return {group: NO_BOUND_US for group in plan["groups"]}
+    return {
+        group: tightest[second if group == first and second is not None else first]
+        for group in plan["groups"]
+    }
 
 
 class RouterNode(Node):
@@ -159,7 +167,7 @@
         self.credit.apply_plan(plan)
         self.keys.take_plan(plan)
         self.doors.take_plan(plan)
-        self.rooms = {group: room_for_others(plan, group) for group in plan["groups"]}
+        self.rooms = rooms_for_others(plan)
         for kind in [kind for kind in self.typical_tokens if kind not in plan["kinds"]]:
             del self.typical_tokens[kind]
         self.ports.log(2001, mark=self.image.mark)
