News: a router is told what changed in a plan, with the digest of the result

Cause: each change of a configuration went whole to each router: with 1,440 routes some 60 KB, a tenth of a second of an edge machine's 5 Mbit/s, during which its requests wait. Change: a router says which plan it holds; a seat that still holds that one tells the difference where it is shorter. The router checks the digest of what it makes of it, and asks for the whole where that isn't the one named. `test_bodies.py` counts changes as bodies and spoils either.

--- a/packages/plan/src/linkhaven/plan/news.py
+++ b/packages/plan/src/linkhaven/plan/news.py
@@ -1,19 +1,31 @@
 """Core side of the news: what a seat tells the routers that ask it.
 
-The body of a plan goes with the news only to a router that asks this seat for it; every other
-answer carries the mark and the digest, which say that the plan is in force."""
+The body of a plan goes with the news only to a router that asks this seat for it, as the changes
+to the plan that the router holds where these are shorter; every other answer carries the mark and
+the digest, which say that the plan is in force."""
 
+from cachetools import LRUCache
+
+from linkhaven.clockwork import read_json
+
+from .changes import diff_of
 from .overlay import overlay_of
+from .packing import open_body, pack_body
 
 READ_US = 100_000
 URGENT_US = 100_000
 
+KEPT_CHANGES = 16
+"""The changes between so many pairs of plans are kept packed, since many routers ask for them."""
+
 KEY = "plan"
 
 
 class Ask:
     """One open ask of a router: what it holds, what it heard of, whether it wants the body here.
 
+    `holds`: the digest of the plan that changes may build on, None where it wants the whole.
+
     A router of an earlier version says neither of the last two, and is sent every plan whole."""
 
     __slots__ = (
@@ -22,6 +34,7 @@
         "mark",
         "heard",
         "wants_plan",
+        "holds",
         "is_of_earlier",
         "facts",
         "until_us",
@@ -35,6 +48,7 @@
         self.heard = message.get("heard", message["mark"])
         self.is_of_earlier = "wants_plan" not in message
         self.wants_plan = message.get("wants_plan", True)
+        self.holds = message.get("holds")
         self.facts = message
         self.until_us = until_us
         self.urgent_us = urgent_us
@@ -57,6 +71,7 @@
         "read_us",
         "asked_us",
         "has_contact",
+        "changes",
     )
 
     def __init__(self, node, seat, proposer, image, bodies):
@@ -73,6 +88,7 @@
         self.read_us = 0
         self.asked_us = node.now_us()
         self.has_contact = lambda: True
+        self.changes = LRUCache(KEPT_CHANGES)
         node.hearers["ask"] = self.hear_ask
         node.systems.append(self.tick)
 
@@ -158,7 +174,11 @@
         facts["digest"], packed = self.bodies.named_plan(value)
         if not ask.wants_plan:
             return
-        facts["body"] = packed
+        changes = self._changes(ask.holds, facts["digest"])
+        if changes is None:
+            facts["body"] = packed
+        else:
+            facts["base"], facts["changes"] = ask.holds, changes
         facts["plan"] = {
             "mark": value["mark"],
             "put_id": value["put_id"],
@@ -167,6 +187,18 @@
             "bodies": {"plan": facts["digest"]},
         }
 
+    def _changes(self, held, newest):
+        """Return the packed changes from one plan to another, None where the whole is no longer."""
+        if held is None or held not in self.bodies.held:
+            return None
+        key = (held, newest)
+        if key not in self.changes:
+            packed, whole = self.bodies.held[held], self.bodies.held[newest]
+            old, new = read_json(open_body(held, packed)), read_json(open_body(newest, whole))
+            changes = pack_body(diff_of(old, new).write())
+            self.changes[key] = changes if len(changes) < len(whole) else None
+        return self.changes[key]
+
     def tick(self, now_us):
         if not self._is_newest_known() and self.seat.is_voting:
             self._read(now_us)
--- a/packages/plan/src/linkhaven/plan/packing.py
+++ b/packages/plan/src/linkhaven/plan/packing.py
@@ -19,15 +19,23 @@
     return base64.b64encode(zlib.compress(text.encode())).decode()
 
 
-def open_body(digest, packed):
-    """The text with this digest; raises BodyMismatchError for anything else."""
+def open_packed(packed):
+    """The text that pack_body packed; raises BodyMismatchError for anything else."""
     try:
         opener = zlib.decompressobj()
         raw = opener.decompress(base64.b64decode(packed, validate=True), MOST_BODY_BYTES)
         text = raw.decode()
     except (zlib.error, binascii.Error, ValueError, TypeError) as fault:
         raise BodyMismatchError(repr(fault)) from None
-    if not opener.eof or digest_of(text) != digest:
+    if not opener.eof:
+        raise BodyMismatchError("it has no end")
+    return text
+
+
+def open_body(digest, packed):
+    """The text with this digest; raises BodyMismatchError for anything else."""
+    text = open_packed(packed)
+    if digest_of(text) != digest:
         raise BodyMismatchError(f"it is not the text named {digest}")
     return text
 
--- a/packages/plan/src/linkhaven/plan/reader.py
+++ b/packages/plan/src/linkhaven/plan/reader.py
@@ -8,10 +8,14 @@
 import hashlib
 from functools import lru_cache
 
+import msgspec
+
 from linkhaven.clockwork import read_json
+from linkhaven.schema import Trouble
 
+from .changes import apply_changes, read_changes
 from .pace import AskPace
-from .packing import BodyMismatchError, open_body, pack_body, write_plan
+from .packing import BodyMismatchError, open_body, open_packed, pack_body, write_plan
 from .taken import digest_of
 
 LATE_US = 350_000
@@ -77,6 +81,7 @@
         "held",
         "pace",
         "is_pressed",
+        "takes_changes",
     )
 
     def __init__(self, node, directory, image, majority=None, count_routers=lambda: 1):
@@ -94,6 +99,7 @@
         self.held = None
         self.pace = AskPace(node.terms, count_routers)
         self.is_pressed = lambda: False
+        self.takes_changes = True
         node.hearers["news"] = self.hear_news
         node.systems.append(self.tick)
 
@@ -110,7 +116,13 @@
 
     def as_told(self):
         """The value and the packed body that the image was taken from; None before there was one."""
-        return self.held
+        if self.held is None:
+            return None
+        value, body = self.held
+        if body is None:
+            body = pack_body(write_plan(self.image.value["plan"]))
+            self.held = (value, body)
+        return value, body
 
     # Asking
 
@@ -136,6 +148,8 @@
                 seat: incarnation for seat, (_, incarnation) in self.directory.seats().items()
             },
         }
+        if wants_plan and self.held is not None and self.takes_changes:
+            facts["holds"] = self.held[0]["bodies"]["plan"]
         if told.hold_us != self.node.terms.news_hold_us:
             facts["hold_us"] = told.hold_us
         for add in self.facts:
@@ -219,7 +233,9 @@
     def _hear_current(self, message, told):
         mark = message["mark"]
         self.image.hear_mark(mark)
-        if "body" in message:
+        if "changes" in message:
+            self._take_changes(message["plan"], message["base"], message["changes"])
+        elif "body" in message:
             self._take_body(message["plan"], message["body"])
         elif "plan" in message:
             self._take_body(*apart(message["plan"]))
@@ -235,9 +251,31 @@
             plan = read_json(open_body(digest, body))
         except BodyMismatchError as fault:
             return self.node.ports.log(1304, digest=digest, why=str(fault))
+        self._take_plan(value, plan, body)
+
+    def _take_changes(self, value, base, packed):
+        """Take the changes to the plan held here; whatever doesn't lead to the plan of its digest
+        is dropped, and the whole is asked for. Test: `test_changes_that_lead_elsewhere_...`.
+        """
+        digest = value["bodies"]["plan"]
+        try:
+            if self.held is None or self.held[0]["bodies"]["plan"] != base:
+                raise BodyMismatchError(f"the plan held here isn't {base}")
+            changes = read_changes(open_packed(packed))
+            plan = apply_changes(self.image.value["plan"], changes)
+            if digest_of(write_plan(plan)) != digest:
+                raise BodyMismatchError(f"the changes don't lead to the plan named {digest}")
+        except (BodyMismatchError, msgspec.ValidationError, Trouble) as fault:
+            self.takes_changes = False
+            return self.node.ports.log(1304, digest=digest, why=str(fault))
+        self._take_plan(value, plan, None)
+
+    def _take_plan(self, value, plan, body):
         if not self.image.take({**value, "plan": plan}):
             return
         self.held = (value, body)
+        self.takes_changes = True
+        digest = value["bodies"]["plan"]
         lacking = self.lacking
         if lacking is None or lacking.mark > self.image.mark:
             return
--- a/tests/test_bodies.py
+++ b/tests/test_bodies.py
@@ -375,11 +375,11 @@
 
 
 def bodies_heard(router):
-    """Counts the answers that bring a body: (seat's name, mark)."""
+    """Counts the answers that bring a body, whole or as changes: (seat's name, mark)."""
     heard, hear = [], router.node.hearers["news"]
 
     def count(message):
-        if "body" in message:
+        if "body" in message or "changes" in message:
             heard.append((message["name"], message["mark"]))
         hear(message)
 
@@ -452,17 +452,22 @@
     assert is_taken(told) and news.is_fresh() and news.lacking is None
 
 
-def test_a_router_refuses_a_spoiled_body_and_has_it_from_another_seat():
+@pytest.mark.parametrize("spoiled_part", ("body", "changes", "both"))
+def test_a_router_refuses_a_spoiled_body_and_has_it_from_another_seat(spoiled_part):
     core = started()
     router = with_router(core)
     assert is_taken(put(core, 1))
     core.world.run_for(SECOND)
     source, hear, spoiled = source_of(router), router.node.hearers["news"], []
+    router.node.news.takes_changes = spoiled_part != "body"
+    core.world.run_for(SECOND)
 
     def spoil(message):
-        if "body" in message and message["name"] == source.name:
-            spoiled.append(message["mark"])
-            message["body"] = pack_body("another text")
+        for part in ("body", "changes"):
+            is_spoiled = spoiled_part in (part, "both") and message["name"] == source.name
+            if part in message and is_spoiled:
+                spoiled.append(message["mark"])
+                message[part] = pack_body("another text")
         hear(message)
 
     router.node.hearers["news"] = spoil
