Placement in large fleets: shared lines, divided decode runners, homes; several orders at once

Change, where there are more routers than tell each other each change: the sums of reads are shared by way of the core, the line follows the reads that met no queue and the rest counts as a wait of the phase, a pace that nobody saw counts as nothing; decode runners beyond what streams and memory need read the prompts of short answers, hand-overs go to the others; a prompt goes to the home of its last shared part by weighted rendezvous; the ratio orders an eighth of a pool at once. Found beside it: a choice by a value that changes with time compared it twice and met no tie; homes by CRC are uneven, since alike names have alike checksums. Tests: tests/test_shared_lines.py.

--- a/packages/pairing/src/linkhaven/pairing/estimator.py
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -1,7 +1,8 @@
 from linkhaven.runner.roster import DECODE, PREFILL
 
-from .fit import LineFit
+from .fit import PARTS, LineFit
 from .links import Links
+from .recent import RecentMean
 
 SMOOTHING = 0.1
 GUESSED_RATE = 20_000
@@ -9,13 +10,26 @@
 FACTOR_AT_MOST = 4.0
 FACTOR_HALF_US = 10_000_000
 """A runner's factor goes back to 1 by half in this time, so that a wrong one doesn't stay."""
+ABOVE_SHARE = 0.1
+"""How much a read above the line counts: it met a queue that nobody knew of, so that the line
+follows the reads that met none."""
+
+LEAST_TOKEN_US = 0.001
+"""No runner is taken to read a token sooner than this."""
+
 LINE_US = 10_000_000
 """How long after its last read a phase's own line counts, where the other phase has one too."""
 
 
 class Estimator:
-    """Reading time of a prompt on a runner: a base and a rate from the plan (halved, as it says, on decode runners), or,
-    where the plan tells no rate, a line learned from the reads that were seen; times a factor learned per runner."""
+    """Reading time of a prompt on a runner.
+
+    A base and a rate from the plan (halved, as it says, on decode runners), or, where the plan
+    tells no rate, a line learned from the reads that were seen; times a factor learned per runner.
+    In a large fleet (`is_blind`) that line is of the reads that all routers saw, by way of the
+    core, and before anything was seen a read counts as nothing, so that the first prompts are
+    placed and show the pace. Test: tests/test_shared_lines.py.
+    """
 
     __slots__ = (
         "taichi",
@@ -26,16 +40,25 @@
         "answer_token_us",
         "links",
         "now_us",
+        "is_blind",
         "noted_us",
+        "others",
+        "others_wait",
+        "waits",
     )
 
-    def __init__(self, now_us):
+    def __init__(self, now_us, is_blind=lambda: False):
+        """`is_blind()`: whether the others' queues become known too late to tell them from pace."""
         self.now_us = now_us
+        self.is_blind = is_blind
         self.noted_us = {}
         self.links = Links(now_us)
         self.taichi = None
         self.factors = {}
         self.fits = {}
+        self.others = {}
+        self.others_wait = {}
+        self.waits = {}
         self.stream_us = STREAM_US
         self.prompt_mean = 1_000.0
         self.answer_token_us = 10_000.0
@@ -44,6 +67,17 @@
         rate = self.taichi["prefill_tokens_per_s"] or GUESSED_RATE
         return rate * self.taichi["decode_read_share"] if phase == DECODE else rate
 
+    def knows_pace(self, phase):
+        """Whether the plan or any read has told how fast runners of a phase read."""
+        return bool(self.taichi["prefill_tokens_per_s"]) or self._line(phase) is not None
+
+    def pace(self, phase):
+        """Tokens a second that a runner reads; 0 where neither the plan nor any read told it."""
+        line = self._line(phase)
+        if line is not None:
+            return int(1_000_000 / max(LEAST_TOKEN_US, line[1]))
+        return self.rate(phase) if self.taichi["prefill_tokens_per_s"] else 0
+
     def read_us(self, tokens, runner):
         if tokens <= 0:
             return 0
@@ -56,6 +90,8 @@
 
     def _plain_us(self, tokens, phase):
         line = self._line(phase)
+        if line is None and self.is_blind() and not self.taichi["prefill_tokens_per_s"]:
+            return 0
         if line is None:
             return self.taichi["read_base_us"] + tokens * 1_000_000 / self.rate(phase)
         return line[0] + tokens * line[1]
@@ -69,18 +105,66 @@
         if self.taichi is None or self.taichi["prefill_tokens_per_s"]:
             return None
         own = self._seen_line(phase)
-        if own is not None and self.now_us() - self.noted_us[phase] < LINE_US:
-            return own
-        other = self._seen_line(PREFILL if phase == DECODE else DECODE)
-        if other is None:
+        is_recent = self.now_us() - self.noted_us.get(phase, -LINE_US) < LINE_US
+        if own is not None and (is_recent or phase in self.others):
             return own
+        other_phase = PREFILL if phase == DECODE else DECODE
+        other = self._seen_line(other_phase)
+        if other is not None:
+            return self._converted(other, phase)
+        return own or (self._rough_line(phase, other_phase) if self.is_blind() else None)
+
+    def _converted(self, line, phase):
+        """The line of a phase as the other phase's tells it."""
         share = self.taichi["decode_read_share"]
-        base_us, token_us = other
+        base_us, token_us = line
         return base_us, token_us / share if phase == DECODE else token_us * share
 
+    def _rough_line(self, phase, other_phase):
+        """What the first reads tell, before their sizes tell the base from the rate."""
+        own, other = self._samples(phase), self._samples(other_phase)
+        if own is not None and own.rough_line() is not None:
+            return own.rough_line()
+        line = other.rough_line() if other is not None else None
+        return None if line is None else self._converted(line, phase)
+
+    def _samples(self, phase):
+        """The reads of a phase that all routers saw, None where there were none."""
+        fit, others = self.fits.get(phase), self.others.get(phase)
+        if others is not None:
+            return (fit or LineFit()).plus(others)
+        return fit
+
     def _seen_line(self, phase):
-        fit = self.fits.get(phase)
-        return fit.line() if fit is not None else None
+        samples = self._samples(phase)
+        return samples.line() if samples is not None else None
+
+    def own_rows(self):
+        """Return the sums of the reads that this router saw lately, for the other routers."""
+        now_us = self.now_us()
+        return [
+            [phase, 0, *fit.as_row(), *self._wait_of(phase).as_row(now_us)]
+            for phase, fit in self.fits.items()
+            if now_us - self.noted_us[phase] < LINE_US
+        ]
+
+    def take_others(self, rows):
+        """Take the sums of the reads that all other routers saw lately."""
+        self.others = {phase: sums[: len(PARTS)] for phase, _, *sums in rows}
+        self.others_wait = {phase: sums[len(PARTS) :] for phase, _, *sums in rows}
+
+    def _wait_of(self, phase):
+        wait = self.waits.get(phase)
+        if wait is None:
+            wait = self.waits[phase] = RecentMean()
+        return wait
+
+    def wait_us(self, phase):
+        """How much longer than the line says reads took lately, at all runners of a phase.
+
+        That is their queues, as far as no view tells of them in time.
+        """
+        return self._wait_of(phase).with_others(self.others_wait.get(phase, ()), self.now_us())
 
     def seen_rate(self):
         """Tokens a second that reading runners were seen to read, 0 before enough was seen."""
@@ -90,7 +174,7 @@
     def token_us(self, runner):
         """How long one more prompt token takes there."""
         line = self._line(runner.phase)
-        return line[1] if line is not None else 1_000_000 / self.rate(runner.phase)
+        return max(LEAST_TOKEN_US, line[1]) if line else 1_000_000 / self.rate(runner.phase)
 
     def transfer_us(self, tokens, source=None, target=None):
         planned_us = (
@@ -117,7 +201,10 @@
         self.prompt_mean += SMOOTHING * (tokens - self.prompt_mean)
 
     def note_read(self, runner_name, phase, tokens, seen_us):
-        """A read of so many tokens that met no queue took so long."""
+        """A read of so many tokens that met no known queue took so long.
+
+        Where queues are not known in time, one above the line may have met one, and counts less.
+        """
         if tokens <= 0:
             return
         key, now_us = (runner_name, phase), self.now_us()
@@ -126,7 +213,13 @@
         fit = self.fits.get(phase)
         if fit is None:
             fit = self.fits[phase] = LineFit()
-        fit.note(tokens, seen_us)
+        line, above = self._seen_line(phase), ABOVE_SHARE if self.is_blind() else 1.0
+        is_above = line is not None and seen_us > line[0] + tokens * line[1]
+        fit.note(tokens, seen_us, above if is_above else 1.0)
+        if line is not None:
+            self._wait_of(phase).note(max(0.0, seen_us - line[0] - tokens * line[1]), now_us)
         self.noted_us[phase] = now_us
-        factor += SMOOTHING * (factor * seen_us / predicted_us - factor)
+        if predicted_us > 0:
+            share = above if seen_us > predicted_us else 1.0
+            factor += share * SMOOTHING * (factor * seen_us / predicted_us - factor)
         self.factors[key] = (min(FACTOR_AT_MOST, max(1 / FACTOR_AT_MOST, factor)), now_us)
--- a/packages/pairing/src/linkhaven/pairing/kept.py
+++ b/packages/pairing/src/linkhaven/pairing/kept.py
@@ -1,28 +1,36 @@
+import hashlib
+import math
 from collections import OrderedDict
-from zlib import crc32
-
-from linkhaven.runner.roster import PREFILL
 
+HASH_BYTES = 4
+HASHES = 1 << (8 * HASH_BYTES)
 KEEP_SHARE = 0.8
 PARTS_AT_MOST = 4_096
 
 
+def hash_of(text):
+    """A number below HASHES; a checksum won't do, since alike texts have alike checksums."""
+    return int.from_bytes(hashlib.blake2b(text.encode(), digest_size=HASH_BYTES).digest())
+
+
 class Work:
     """What a request asks of a reader.
 
     Its prompt tokens, the shared parts they are made of in order as (id, tokens), and the pool
     whose runners may have it (None for any). `typical_tokens` is what a prompt of its kind leaves
-    to read on the average, 0 where that isn't known.
+    to read on the average, 0 where that isn't known. `is_long`: its answer is expected to outlast
+    the longest pause that is in time, so that reads beside it can make it late.
     """
 
-    __slots__ = ("tokens", "parts", "pool", "typical_tokens")
+    __slots__ = ("tokens", "parts", "pool", "typical_tokens", "is_long")
 
-    def __init__(self, tokens, parts=(), pool=None, typical_tokens=0):
+    def __init__(self, tokens, parts=(), pool=None, typical_tokens=0, is_long=True):
         """See above."""
         self.tokens = tokens
         self.parts = parts
         self.pool = pool
         self.typical_tokens = typical_tokens
+        self.is_long = is_long
 
 
 class Kept:
@@ -46,22 +54,38 @@
         while len(held) > PARTS_AT_MOST or room and total > room:
             total -= held.popitem(last=False)[1]
 
-    def home(self, runners, work):
-        """The reading runner to which the longest shared part belongs by its name: routers that don't hear of each
-        other's reads send it there, and so find it kept."""
-        readers = [runner for runner in runners if runner.phase == PREFILL]
-        if not readers or len(work.parts) < 2:
+    def home(self, shares, work):
+        """The runner to which the last shared part belongs by its name, None where none is shared.
+
+        Routers that don't hear of each other's reads send it there, and so find it kept, with the
+        parts before it. The last one is shared by fewest: by an earlier one, which many prompts
+        begin with, a few runners would be the home of most. `shares`:
+        how much each runner can read beside the others; weighted rendezvous hashing (Schindelhauer
+        and Schomaker, 2005) gives each its share of the parts and moves few when one comes or goes.
+        """
+        if not shares or len(work.parts) < 2:
             return None
-        longest = max(work.parts[:-1], key=lambda part: part[1])[0]
-        return max(readers, key=lambda runner: crc32(f"{longest}/{runner.name}".encode()))
+        part = work.parts[-2][0]
 
-    def unread(self, runner, work):
-        held = self.runners.get(runner.name)
-        if not held or not work.parts:
+        def score(runner):
+            drawn = (hash_of(f"{part}/{runner.name}") + 0.5) / HASHES
+            return -shares[runner] / math.log(drawn)
+
+        return max(shares, key=score)
+
+    def unread(self, runner, work, is_home=False):
+        """What of a prompt a runner would read, as far as is known.
+
+        At the home of its last shared part all shared ones count as kept: most likely another
+        router had them read there.
+        """
+        held = self.runners.get(runner.name, ())
+        if not work.parts or not (held or is_home):
             return work.tokens
+        assumed = len(work.parts) - 1 if is_home else 0
         left = work.tokens
-        for id, tokens in work.parts:
-            if id not in held:
+        for place, (id, tokens) in enumerate(work.parts):
+            if id not in held and place >= assumed:
                 break
             left -= tokens
         return max(1, left)
--- a/packages/pairing/src/linkhaven/pairing/pairing.py
+++ b/packages/pairing/src/linkhaven/pairing/pairing.py
@@ -2,6 +2,7 @@
 
 from linkhaven.runner.roster import DECODE, PREFILL
 
+from .decoders import DecoderSplit, split_decoders
 from .estimator import Estimator
 from .kept import Kept, Work
 from .messages import LinkSample, QueueView, QueueViews, RunnerShunned
@@ -69,16 +70,13 @@
         )
 
     def known(self):
-        count, tokens, held, streams = self.own()
-        for told_count, told_tokens, told_held, told_streams, _ in self.told.values():
-            count += told_count
-            tokens += told_tokens
-            held += told_held
-            streams += told_streams
-        return count, tokens, held, streams
+        figures = self.own()
+        for *told, _ in self.told.values():
+            figures = [one + other for one, other in zip(figures, told, strict=True)]
+        return tuple(figures)
 
     def note(self, now_us):
-        count, _, held, _ = self.known()
+        count, _, held, *_ = self.known()
         if count < self.count or not self.count:
             self.moved_us = now_us
         self.count = count
@@ -87,7 +85,7 @@
             self.history.popleft()
 
     def longest_known(self):
-        told = (tokens // count for count, tokens, _, _, _ in self.told.values() if count)
+        told = (tokens // count for count, tokens, *_ in self.told.values() if count)
         return max(max(self.reads.values(), default=0), max(told, default=0))
 
     def would_overtake(self, tokens, now_us):
@@ -107,7 +105,7 @@
         return count, held
 
     def sweep(self, now_us):
-        lapsed = [fellow for fellow, told in self.told.items() if now_us >= told[4]]
+        lapsed = [fellow for fellow, told in self.told.items() if now_us >= told[-1]]
         for fellow in lapsed:
             del self.told[fellow]
         if lapsed:
@@ -126,6 +124,7 @@
         "is_eligible",
         "has_memory",
         "has_room",
+        "reads_for_others",
     )
 
     def __init__(
@@ -149,6 +148,7 @@
         self.q_us = q_us
         self.e_us = e_us
         self.has_memory = True
+        self.reads_for_others = False
         self.t_us = t_us
         self.has_room = q_us == 0 or q_us < room_us // OVERDUE_PART
         leaves_room = q_us == 0 or q_us + typical_us < room_us or is_overdue and self.has_room
@@ -220,7 +220,7 @@
         self.node = node
         self.roster = roster
         self.fellows = fellows
-        self.estimator = Estimator(node.now_us)
+        self.estimator = Estimator(node.now_us, self.is_large)
         self.books = {}
         self.kept = Kept()
         self.plain = PlainScheduler(
@@ -266,7 +266,8 @@
         """Tokens a second that all open runners could read."""
         if self.estimator.taichi is None:
             return 0
-        return sum(self.estimator.rate(runner.phase) for runner in self.roster.open_runners())
+        pace_of = self.estimator.pace if self.is_large() else self.estimator.rate
+        return sum(pace_of(runner.phase) for runner in self.roster.open_runners())
 
     def book(self, runner):
         key = (runner.name, runner.incarnation)
@@ -311,9 +312,22 @@
         for phase in (PREFILL, DECODE):
             those = [runner for runner in runners if runner.phase == phase]
             few += those if len(those) <= FEW else self.node.ports.dice.sample(those, FEW)
-        home = self.kept.home(runners, work) if work is not None else None
+        home = self._home(runners, work)
         return few if home is None or home in few else [*few, home]
 
+    def _home(self, runners, work):
+        """Where the last shared part is read by all routers that know of no better place."""
+        if work is None or not self.is_large():
+            return None
+        split = self._split(runners, work.pool)
+        shares = {}
+        for runner in runners:
+            if runner.phase == PREFILL:
+                shares[runner] = 1.0
+            elif split is not None and runner.name in split.reading and not work.is_long:
+                shares[runner] = self.estimator.taichi["decode_read_share"]
+        return self.kept.home(shares, work)
+
     def _tell(self, key, book, parts=()):
         if self.is_large():
             return
@@ -376,7 +390,7 @@
 
     def queued_tokens(self, runner):
         book = self.book(runner)
-        _, tokens, _, _ = book.known()
+        _, tokens, *_ = book.known()
         if runner.reported_us is None:
             return tokens
         known_count, _ = book.at(runner.reported_us)
@@ -394,7 +408,7 @@
 
     def kv_share(self, runner):
         book = self.book(runner)
-        _, _, held, _ = book.known()
+        _, _, held, *_ = book.known()
         if runner.reported_us is None:
             return held / runner.kv_total
         _, held_then = book.at(runner.reported_us)
@@ -440,7 +454,8 @@
             [runner for runner in self.open_runners(work.pool) if runner.name not in without], work
         )
         fit = [runner for runner in fit if not self._is_shunned(runner)] or fit
-        in_place_us = self._in_place_bound_us(fit, work.pool)
+        split = self._split(fit, work.pool)
+        home = self._home(fit, work)
         for runner in fit:
             queued = self.queued_tokens(runner)
             q_us = (
@@ -448,7 +463,7 @@
                 if runner.phase == PREFILL or work.pool is None
                 else self._start_us(runner, now_us)
             )
-            unread = self.kept.unread(runner, work)
+            unread = self.kept.unread(runner, work, is_home=runner is home)
             e_us = self.estimator.read_us(unread, runner)
             t_us, start_us = (
                 self._hand_over_us(runner, work, without) if runner.phase == PREFILL else (0, 0)
@@ -467,26 +482,54 @@
                 is_overdue,
                 typical_us,
             )
-            if runner.phase == DECODE and q_us + e_us > in_place_us:
-                candidate.is_eligible = False
+            if runner.phase == DECODE and split is not None:
+                candidate.reads_for_others = runner.name in split.reading
+                if not self._may_read_in_place(candidate, work, split):
+                    candidate.is_eligible = False
             if self.book(runner).would_overtake(unread, now_us):
                 candidate.is_eligible = False
             candidates.append(candidate)
         return candidates
 
-    def _in_place_bound_us(self, runners, pool):
-        """How long queue and reading at a decode runner may take, for a prompt read in place there.
+    def _split(self, fit, pool):
+        """How the decode runners of a pool are divided; None where nobody reads apart.
 
-        In a pool, reads in place slow the streams of their runner, so that only short ones go there
-        while other runners read. Where none does, the targets alone bound them (TaiChi, 4.2: any
+        Without a reader prompts are read in place, bounded by the targets alone (TaiChi, 3.2: any
         instance may read). Test: `test_the_last_runner_serves_short_prompts_beside_long_ones`.
         """
-        is_read_apart = any(runner.phase == PREFILL for runner in runners)
-        return self.in_place_us if pool is not None and is_read_apart else NO_BOUND_US
+        if pool is None or not any(runner.phase == PREFILL for runner in fit):
+            return None
+        return self.split_of(pool)
+
+    def split_of(self, pool):
+        """How the open decode runners of a pool are divided now.
+
+        In a small fleet views come at once, so that each read can be weighed against the streams
+        that it would meet; there none reads for others as a group.
+        """
+        decoders = [runner for runner in self.open_runners(pool) if runner.phase == DECODE]
+        if not self.is_large():
+            return DecoderSplit([runner.name for runner in decoders], ())
+        streams = sum(self.book(runner).known()[3] for runner in decoders)
+        return split_decoders(decoders, streams, sum(map(self.kv_share, decoders)))
+
+    def _may_read_in_place(self, candidate, work, split):
+        """Whether a prompt may be read beside the streams of a decode runner.
+
+        Those of short answers at the runners that read for others; any where its stream belongs,
+        as long as queue and read are only a part of the tightest target.
+        """
+        if candidate.reads_for_others:
+            return not work.is_long
+        if self.is_large() and not self.estimator.knows_pace(DECODE):
+            return False
+        is_brief = candidate.q_us + candidate.e_us <= self.in_place_us
+        return is_brief and (work.is_long or not split.reading)
 
     def _least(self, candidates, worth):
-        best = min(worth(candidate) for candidate in candidates)
-        ties = [candidate for candidate in candidates if worth(candidate) == best]
+        worths = [worth(candidate) for candidate in candidates]
+        best = min(worths)
+        ties = [one for one, its in zip(candidates, worths, strict=True) if its == best]
         return ties[0] if len(ties) == 1 else ties[self.node.ports.dice.randrange(len(ties))]
 
     def fits(self, runner, tokens):
@@ -569,10 +612,17 @@
         their own, as time; a read in place costs each stream of its runner that time, too."""
         if work.pool is None:
             return candidate.queued_tokens + candidate.unread
-        return candidate.total_us + self._harm_us(candidate)
+        return candidate.total_us + self._unseen_us(candidate) + self._harm_us(candidate)
+
+    def _unseen_us(self, candidate):
+        """How long the reads that no view tells of in time are likely to take there."""
+        if not self.is_large():
+            return 0
+        return max(0, self.estimator.wait_us(candidate.runner.phase) - candidate.q_us)
 
     def _harm_us(self, candidate):
-        if candidate.runner.phase != DECODE:
+        """What a read in place costs the streams of its runner; none where it is there to read."""
+        if candidate.runner.phase != DECODE or candidate.reads_for_others:
             return 0
         return self.book(candidate.runner).known()[3] * candidate.e_us
 
@@ -603,7 +653,7 @@
         ]
         if not runners:
             return None
-        runners = self._few(runners)
+        runners = self._few(self._undisturbed(runners, pool))
         if source is not None:
             times = {
                 runner.name: self.estimator.transfer_us(tokens, source, runner)
@@ -619,6 +669,13 @@
             lambda runner: (self._start_us(runner, now_us) // START_US, self.kv_share(runner)),
         )
 
+    def _undisturbed(self, runners, pool):
+        """Of these decode runners, those that read for nobody else, if there are any."""
+        if pool is None:
+            return runners
+        names = self.split_of(pool).undisturbed
+        return [runner for runner in runners if runner.name in names] or runners
+
     def _choose_plain(self, without, pool):
         """A runner without an engine, of those that are open."""
         runners = [
@@ -677,7 +734,10 @@
         self._change(runner, book)
         if is_seen and not self.is_deaf():
             self.estimator.note_read(
-                runner.name, runner.phase, alone_tokens, self.node.now_us() - begun_us
+                runner.name,
+                runner.phase,
+                alone_tokens,
+                self.node.now_us() - begun_us,
             )
 
     def begin_decode(self, runner, attempt, tokens):
--- a/packages/registry/src/linkhaven/registry/node.py
+++ b/packages/registry/src/linkhaven/registry/node.py
@@ -44,6 +44,7 @@
         "usage",
         "views",
         "outcomes",
+        "lines",
         "bursar",
         "is_draining",
         "told_image",
@@ -128,10 +129,12 @@
         self.ring.on_mark.append(self._hear_mark)
         self.views = Views(self, "views")
         self.outcomes = Views(self, "outcomes")
+        self.lines = Views(self, "lines")
         self.status = CoreStatus(self, self._core_facts)
         self.news.on_ask += [
             self.views.hear_ask,
             self.outcomes.hear_ask,
+            self.lines.hear_ask,
             self.keeper.hear_evidence,
             self.switcher.hear_ask,
             self.bursar.on_ask,
@@ -316,6 +319,7 @@
             fence, serial = ask.get("roster") or (None, None)
             self.views.add_news(ask, facts)
             self.outcomes.add_news(ask, facts)
+            self.lines.add_news(ask, facts)
             facts["roster"] = {
                 "fence": rank,
                 **self.keeper.document(serial if fence == rank else None),
--- a/packages/registry/src/linkhaven/registry/switcher.py
+++ b/packages/registry/src/linkhaven/registry/switcher.py
@@ -27,6 +27,12 @@
 SWITCH_MOST_US = 30_000_000
 """A runner that reports a switch for longer than this counts as stuck."""
 
+AT_ONCE_OF = 8
+"""One planned change at once for so many sound runners of a pool, and one in any case."""
+
+SEEN_PACE = 2
+"""Where a router's rates have the pace it saw readers at."""
+
 SWITCH_US = 2_000_000
 """How long a switch takes where the configuration doesn't say."""
 
@@ -235,9 +241,13 @@
 
     def _pick(self, pool, phase):
         """The sound runner of the other phase that has least to do."""
+        return next(iter(self._pick_some(pool, phase, 1)), None)
+
+    def _pick_some(self, pool, phase, count):
+        """The sound runners of the other phase that have least to do."""
         if phase == DECODE:
-            return min(pool.now.sound[PREFILL], key=lambda one: one.queued, default=None)
-        return min(pool.now.sound[DECODE], key=lambda one: one.running, default=None)
+            return sorted(pool.now.sound[PREFILL], key=lambda one: one.queued)[:count]
+        return sorted(pool.now.sound[DECODE], key=lambda one: one.running)[:count]
 
     def _counts(self, pool):
         sound = pool.now.sound
@@ -263,10 +273,9 @@
         if not taichi["search"] or not decoding or sides.members() == 1:
             return
         wanted = self._wanted(pool, taichi, now_us)
-        if wanted > len(reading):
-            self._plan_change(pool, self._pick(pool, PREFILL), PREFILL, now_us)
-        elif wanted < len(reading):
-            self._plan_change(pool, self._pick(pool, DECODE), DECODE, now_us)
+        if wanted != len(reading):
+            phase = PREFILL if wanted > len(reading) else DECODE
+            self._plan_changes(pool, phase, abs(wanted - len(reading)), now_us)
 
     def _wanted(self, pool, taichi, now_us):
         """How many of the pool's sound runners should read."""
@@ -294,16 +303,20 @@
         Routers tell rates over all pools together; each pool has its share by its sound runners.
         """
         told = [rates for rates, told_us in self.rates.values() if now_us - told_us < QUIET_US]
-        paces = [pace for _, _, *seen in told for pace in seen if pace]
+        paces = [rates[SEEN_PACE] for rates in told if len(rates) > SEEN_PACE and rates[SEEN_PACE]]
         pool.search.pace = sum(paces) / len(paces) if paces else None
         members = sum(other.now.members() for other in self.pools.values())
         share = pool.now.members() / members
         return share * sum(rates[0] for rates in told), share * sum(rates[1] for rates in told)
 
-    def _plan_change(self, pool, runner, phase, now_us):
-        change = PhaseChange(runner, phase, now_us, TOLD_US, pool.now.members())
-        if self._holds(change, runner):
-            self._begin(change)
+    def _plan_changes(self, pool, phase, wanted, now_us):
+        """Begin some of the changes that are wanted: in a large pool several at once."""
+        count = min(wanted, max(1, pool.now.members() // AT_ONCE_OF))
+        members = pool.now.members() - count + 1
+        for runner in self._pick_some(pool, phase, count):
+            change = PhaseChange(runner, phase, now_us, TOLD_US, members)
+            if self._holds(change, runner):
+                self._begin(change)
 
     def begin_change(self, runner, phase, now_us):
         """Begin a planned change of this runner, whatever the ratio search says."""
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -117,7 +117,15 @@
 
     def work_of(self, request):
         typical = self.node.typical_tokens.get(request.kind_name, 0)
-        return Work(request.prompt_tokens, request.parts, request.pool, typical)
+        is_long = self.is_long(request)
+        return Work(request.prompt_tokens, request.parts, request.pool, typical, is_long)
+
+    def is_long(self, request):
+        """Whether the answer is expected to outlast the longest pause that is in time."""
+        if request.pool is None:
+            return True
+        pause_us = request.kind.get("gap_us") or request.kind.get("tpot_us", NO_BOUND_US)
+        return self.pairing.estimator.answer_us(request.answer_tokens) > pause_us
 
     def _spent_us(self, request, now_us):
         """Where a caller isn't held for long, the target counts from its arrival."""
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -216,6 +216,7 @@
         facts["steward"] = self.steward_place
         if is_roster and self.pairing.is_large():
             facts["views"] = self.pairing.own_views()
+            facts["lines"] = self.pairing.estimator.own_rows()
         if is_roster:
             facts["outcomes"] = self.pairing.plain.own_rows()
         newest_grant = max(self.extra.grant_number, self.credit.newest_grant())
@@ -237,6 +238,8 @@
                 runner.is_changing = runner.name in steward["changing"] or is_behind
         if "views" in message:
             self.pairing.take_views(message["views"])
+        if "lines" in message:
+            self.pairing.estimator.take_others(message["lines"])
         if "outcomes" in message:
             self.pairing.plain.take_others(message["outcomes"])
         shares = message.get("shares")
--- /dev/null
+++ b/tests/test_shared_lines.py
@@ -0,0 +1,179 @@
+"""What routers learn of reading times, alone and from each other, and where parts are at home."""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from linkhaven.pairing import Work
+from linkhaven.pairing.decoders import UNDISTURBED_LEAST, split_decoders
+from linkhaven.pairing.estimator import Estimator
+from linkhaven.pairing.fit import LineFit
+from linkhaven.pairing.kept import Kept
+from linkhaven.pairing.recent import RecentMean
+from linkhaven.registry.views import Views
+from linkhaven.runner.roster import DECODE, PREFILL, Runner
+
+SECOND = 1_000_000
+BASE_US, TOKEN_US = 18_000, 3.0
+TAICHI = {"prefill_tokens_per_s": 0, "decode_read_share": 0.5, "read_base_us": 15_000}
+
+
+def runner(name, phase=PREFILL, slots=12):
+    one = Runner(name, "10.0.0.1:80", "z", 1)
+    one.phase, one.slots = phase, slots
+    return one
+
+
+def true_us(tokens):
+    return BASE_US + tokens * TOKEN_US
+
+
+class Fleet:
+    """Some routers' estimators on one clock, which hear each other's sums."""
+
+    def __init__(self, count, is_blind=True):
+        self.now = SECOND
+        self.estimators = [Estimator(lambda: self.now, lambda: is_blind) for _ in range(count)]
+        for estimator in self.estimators:
+            estimator.taichi = TAICHI
+
+    def tell(self):
+        sums = Views(SimpleNamespace(systems=[], now_us=lambda: self.now), "lines")
+        for place, estimator in enumerate(self.estimators):
+            sums.hear_ask({"name": place, "lines": estimator.own_rows()})
+        for place, estimator in enumerate(self.estimators):
+            estimator.take_others(sums.of_others(place))
+
+
+def test_before_any_read_nothing_is_known_and_nothing_read_in_place():
+    estimator = Fleet(1).estimators[0]
+    assert estimator.read_us(9_000, runner("r")) == 0 and estimator.pace(PREFILL) == 0
+    assert not estimator.knows_pace(DECODE)
+    estimator.note_read("r", PREFILL, 9_000, 30_000)
+    assert estimator.read_us(9_000, runner("r")) == 30_000 and estimator.knows_pace(DECODE)
+    assert estimator.read_us(9_000, runner("d", DECODE)) == 60_000
+
+
+def test_in_a_small_fleet_a_pace_is_guessed_before_a_line_is_seen():
+    estimator = Fleet(1, is_blind=False).estimators[0]
+    guessed_us = estimator.read_us(9_000, runner("r"))
+    assert guessed_us > 400_000
+    estimator.note_read("r", PREFILL, 9_000, 30_000)
+    assert estimator.read_us(9_000, runner("r")) > 0.8 * guessed_us
+    estimator.note_read("r", PREFILL, 200, 19_000)
+    assert estimator.read_us(9_000, runner("r")) < 60_000
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_router_that_saw_nothing_knows_what_the_others_saw(seed):
+    dice, fleet = random.Random(seed), Fleet(20)
+    for estimator in fleet.estimators[1:]:
+        for _ in range(3):
+            tokens = dice.choice((200, 2_000, 9_000))
+            estimator.note_read("r", PREFILL, tokens, true_us(tokens))
+    fleet.tell()
+    for tokens in (200, 5_000, 12_000):
+        seen_us = fleet.estimators[0].read_us(tokens, runner("other"))
+        assert abs(seen_us - true_us(tokens)) < 0.1 * true_us(tokens)
+    fleet.now += 60 * SECOND
+    fleet.tell()
+    assert not fleet.estimators[0].others
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_where_queues_are_not_known_the_line_follows_the_reads_that_met_none(seed):
+    dice, fleet = random.Random(seed), Fleet(1)
+    estimator = fleet.estimators[0]
+    for _ in range(400):
+        fleet.now += 20_000
+        tokens = dice.choice((200, 2_000, 9_000))
+        queue_us = 0 if dice.random() < 0.4 else dice.randrange(300_000)
+        estimator.note_read("r", PREFILL, tokens, true_us(tokens) + queue_us)
+    assert estimator.read_us(9_000, runner("r")) < 2.5 * true_us(9_000)
+    assert 30_000 < estimator.wait_us(PREFILL) < 200_000
+    fleet.now += 30 * SECOND
+    assert estimator.wait_us(PREFILL) == 0
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_sums_of_samples_from_many_fits_make_the_line_of_all(seed):
+    dice = random.Random(seed)
+    fits = [LineFit() for _ in range(5)]
+    for fit in fits:
+        for _ in range(20):
+            tokens = dice.choice((100, 400, 9_000, 12_000))
+            fit.note(tokens, true_us(tokens))
+    rows = [sum(parts) for parts in zip(*(fit.as_row() for fit in fits[1:]), strict=True)]
+    base_us, token_us = fits[0].plus(rows).line()
+    assert abs(base_us - BASE_US) < 400 and abs(token_us - TOKEN_US) < 0.1
+    assert LineFit().line() is None and LineFit().rough_line() is None
+
+
+def test_a_recent_mean_adds_up_and_fades():
+    one, other = RecentMean(), RecentMean()
+    one.note(100, SECOND)
+    other.note(300, SECOND)
+    assert one.with_others(other.as_row(SECOND), SECOND) == 200
+    assert one.with_others((), 20 * SECOND) == 0
+
+
+# decode runners
+
+
+@pytest.mark.parametrize("count", range(1, 24))
+def test_decode_runners_are_divided_alike_whatever_their_order(count):
+    runners = [runner(f"i-{place}", DECODE) for place in range(count)]
+    dice = random.Random(count)
+    split = split_decoders(runners, 3, 0.0)
+    for _ in range(5):
+        dice.shuffle(runners)
+        again = split_decoders(runners, 3, 0.0)
+        assert (again.undisturbed, again.reading) == (split.undisturbed, split.reading)
+    assert len(split.undisturbed) == min(count, UNDISTURBED_LEAST)
+    assert not split.undisturbed & split.reading
+
+
+@pytest.mark.parametrize(
+    "streams, held, undisturbed",
+    [(0, 0.0, 2), (13, 0.0, 2), (14, 0.0, 3), (40, 0.0, 6), (500, 0.0, 10), (0, 3.0, 5)],
+)
+def test_as_many_keep_undisturbed_as_streams_and_memory_need(streams, held, undisturbed):
+    runners = [runner(f"i-{place}", DECODE) for place in range(10)]
+    split = split_decoders(runners, streams, held)
+    assert (len(split.undisturbed), len(split.reading)) == (undisturbed, 10 - undisturbed)
+
+
+def test_without_known_places_nobody_reads_for_others():
+    assert not split_decoders([runner("a", DECODE, 0), runner("b", DECODE, 0)], 0, 0.0).reading
+
+
+# homes of parts
+
+
+def work(place):
+    return Work(9_000, ((f"top-{place % 4}", 2_500), (f"mid-{place}", 3_800), ("own", 2_700)))
+
+
+def test_homes_follow_the_shares_and_few_move_when_a_runner_goes():
+    kept = Kept()
+    shares = {runner(f"i-{place}"): 1.0 if place < 8 else 0.5 for place in range(16)}
+    homes = {place: kept.home(shares, work(place)).name for place in range(4_000)}
+    counts = {one.name: list(homes.values()).count(one.name) for one in shares}
+    for one, share in shares.items():
+        assert 0.8 * 4_000 * share / 12 < counts[one.name] < 1.2 * 4_000 * share / 12
+    lost = next(iter(shares))
+    rest = {one: share for one, share in shares.items() if one is not lost}
+    for place, name in homes.items():
+        if name != lost.name:
+            assert kept.home(rest, work(place)).name == name
+    assert kept.home({}, work(1)) is None and kept.home(shares, Work(5, (("own", 5),))) is None
+
+
+def test_at_home_the_shared_parts_count_as_kept_and_elsewhere_only_what_was_read():
+    kept, there, other = Kept(), runner("a"), runner("b")
+    assert kept.unread(there, work(1)) == 9_000
+    assert kept.unread(there, work(1), is_home=True) == 2_700
+    kept.note(other, work(5).parts[:1])
+    assert kept.unread(other, work(1)) == 6_500
+    assert kept.unread(other, work(2)) == 9_000
