Consensus: a late record opens no seal; a sealed replica returns after its recovery, too

Two faults of docs/limits.md, each red first (tests/test_sealed_replica.py, 9 of 12 failed): - After a hand-over the successor read who recorded its incarnation late, though it has the whole state. When that read ended while the successor was sealed itself, it cleared its seal and voted (3 of 3 seeds, with one record doubled). A successor that votes reads nobody now, and a read ends in votes only in the state CATCHING_UP. - `has_raised_incarnation` stayed true after a recovery, so a replica that had recovered in this process, was sealed and heard that its successor never took over stayed without votes until `drain_us` (3 of 3 seeds). `is_rebuilding` says what was meant. A write of an incarnation that was raised again since counts for nothing.

--- a/packages/consensus/src/linkhaven/consensus/departure.py
+++ b/packages/consensus/src/linkhaven/consensus/departure.py
@@ -318,7 +318,7 @@
             return self._go()
         self.rejected_us[seal.successor_name] = self.node.now_us()
         # A start that already reads the others goes on as one without a disk.
-        if not self.recovery.has_raised_incarnation:
+        if not self.recovery.is_rebuilding:
             self.replica.unseal()
         if self.state is DepartureState.SEALED:
             self.state = DepartureState.CHOOSING
--- a/packages/consensus/src/linkhaven/consensus/recovery.py
+++ b/packages/consensus/src/linkhaven/consensus/recovery.py
@@ -21,7 +21,6 @@
 | IDLE | `begin_with_state`, at the end of a hand-over | announces its incarnation | RECORDING |
 | RECORDING | a majority recorded it | it has the whole state and reads nothing | VOTING |
 | RECORDING | no progress for `STUCK_US` | goes on as a restart with its disk | COLLECTING |
-| VOTING | another recorded it late, after a hand-over | reads that replica, too | VOTING |
 | VOTING | `begin`: a bootstrap may have forgotten a newer incarnation | queries | COLLECTING |
 | any | `reset`, once it is a spare | | IDLE |
 
@@ -230,9 +229,9 @@
         return replica.is_learned and replica.is_empty and bool(replica.replica_id)
 
     @property
-    def has_raised_incarnation(self) -> bool:
-        """Whether this start went beyond collecting reports."""
-        return self.state not in (RecoveryState.IDLE, RecoveryState.COLLECTING)
+    def is_rebuilding(self) -> bool:
+        """Whether it raised its incarnation and doesn't vote under it yet."""
+        return self.state in (RecoveryState.CATCHING_UP, RecoveryState.RECORDING)
 
     # collecting
 
@@ -333,15 +332,22 @@
             clock_us=replica.clock_us,
             is_partial=replica.is_empty,
         )
-        self.node.ports.storage.write(record.as_items(), self._on_incarnation_synced)
+        incarnation = replica.incarnation
 
-    def _on_incarnation_synced(self, is_kept: bool) -> None:
-        if not is_kept:
-            return self.on_storage_refused()
-        if self.has_raised_incarnation:
-            self.transfer.send_to_peers()
-            # Where an operator restores it without any report, there is nobody to read.
-            self.on_peer_read()
+        def on_synced(is_kept: bool) -> None:
+            if not is_kept:
+                return self.on_storage_refused()
+            if self._rebuilds_under(incarnation):
+                self.transfer.send_to_peers()
+                # Where an operator restores it without any report, there is nobody to read.
+                self.on_peer_read()
+
+        self.node.ports.storage.write(record.as_items(), on_synced)
+
+    def _rebuilds_under(self, incarnation: int) -> bool:
+        """Whether a write of this incarnation still counts; a new begin raises it again."""
+        is_same = self.replica.incarnation == incarnation
+        return is_same and self.state is RecoveryState.CATCHING_UP
 
     def on_storage_refused(self) -> None:
         """Begin again at collecting: what isn't synced counts for nothing."""
@@ -362,7 +368,7 @@
         if self.transfer.num_recorded() < self.replica.majority - 1:
             return
         self.state = RecoveryState.VOTING
-        self.transfer.read_from_now_on()
+        self.transfer.end()
         self.replica.begin_votes(wait_us=self.lease_wait_us)
 
     def on_peer_read(self) -> None:
@@ -371,21 +377,22 @@
         This is the one way to the first vote after a restart; the other, after a hand-over, is
         `on_incarnation_recorded`. From then on `Replica.refusal_of` decides about each vote.
         """
-        replica = self.replica
-        if not self.has_raised_incarnation or self.transfer.peers or replica.is_voting:
+        if self.state is not RecoveryState.CATCHING_UP or self.transfer.peers:
             return
+        replica, incarnation = self.replica, self.replica.incarnation
         replica.are_claims_open = replica.are_claims_open and not self.is_bootstrap
         record = ReplicaRecord(is_partial=None, seal=None, are_claims_open=replica.are_claims_open)
-        self.node.ports.storage.write(record.as_items(), self._on_complete_synced)
 
-    def _on_complete_synced(self, is_kept: bool) -> None:
-        if not is_kept:
-            return self.on_storage_refused()
-        if not self.has_raised_incarnation:
-            return
-        self.is_disputed = False
-        self.state = RecoveryState.VOTING
-        self.replica.begin_votes()
+        def on_synced(is_kept: bool) -> None:
+            if not is_kept:
+                return self.on_storage_refused()
+            if not self._rebuilds_under(incarnation):
+                return
+            self.is_disputed = False
+            self.state = RecoveryState.VOTING
+            self.replica.begin_votes()
+
+        self.node.ports.storage.write(record.as_items(), on_synced)
 
     def tick(self, now_us: int) -> None:
         """Send again what was not answered, and begin again where nothing moves."""
@@ -394,9 +401,9 @@
             return
         self.queried_us = now_us
         is_stuck = now_us - self.transfer.progress_us > STUCK_US
-        if is_stuck and (self.has_raised_incarnation or self._is_candidate()):
+        if is_stuck and (self.is_rebuilding or self._is_candidate()):
             return self._begin_again()
-        if self.has_raised_incarnation:
+        if self.is_rebuilding:
             return self.transfer.send_to_peers()
         for name, (address, _) in self.replica.directory.replicas().items():
             if name != self.replica.replica_id:
--- a/packages/consensus/src/linkhaven/consensus/replica.py
+++ b/packages/consensus/src/linkhaven/consensus/replica.py
@@ -358,7 +358,7 @@
         """The successor never votes: this disk is whole, and goes on through ordinary recovery."""
 
         def on_synced(is_synced: bool) -> None:
-            if not is_synced or self.seal_record is None or self.recovery.has_raised_incarnation:
+            if not is_synced or self.seal_record is None or self.recovery.is_rebuilding:
                 return
             self.seal_record = None
             self.is_empty = False
--- a/packages/consensus/src/linkhaven/consensus/state_transfer.py
+++ b/packages/consensus/src/linkhaven/consensus/state_transfer.py
@@ -173,12 +173,6 @@
         """How many replicas recorded the incarnation of a hand-over."""
         return sum(peer.state is PeerState.RECORDED for peer in self.peers.values())
 
-    def read_from_now_on(self) -> None:
-        """After a hand-over: who records the incarnation only after the first vote is read."""
-        self.is_reading = True
-        for peer in self.peers.values():
-            peer.state = PeerState.FENCING
-
     def remaining_keys(self) -> dict[str, int | None]:
         """For each replica that is still read, how many keys come after its last page."""
         return {name: self.num_remaining.get(name) for name in self.peers}
--- /dev/null
+++ b/tests/test_sealed_replica.py
@@ -0,0 +1,105 @@
+"""A replica that recovered, departs and is sealed: it votes again only as its successor allows."""
+
+import pytest
+from test_departure import SECOND, acked, held, leave, run_soundly, sealed_at, standings
+
+from linkhaven.consensus.recovery_messages import EpochRecorded, StatePage
+from linkhaven.consensus.replica_state import ReplicaState
+from linkhaven.stage.core import SimCore
+
+STEP_US = 1_000
+
+
+def started(seed, spares=("core-9",)):
+    core = SimCore(seed).bootstrap(3)
+    assert core.wait_voting(3)
+    for name in spares:
+        core.add(name).start()
+    core.world.run_for(2 * SECOND)
+    return core
+
+
+def restart(core, name):
+    """Kill a replica and have it recover, so that its recovery ended in this process."""
+    core.machines[name].kill()
+    core.machines[name].start()
+    assert core.wait_voting(3)
+    core.world.run_for(2 * SECOND)
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+@pytest.mark.parametrize("seed", range(5, 8))
+def test_a_sealed_replica_votes_again_soon_after_its_successor_gave_up(seed, is_restarted):
+    """Whether this process began with a recovery or as the first start makes no difference."""
+    core = started(seed)
+    acked(core, 0, 3)
+    if is_restarted:
+        restart(core, "core-2")
+    leave(core, "core-2")
+    sealed_at(core, "core-2")
+    core.world.cut(["core-9"], ["core-1", "core-2", "core-3"])
+    core.world.run_for(4 * SECOND)
+    assert core.machines["core-9"].node.replica.state is ReplicaState.SPARE
+    core.world.heal()
+    replica = core.machines["core-2"].node.replica
+    assert core.world.wait_for(lambda: replica.is_voting, 3 * SECOND, STEP_US), standings(core)
+    run_soundly(core, SECOND)
+    assert held(core) == 3
+
+
+def succeeded(core):
+    """core-9 took the place of core-2; core-3 learns of it too late to be counted."""
+    core.world.slow.update({("core-9", "core-3"): 300_000, ("core-3", "core-9"): 300_000})
+    leave(core, "core-2")
+    replica = core.machines["core-9"].node.replica
+    assert core.world.wait_for(lambda: replica.is_voting, 5 * SECOND, STEP_US), standings(core)
+    return replica
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_late_record_of_a_successors_incarnation_reads_nothing(seed):
+    """The successor has the whole state of the sealed instance, so nothing is left to read."""
+    core = started(seed)
+    acked(core, 0, 3)
+    replica = succeeded(core)
+    pages = []
+    node = core.machines["core-9"].node
+    hear = node.handlers[StatePage]
+    node.handlers[StatePage] = lambda page: (pages.append(page), hear(page))
+    core.world.run_for(2 * SECOND)
+    assert replica.is_voting
+    assert not pages
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_late_record_does_not_open_a_seal(seed):
+    """A successor is sealed itself before the last replica recorded its own incarnation.
+
+    The record of the first replica comes a second time, since messages may be doubled.
+    """
+    core = started(seed)
+    acked(core, 0, 3)
+    core.world.cut(["core-3"], ["core-9"])
+    leave(core, "core-2")
+    replica = core.machines["core-9"].node.replica
+    assert core.world.wait_for(lambda: replica.is_voting, 5 * SECOND, STEP_US), standings(core)
+    core.add("core-8").start()
+    core.world.run_for(2 * SECOND)
+    leave(core, "core-9")
+    sealed_at(core, "core-9")
+    core.world.cut(["core-8"], ["core-1", "core-2", "core-3", "core-9"])
+    core.world.heal()
+    core.world.cut(["core-8"], ["core-1", "core-2", "core-3", "core-9"])
+    for replica_id, name in (("a", "core-1"), ("c", "core-3")):
+        recorded = EpochRecorded(
+            replica_id=replica_id,
+            incarnation=replica.incarnation,
+            sender=name,
+            reply_to=core.machines[name].address,
+        )
+        replica.recovery.transfer.on_epoch_recorded(recorded)
+    end_us = core.world.now_us + SECOND
+    while core.world.now_us < end_us:
+        core.world.run_for(STEP_US)
+        assert not replica.is_voting, "a sealed replica votes"
+        assert replica.seal_record is not None
