Claims: a core that lost every disk waits for routers held for failed, and for whole pages

Pages are cut from one listing; an offset of -1 of an earlier version gets no answer, since it would take that for the last page.

--- a/packages/controller/src/linkhaven/controller/messages.py
+++ b/packages/controller/src/linkhaven/controller/messages.py
@@ -72,6 +72,9 @@
     """The register's key of each claim with the request that won it."""
 
     is_last: bool
+    routers: list[tuple[str, str]] = []
+    """Name and address of each router that this one holds for failed; it may only be cut off. A
+    router of an earlier version doesn't say."""
 
 
 class MemberStatus(Struct, frozen=True):
--- a/packages/router/src/linkhaven/router/keys.py
+++ b/packages/router/src/linkhaven/router/keys.py
@@ -1,5 +1,6 @@
 import hashlib
 from collections import OrderedDict
+from collections.abc import Callable
 
 from linkhaven.api import ServiceError
 from linkhaven.configuration import ClaimSettings, Configuration
@@ -9,18 +10,23 @@
 
 PAGE = 500
 SWEEP_US = 5_000_000
+HANDOVERS_AT_MOST = 5
+"""So many replicas may read the won keys at once; the listing of the oldest is dropped."""
 
 
 class Keys:
     """Keys of one-time requests: each is won at a majority of the core before its request goes on, and kept here for
     the whole retention, so that a core that lost everything can be told. Full means that new ones are refused."""
 
-    __slots__ = ("node", "proposer", "won", "swept_us", "settings")
+    __slots__ = ("node", "proposer", "failed_routers", "won", "handovers", "swept_us", "settings")
 
-    def __init__(self, node, proposer):
+    def __init__(self, node, proposer, failed_routers: Callable[[], list[tuple[str, str]]]):
+        """`failed_routers`: name and address of the routers that are held for failed."""
         self.node = node
         self.proposer = proposer
+        self.failed_routers = failed_routers
         self.won = OrderedDict()
+        self.handovers: OrderedDict[str, list[list[str]]] = OrderedDict()
         self.swept_us = node.now_us()
         self.settings: ClaimSettings | None = None
         node.map_handlers["want_keys"] = self.hear_want
@@ -86,15 +92,34 @@
             self.won.popitem(last=False)
 
     def hear_want(self, message):
-        """A seat that began empty asks for what was won before, a page at a time."""
-        place = message["place"]
-        keys = list(self.won.items())[place : place + PAGE] if self.won else []
-        is_last = place + PAGE >= len(self.won)
+        """A replica that began empty asks for what was won before, a page at a time.
+
+        The pages are cut from one listing, since keys may expire between two of them. Routers that
+        are held for failed are named: they may only be cut off, and the replica, which has just
+        begun, hears of them from nobody else.
+        """
+        start, place = message["start"], message["place"]
+        if place < 0:
+            return
+        won = self._listing(start) if place else self._list(start)
+        failed = self.failed_routers()
+        more = {"routers": failed} if failed else {}
         self.node.send_untyped(
             message["back"],
             "keys",
-            start=message["start"],
+            start=start,
             place=place,
-            is_last=is_last,
-            keys=[[key, by] for key, (by, _) in keys],
+            is_last=place + PAGE >= len(won),
+            keys=won[place : place + PAGE],
+            **more,
         )
+
+    def _listing(self, start):
+        return self.handovers[start] if start in self.handovers else self._list(start)
+
+    def _list(self, start):
+        won = [[key, by] for key, (by, _) in self.won.items()]
+        self.handovers[start] = won
+        while len(self.handovers) > HANDOVERS_AT_MOST:
+            self.handovers.popitem(last=False)
+        return won
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -125,7 +125,7 @@
         )
         self.roster = Roster(self)
         self.desk = desk_of(self)
-        self.keys = Keys(self, self.proposer)
+        self.keys = Keys(self, self.proposer, self._failed_routers)
         self.pairing = Pairing(self, self.roster, lambda: self.membership.live_members("router"))
         self.extra = RetryBudget(self)
         self.credit = AdmissionQueues(self, self._pace_at_first, self.end_with_error)
@@ -207,6 +207,14 @@
         """This router's even part of what all runners read, until its own queue has shown its pace."""
         return self.pairing.reading_pace() // (1 + len(self.membership.live_members("router")))
 
+    def _failed_routers(self):
+        """Name and address of each other router that is held for failed."""
+        return [
+            (member.name, member.address)
+            for member in self.membership.peers.values()
+            if member.kind == "router" and not member.is_live and not member.has_left
+        ]
+
     def _count_routers(self):
         return 1 + len(self.membership.live_members("router"))
 
