Runner discovery: a question doesn't take the announcement of a ready list away

`RunnerDiscovery.is_ready` noted that the list is settled when it was asked; a poll between the last report and the next tick then left the tick nothing to announce, and routers heard of the list at the end of their holds. The question changes nothing now; the tick settles and announces. Red first: test_a_question_does_not_take_the_announcement_that_the_list_is_ready_away.

--- a/packages/controller/src/linkhaven/controller/runner_discovery.py
+++ b/packages/controller/src/linkhaven/controller/runner_discovery.py
@@ -70,7 +70,8 @@
     """Polls, and keeps list and health by what comes.
 
     `since_us`: since when the list is needed, None while it isn't. `listed_us`: when the newest
-    list was asked for; `first_listed_us`: when the first one came.
+    list was asked for; `first_listed_us`: when the first one came. `is_settled`: that the list is
+    ready was announced.
     """
 
     __slots__ = (
@@ -132,9 +133,8 @@
         if self.listed_us is None or self.since_us is None:
             return False
         now_us = self.node.now_us()
-        if not self.is_settled:
-            self.is_settled = self._have_reports_come(now_us)
-        return self.is_settled and now_us - self.listed_us < self.outdated_us
+        is_settled = self.is_settled or self._have_reports_come(now_us)
+        return is_settled and now_us - self.listed_us < self.outdated_us
 
     def _have_reports_come(self, now_us: int) -> bool:
         is_owed = any(
@@ -187,6 +187,7 @@
         self.health.reopen_plain(now_us)
         self._request_reports(now_us)
         if not self.is_settled and self.is_ready():
+            self.is_settled = True
             self.observer.on_runner_list_ready()
 
     def _begin(self, now_us: int) -> None:
--- a/tests/test_dark_runner.py
+++ b/tests/test_dark_runner.py
@@ -364,3 +364,22 @@
         desk.asked.pop()(None, record("d-1"), True)
     runner_discovery.on_evidence({"evidence": [["d-1", 1, "silent", 1_000]]})
     assert desk.asked == []
+
+
+def test_a_question_does_not_take_the_announcement_that_the_list_is_ready_away():
+    """A poll that comes between the last report and the next tick asks whether it is ready."""
+    node, desk, announced = Router(), Reports(), []
+    observer = SimpleNamespace(on_runner_list_ready=lambda: announced.append(node.us))
+    runner_discovery = RunnerDiscovery(
+        node, desk, "list", [SimpleNamespace(is_held=lambda: True)], observer
+    )
+    runner_discovery.tick(node.us)
+    desk.asked.pop()(None, record("d-1"), True)
+    assert runner_discovery.is_ready()
+    assert runner_discovery.is_ready()
+    node.us += 10_000
+    runner_discovery.tick(node.us)
+    assert announced == [node.us]
+    node.us += 10_000
+    runner_discovery.tick(node.us)
+    assert len(announced) == 1
