Membership: who left has left for its whole incarnation; withdrawn suspicions change nothing

Votes on members that left are counted no more. - A member that left and speaks again in the same incarnation, as each does while it drains, counted as failed. LEFT is final for an incarnation; LEFT_CLEARED and come_back are gone. The rows of the test's table that went by them are replaced by rows of the three states. - Found beside it: who left and started with its clock set back was not known again for a minute, since lists leave out who left, so it never heard that it must go above its former start (red: test_a_member_that_left_and_starts_with_its_clock_set_back_is_known_again). It is told now.

--- a/packages/controller/src/linkhaven/controller/claim_admission.py
+++ b/packages/controller/src/linkhaven/controller/claim_admission.py
@@ -159,7 +159,7 @@
         if self.routers[name].is_complete:
             return False
         member = self.membership.peers.get(name)
-        if member is not None and member.is_live:
+        if member is not None and member.is_up:
             return True
         if member is not None and member.has_left:
             heard_us = member.last_message_us
--- a/packages/membership/src/linkhaven/membership/failure_detector.py
+++ b/packages/membership/src/linkhaven/membership/failure_detector.py
@@ -16,7 +16,7 @@
 
 from linkhaven.runtime import Node
 
-from .member import Member
+from .member import Member, MemberState
 from .member_table import MemberTable
 from .messages import Heartbeat, MemberRecord, Suspicion, SuspicionQuery, make_hello
 from .record_merge import MEMBER_UP, RecordMerge
@@ -120,7 +120,7 @@
         it would hold the suspicion for as long as that incarnation runs.
         """
         member = self.table.peers.get(record.name)
-        if member is None or member.is_up or member.has_left or not record.is_up:
+        if member is None or member.state is not MemberState.FAILED or not record.is_up:
             return
         if member.incarnation != record.incarnation:
             return
@@ -144,6 +144,8 @@
 
     def _decide(self, member: Member) -> None:
         """Take a member for failed where most of its watchers that can be heard from suspect it."""
+        if member.has_left:
+            return
         watchers = [
             name
             for name in self.table.watchers_of(member.name)
--- a/packages/membership/src/linkhaven/membership/joining.py
+++ b/packages/membership/src/linkhaven/membership/joining.py
@@ -81,7 +81,12 @@
         member = self.merge.merge(message.member, is_first_hand=True)
         if member is not None:
             self._note_version(member, message.protocol_version)
-        self.node.send(message.reply_to, MemberList(self.table.records()))
+        records = self.table.records()
+        left = self.table.peers.get(message.member.name)
+        if left is not None and left.has_left:
+            # Lists leave out who left; a start whose clock was set back must go above that one.
+            records.append(left.to_record())
+        self.node.send(message.reply_to, MemberList(records))
 
     def _note_version(self, member: Member, version: int) -> None:
         """Log a member of another version once for each of its incarnations."""
--- a/packages/membership/src/linkhaven/membership/member.py
+++ b/packages/membership/src/linkhaven/membership/member.py
@@ -8,14 +8,15 @@
 class MemberState(Enum):
     """What this node takes a member for.
 
-    | state | most watchers suspect it | most don't | it leaves | it speaks for itself |
-    | --- | --- | --- | --- | --- |
-    | ALIVE | FAILED | | LEFT | |
-    | FAILED | | ALIVE | LEFT | |
-    | LEFT | | LEFT_CLEARED | LEFT | FAILED |
-    | LEFT_CLEARED | LEFT | | LEFT | ALIVE |
-
-    A new incarnation begins ALIVE.
+    | state | most watchers suspect it | most don't | it leaves |
+    | --- | --- | --- | --- |
+    | ALIVE | FAILED | | LEFT |
+    | FAILED | | ALIVE | LEFT |
+    | LEFT | | | |
+
+    A new incarnation begins ALIVE. One that left is on its way out, be it that it still speaks
+    while it drains; what its watchers say of it counts no more
+    (`test_a_member_that_left_stays_so_for_its_whole_incarnation`).
     """
 
     ALIVE = "alive"
@@ -25,17 +26,9 @@
     LEFT = "left"
     """It said that it stops."""
 
-    LEFT_CLEARED = "left_cleared"
-    """It left, and a suspicion that its watchers held was withdrawn after that."""
-
 
 # Bound here since looking a state up in its Enum costs more than the comparison that needs it.
-ALIVE, FAILED = MemberState.ALIVE, MemberState.FAILED
-LEFT, LEFT_CLEARED = MemberState.LEFT, MemberState.LEFT_CLEARED
-
-SUSPECTED = {ALIVE: FAILED, LEFT_CLEARED: LEFT}
-CLEARED = {FAILED: ALIVE, LEFT: LEFT_CLEARED}
-RETURNED = {LEFT: FAILED, LEFT_CLEARED: ALIVE}
+ALIVE, FAILED, LEFT = MemberState.ALIVE, MemberState.FAILED, MemberState.LEFT
 
 
 class Member:
@@ -81,38 +74,31 @@
 
     @property
     def is_up(self) -> bool:
-        """Whether its watchers take it for running, be it that it left."""
-        return self.state is ALIVE or self.state is LEFT_CLEARED
+        """Whether it runs, as far as its watchers know, and has not left."""
+        return self.state is ALIVE
 
     @property
     def has_left(self) -> bool:
         """Whether it stopped on purpose."""
-        return self.state is LEFT or self.state is LEFT_CLEARED
-
-    @property
-    def is_live(self) -> bool:
-        """Whether it is up and has not left."""
-        return self.state is ALIVE
+        return self.state is LEFT
 
     def fail(self, now_us: int) -> None:
         """Most of its watchers suspect it."""
-        self.state = SUSPECTED[self.state]
-        self.down_us = now_us
+        if self.state is ALIVE:
+            self.state = FAILED
+            self.down_us = now_us
 
     def recover(self) -> None:
         """Most of its watchers no longer suspect it."""
-        self.state = CLEARED[self.state]
-        self.down_us = 0
+        if self.state is FAILED:
+            self.state = ALIVE
+            self.down_us = 0
 
     def leave(self, now_us: int) -> None:
         """It stopped on purpose."""
         self.state = LEFT
         self.down_us = now_us
 
-    def come_back(self) -> None:
-        """It speaks again after it left, in the same incarnation."""
-        self.state = RETURNED[self.state]
-
     def to_record(self) -> MemberRecord:
         """Return what others are told of this member."""
         return MemberRecord(
--- a/packages/membership/src/linkhaven/membership/member_table.py
+++ b/packages/membership/src/linkhaven/membership/member_table.py
@@ -63,7 +63,7 @@
             found = self.live_by_kind[kind] = [
                 member
                 for member in self.peers.values()
-                if member.is_live and kind in (None, member.kind)
+                if member.is_up and kind in (None, member.kind)
             ]
         return found
 
--- a/packages/membership/src/linkhaven/membership/membership.py
+++ b/packages/membership/src/linkhaven/membership/membership.py
@@ -98,7 +98,7 @@
         member = self.peers.get(name)
         if member is None:
             return None
-        return member.incarnation if member.is_live else 0
+        return member.incarnation if member.is_up else 0
 
     def peer_rows(self) -> list[list[Any]]:
         """Return what others are told of each peer, as lists in the order of `MemberRecord`."""
--- a/packages/membership/src/linkhaven/membership/record_merge.py
+++ b/packages/membership/src/linkhaven/membership/record_merge.py
@@ -56,9 +56,6 @@
             member = self._add_incarnation(record, member)
         if is_first_hand:
             self._set_facts(member, record)
-            if member.has_left:
-                member.come_back()
-                self.table.on_live_changed()
         self._raise_versions(member, record)
         return member
 
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -212,7 +212,7 @@
         return [
             (member.name, member.address)
             for member in self.membership.peers.values()
-            if member.kind == "router" and not member.is_live and not member.has_left
+            if member.kind == "router" and not member.is_up and not member.has_left
         ]
 
     def _count_routers(self):
