--- a/packages/api/src/linkhaven/api/errors.py
+++ b/packages/api/src/linkhaven/api/errors.py
@@ -193,8 +193,8 @@
     "put_unknown": ErrorDefinition(
         504,
         DONE_UNKNOWN,
-        "No majority answered in time; read the plan, compare its put id, and put again "
-        "if it is not yours.",
+        "No majority answered in time, or too many puts have come since to tell; read the plan, "
+        "compare its put id, and put again if it is not yours.",
     ),
     "core_unready": ErrorDefinition(
         503,
--- a/packages/consensus/src/linkhaven/consensus/handover_messages.py
+++ b/packages/consensus/src/linkhaven/consensus/handover_messages.py
@@ -28,6 +28,9 @@
     incarnation: int
     known_incarnations: dict[str, int] = msgspec.field(name="known")
     clock_us: int
+    """Time lived through by the departing replica. The successor counts by its own clock, so that
+    no claim expires early; members of earlier versions refuse a seal without it."""
+
     are_claims_open: bool
     instances: dict[str, ReplicaInstance] = msgspec.field(name="occupants")
     wait_us: int
--- a/tests/test_departure.py
+++ b/tests/test_departure.py
@@ -429,3 +429,25 @@
     assert node.replica.state == "learning"
     assert node.replica.replica_id == ""
     assert core.world.wait_for(lambda: node.replica.replica_id == "b", SECOND, 1_000)
+
+
+@pytest.mark.parametrize("seed", range(1, 4))
+def test_a_successor_keeps_claims_for_their_whole_retention_by_its_own_clock(seed):
+    """Its clock may be far behind that of the departing replica, or ahead of it."""
+    core = started(seed, 3, ["core-9"])
+    departing = core.machines["core-2"].node
+    departing.registers.claims.clock_us += 10**12 * (1 if seed % 2 else -1)
+    claim = {"claim/g/1": ([1, "x"], [1, "x"], {"by": "x"})}
+    departing.ports.storage.write(departing.replica.merge(claim), lambda is_kept: None)
+    leave(core, "core-2")
+    replica = core.machines["core-9"].node.replica
+    assert core.world.wait_for(lambda: replica.is_voting, 3 * SECOND, STEP)
+    claims = replica.registers.claims
+    [(kept_us, key)] = claims.kept
+    assert key == "claim/g/1"
+    assert claims.clock_us - kept_us < SECOND
+    retention_us = claims.limits().retention_us
+    claims.clock_us = kept_us + retention_us
+    assert claims.pop_expired() == []
+    claims.clock_us += 1
+    assert claims.pop_expired() == ["claim/g/1"]
