Consensus: one life cycle of a replica, one table, one owner of each field

Replica, Recovery, Departure, Succession and the state transfer assigned state, is_empty, seal, claims and incarnation of the replica, and SEALED stood for a pause, too. Change: `LifeCycle` has the only table (state x event, with what the disk is worth); an event without a row raises and changes nothing; whether it votes and whether its disk counts as lost follow from it. PAUSED is a state of its own, spelled as a seal on the wire. The parts ask the replica to change; a test reads the sources for assignments.

--- a/packages/consensus/src/linkhaven/consensus/departure.py
+++ b/packages/consensus/src/linkhaven/consensus/departure.py
@@ -43,7 +43,6 @@
 from .recovery import Recovery
 from .replica_instances import ReplicaInstances
 from .replica_records import CONTROLLER_KIND, SealRecord
-from .replica_state import IN_RECOVERY, ReplicaState
 from .replication_check import ReplicationCheck
 
 RESEND_US = 100_000
@@ -73,7 +72,6 @@
     replica_id: str
     majority: int
     directory: Any
-    state: ReplicaState
     incarnation: int
     known_incarnations: dict[str, int]
 
@@ -90,6 +88,10 @@
     def is_voting(self) -> bool:
         """Whether it votes now."""
 
+    @property
+    def is_recovering(self) -> bool:
+        """Whether it recovers, or waits for an operator to let it."""
+
     def seal(self, record: SealRecord, done: Callable[[bool], None]) -> None:
         """Vote no more under this incarnation, also after a restart."""
 
@@ -191,7 +193,8 @@
     def _choose(self, now_us: int) -> None:
         """A recovery in progress is waited for; who gives no votes has nothing to hand over."""
         replica = self.replica
-        if replica.seal_record is None and not replica.is_voting and not self._is_recovering():
+        is_sealed = replica.seal_record is not None
+        if not is_sealed and not replica.is_voting and not replica.is_recovering:
             return self._go()
         if not replica.is_voting:
             return self._go() if self._is_alone() else None
@@ -200,9 +203,6 @@
             return self._offer(spares[0], now_us)
         self._begin_replication(now_us)
 
-    def _is_recovering(self) -> bool:
-        return self.replica.state in IN_RECOVERY
-
     def _spares(self) -> list[Any]:
         if not self.replica.is_learned:
             return []
--- a/packages/consensus/src/linkhaven/consensus/recovery.py
+++ b/packages/consensus/src/linkhaven/consensus/recovery.py
@@ -31,7 +31,7 @@
 `tests/test_explore.py`).
 """
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from enum import Enum
 from typing import Any, Protocol
 
@@ -44,8 +44,7 @@
     StateQuery,
 )
 from .replica_instances import ReplicaInstances
-from .replica_records import ReplicaRecord
-from .replica_state import IN_RECOVERY, ReplicaState
+from .replica_state import ReplicaState
 from .state_transfer import Directory, StateTransfer
 from .succession import Succession
 
@@ -87,28 +86,45 @@
 
 
 class RecoveringReplica(Protocol):
-    """What recovery reads and changes of the replica that it brings back."""
+    """What recovery reads, and asks of, the replica that it brings back."""
 
     replica_id: str
     replica_ids: tuple[str, ...]
     majority: int
     directory: Directory
-    state: ReplicaState
     incarnation: int
-    known_incarnations: dict[str, int]
+    is_learned: bool
+    are_claims_open: bool
 
     @property
-    def clock_us(self) -> int:
-        """Time lived through by all instances of the replica."""
+    def state(self) -> ReplicaState:
+        """Where it stands in its life cycle."""
 
-    is_learned: bool
-    is_empty: bool
-    is_failing: bool
-    are_claims_open: bool
+    @property
+    def is_empty(self) -> bool:
+        """Whether its disk counts as lost."""
 
     @property
-    def is_voting(self) -> bool:
-        """Whether it votes now."""
+    def is_recovering(self) -> bool:
+        """Whether it recovers, or waits for an operator to let it."""
+
+    def begin_recovery(self) -> None:
+        """It may not vote until `begin_votes`."""
+
+    def await_operator(self) -> None:
+        """More is lost than can be rebuilt."""
+
+    def raise_incarnation(self, above: int, done: Callable[[bool], None]) -> None:
+        """Recover under the next incarnation above this one; `done` once synced, or not."""
+
+    def write_recovered(self, done: Callable[[bool], None]) -> None:
+        """Sync that its registers are all that it needs."""
+
+    def narrow_claims(self, are_open: bool) -> None:
+        """Keep claims open only if they are there, too."""
+
+    def on_storage_refused(self) -> None:
+        """The disk refused a write of recovery."""
 
     def learn_incarnations(self, known: dict[str, int]) -> None:
         """Take in the newest incarnations that another replica knows."""
@@ -188,7 +204,7 @@
         """
         self.is_disputed = is_disputed or self.is_disputed
         self.is_core_lost = is_core_lost or self.is_core_lost
-        self.replica.state = ReplicaState.RECOVERING
+        self.replica.begin_recovery()
         self.state = RecoveryState.COLLECTING
         self.transfer.restart()
         self.reports = {}
@@ -217,7 +233,7 @@
 
     def restore(self) -> bool:
         """Rebuild from what is there, at an operator's word; False where it doesn't wait for it."""
-        if self.replica.state != ReplicaState.WAITING:
+        if self.replica.state is not ReplicaState.WAITING:
             return False
         self.node.ports.log(RESTORED_EVENT, seat=self.replica.replica_id)
         self._raise_incarnation(self.reports.values())
@@ -237,7 +253,7 @@
 
     def is_collecting(self) -> bool:
         """Whether reports are still awaited."""
-        return self.state is RecoveryState.COLLECTING and self.replica.state in IN_RECOVERY
+        return self.state is RecoveryState.COLLECTING and self.replica.is_recovering
 
     def may_join_bootstrap(self) -> bool:
         """Whether this empty replica may follow another one that bootstraps the group."""
@@ -306,9 +322,9 @@
         self._raise_incarnation(reports)
 
     def _await_operator(self) -> None:
-        if self.replica.state == ReplicaState.WAITING:
+        if self.replica.state is ReplicaState.WAITING:
             return
-        self.replica.state = ReplicaState.WAITING
+        self.replica.await_operator()
         self.wait_reason = "too few others in standing to rebuild from"
         self.node.ports.log(WAITING_EVENT, seat=self.replica.replica_id, heard=len(self.reports))
 
@@ -321,18 +337,10 @@
         for report in reports:
             highest = max(highest, report.known_incarnations.get(replica.replica_id, 0))
             replica.learn_incarnations(report.known_incarnations)
-        replica.incarnation = highest + 1
         self.state = RecoveryState.CATCHING_UP
         starts = {report.replica_id: report.start for report in reports}
         self.transfer.begin(starts, is_bootstrap=self.is_bootstrap, is_reading=True)
-        record = ReplicaRecord(
-            replica_id=replica.replica_id,
-            incarnation=replica.incarnation,
-            known_incarnations=replica.known_incarnations,
-            clock_us=replica.clock_us,
-            is_partial=replica.is_empty,
-        )
-        incarnation = replica.incarnation
+        incarnation = highest + 1
 
         def on_synced(is_kept: bool) -> None:
             if not is_kept:
@@ -342,7 +350,7 @@
                 # Where an operator restores it without any report, there is nobody to read.
                 self.on_peer_read()
 
-        self.node.ports.storage.write(record.as_items(), on_synced)
+        replica.raise_incarnation(highest, on_synced)
 
     def _rebuilds_under(self, incarnation: int) -> bool:
         """Whether a write of this incarnation still counts; a new begin raises it again."""
@@ -351,8 +359,8 @@
 
     def on_storage_refused(self) -> None:
         """Begin again at collecting: what isn't synced counts for nothing."""
-        self.replica.is_failing = True
-        is_recovering = self.replica.state in IN_RECOVERY
+        self.replica.on_storage_refused()
+        is_recovering = self.replica.is_recovering
         self.state = RecoveryState.COLLECTING if is_recovering else RecoveryState.IDLE
         self.transfer.end()
         self.node.ports.log(STORAGE_REFUSED_EVENT, key=LOG_KEY)
@@ -380,8 +388,7 @@
         if self.state is not RecoveryState.CATCHING_UP or self.transfer.peers:
             return
         replica, incarnation = self.replica, self.replica.incarnation
-        replica.are_claims_open = replica.are_claims_open and not self.is_bootstrap
-        record = ReplicaRecord(is_partial=None, seal=None, are_claims_open=replica.are_claims_open)
+        replica.narrow_claims(not self.is_bootstrap)
 
         def on_synced(is_kept: bool) -> None:
             if not is_kept:
@@ -392,7 +399,7 @@
             self.state = RecoveryState.VOTING
             self.replica.begin_votes()
 
-        self.node.ports.storage.write(record.as_items(), on_synced)
+        replica.write_recovered(on_synced)
 
     def tick(self, now_us: int) -> None:
         """Send again what was not answered, and begin again where nothing moves."""
--- a/packages/consensus/src/linkhaven/consensus/recovery_responder.py
+++ b/packages/consensus/src/linkhaven/consensus/recovery_responder.py
@@ -13,7 +13,7 @@
 """
 
 from bisect import bisect_right
-from typing import Any, Protocol
+from typing import Protocol
 
 from linkhaven.runtime import Node
 
@@ -42,15 +42,17 @@
     replica_id: str
     incarnation: int
     known_incarnations: dict[str, int]
-    is_empty: bool
     are_claims_open: bool
-    seal_record: Any
     registers: RegisterTable
 
     @property
     def is_voting(self) -> bool:
         """Whether it votes now."""
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether its disk counts as lost."""
+
     def all_incarnations(self) -> dict[str, int]:
         """The newest incarnations that it knows, its own among them."""
 
@@ -99,7 +101,7 @@
             queried_by=query.replica_id,
             queried_start=query.start,
             is_voting=replica.is_voting,
-            is_empty=replica.is_empty or replica.seal_record is not None,
+            is_empty=replica.is_empty,
             incarnation=replica.incarnation,
             known_incarnations=self._incarnations_known_with(query.replica_id),
             start=self.recovery.start,
--- a/packages/consensus/src/linkhaven/consensus/replica.py
+++ b/packages/consensus/src/linkhaven/consensus/replica.py
@@ -1,7 +1,8 @@
-"""The life cycle of a replica: when it votes, under which incarnation, and when it is one at all.
+"""A replica: when it votes, under which incarnation, and when it is one at all.
 
-The table of its states stands in `replica_state.py`; what its parts do in each of them, in
-`recovery.py`, `departure.py`, `succession.py` and `replica_assignment.py`. On a message:
+Its states and what leads from one to the next stand in `replica_state.py`; what its parts do in
+each of them, in `recovery.py`, `departure.py`, `succession.py` and `replica_assignment.py`. The
+parts read this replica and ask it to change; they assign nothing to it. On a message:
 
 | state | `Prepare`, `Accept` | `Chosen`, `StateQuery`, `PageRequest` |
 | --- | --- | --- |
@@ -42,7 +43,7 @@
     ReplicaRecord,
     SealRecord,
 )
-from .replica_state import IN_RECOVERY, ReplicaState
+from .replica_state import LifeCycle, ReplicaEvent, ReplicaState, StoredState
 from .replication_check import ReplicationCheck
 from .succession import Succession
 
@@ -61,7 +62,11 @@
 
 
 class Replica:
-    """This node as a replica of the registers, or as a spare; owns its `ReplicaState`."""
+    """This node as a replica of the registers, or as a spare.
+
+    Owns its life cycle, its incarnation, the incarnations that it knows, the seal and whether
+    claims are open, in memory and on disk.
+    """
 
     __slots__ = (
         "node",
@@ -73,8 +78,7 @@
         "acceptor",
         "incarnation",
         "known_incarnations",
-        "state",
-        "is_empty",
+        "life_cycle",
         "is_failing",
         "votes_from_us",
         "on_votes",
@@ -124,12 +128,9 @@
         self.incarnation: int = stored.incarnation or 0
         self.known_incarnations: dict[str, int] = stored.known_incarnations or {}
         self.seal_record: SealRecord | None = stored.seal or None
-        self.is_empty = bool(
-            not self.incarnation or stored.is_partial or self.seal_record is not None
-        )
         self.are_claims_open = stored.are_claims_open is not False
         self.is_failing = False
-        self.state = ReplicaState.RECOVERING if self.replica_id else ReplicaState.SPARE
+        self.life_cycle = self._begin_life(stored)
         self.votes_from_us = 0
         self.ticked_us = node.now_us()
         self.instances = ReplicaInstances(node, self, stored.instances or {})
@@ -145,6 +146,13 @@
         node.systems.append(self.tick)
         self._announce_start()
 
+    def _begin_life(self, stored: ReplicaRecord) -> LifeCycle:
+        state = ReplicaState.RECOVERING if self.replica_id else ReplicaState.SPARE
+        if self.seal_record is not None:
+            return LifeCycle(state, StoredState.SEALED)
+        is_whole = bool(self.incarnation and not stored.is_partial)
+        return LifeCycle(state, StoredState.WHOLE if is_whole else StoredState.EMPTY)
+
     def _announce_start(self) -> None:
         if self.replica_id:
             self.node.ports.log(STARTED_EVENT, seat=self.replica_id, empty=self.is_empty)
@@ -156,10 +164,25 @@
 
     # what others ask of it
 
+    @property
+    def state(self) -> ReplicaState:
+        """Where it stands in its life cycle."""
+        return self.life_cycle.state
+
     @property
     def is_voting(self) -> bool:
         """Whether it gives votes."""
-        return self.state == ReplicaState.VOTING
+        return self.life_cycle.may_vote
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether its disk counts as lost."""
+        return self.life_cycle.is_empty
+
+    @property
+    def is_recovering(self) -> bool:
+        """Whether it recovers, or waits for an operator to let it."""
+        return self.life_cycle.is_recovering
 
     @property
     def clock_us(self) -> int:
@@ -199,13 +222,13 @@
 
     def refusal_of(self, request: Request) -> str | None:
         """Return why it may not vote on a request, None where it may."""
-        if self.state != ReplicaState.VOTING:
-            return self.state
+        if not self.is_voting:
+            return self.state.spelling
         if request.replica_id != self.replica_id:
             return OTHER_REPLICA
         if request.incarnation > self.incarnation:
             self._on_newer_incarnation(request.incarnation)
-            return self.state
+            return self.state.spelling
         if request.incarnation < self.incarnation or self._knows_newer(request):
             return OLD_INCARNATION
         if request.key.startswith(LEASE_PREFIX) and self.node.now_us() < self.votes_from_us:
@@ -231,6 +254,14 @@
         """Note whether the disk took a vote."""
         self.is_failing = not is_synced
 
+    def on_storage_refused(self) -> None:
+        """Note that the disk refused what recovery wrote."""
+        self.is_failing = True
+
+    def narrow_claims(self, are_open: bool) -> None:
+        """Keep claims open only if they are at the one that is read, too."""
+        self.are_claims_open = self.are_claims_open and are_open
+
     def open_claims(self) -> None:
         """Those who won claims before this core began anew have reported them."""
         self.are_claims_open = True
@@ -240,9 +271,9 @@
 
     def begin_votes(self, is_first: bool = False, wait_us: int | None = None) -> None:
         """Vote from now on; on leases after `wait_us`, a lease's length unless that is given."""
-        self.is_empty = self.is_failing = False
+        self.life_cycle.on(ReplicaEvent.BEGIN_VOTES)
+        self.is_failing = False
         self.seal_record = None
-        self.state = ReplicaState.VOTING
         wait_us = self.node.bounds.lease_us if wait_us is None else wait_us
         self.votes_from_us = 0 if is_first else self.node.now_us() + wait_us
         if self.is_learned:
@@ -256,15 +287,15 @@
 
     def begin_first(self, replica_id: str, contacts: Iterable[str]) -> None:
         """The first start of the whole system: nothing was ever chosen, so it votes at once."""
-        self.state = ReplicaState.BOOTSTRAPPING
+        self.life_cycle.on(ReplicaEvent.BOOTSTRAP)
         self.replica_id, self.incarnation = replica_id, 1
         self.instances.expect(contacts)
 
         def on_synced(is_synced: bool) -> None:
-            if not is_synced:
-                self.replica_id, self.state, self.incarnation = "", ReplicaState.SPARE, 0
-                return
-            self.begin_votes(is_first=True)
+            if is_synced:
+                return self.begin_votes(is_first=True)
+            self.life_cycle.on(ReplicaEvent.BOOTSTRAP_REFUSED)
+            self.replica_id, self.incarnation = "", 0
 
         record = ReplicaRecord(
             replica_id=replica_id, incarnation=1, instances=self.instances.records
@@ -273,10 +304,44 @@
 
     def take(self, replica_id: str, is_core_lost: bool = False) -> None:
         """A spare tries to become this replica: what it needs to vote comes by recovery."""
+        self.life_cycle.on(ReplicaEvent.TAKE)
         self.replica_id = replica_id
         self.recovery.begin(is_core_lost=is_core_lost)
         self.node.ports.log(STARTED_EVENT, seat=replica_id, empty=self.is_empty)
 
+    def begin_recovery(self) -> None:
+        """It may not vote until recovery has made good what it may have lost."""
+        self.life_cycle.on(ReplicaEvent.RECOVER)
+
+    def await_operator(self) -> None:
+        """More is lost than recovery can rebuild."""
+        self.life_cycle.on(ReplicaEvent.TOO_FEW_REPORTED)
+
+    def raise_incarnation(self, above: int, done: Callable[[bool], None]) -> None:
+        """Recover under the next incarnation above this one; `done` once that is synced, or not."""
+        self.incarnation = above + 1
+        record = ReplicaRecord(
+            replica_id=self.replica_id,
+            incarnation=self.incarnation,
+            known_incarnations=self.known_incarnations,
+            clock_us=self.clock_us,
+            is_partial=self.is_empty,
+        )
+        self._write(record, done)
+
+    def write_recovered(self, done: Callable[[bool], None]) -> None:
+        """Sync that the registers on this disk are all that it needs; `done` says whether."""
+        record = ReplicaRecord(is_partial=None, seal=None, are_claims_open=self.are_claims_open)
+        self._write(record, done)
+
+    def may_learn(self) -> bool:
+        """Whether it is a spare that may read a departing replica."""
+        return self.life_cycle.may(ReplicaEvent.LEARN)
+
+    def learn(self) -> None:
+        """Read a departing replica, and take no other replica meanwhile."""
+        self.life_cycle.on(ReplicaEvent.LEARN)
+
     def take_after_loss(self, replica_id: str) -> None:
         """The whole core lost its disks: this replica is taken without a vote.
 
@@ -307,6 +372,7 @@
 
         def on_synced(is_synced: bool) -> None:
             if is_synced:
+                self.life_cycle.on(ReplicaEvent.TAKE_OVER)
                 self.replica_id, self.incarnation = seal.replica_id, incarnation
                 self.known_incarnations = dict(seal.known_incarnations)
                 self.are_claims_open = seal.are_claims_open
@@ -317,21 +383,21 @@
 
     def begin_with_state(self, wait_us: int) -> None:
         """Its state is that of the sealed instance: the others record it, and nothing is read."""
-        self.is_empty = False
         self.node.ports.log(STARTED_EVENT, seat=self.replica_id, empty=False)
         self.recovery.begin_with_state(wait_us)
 
     def retire(self) -> None:
         """Back to a spare that keeps nothing which votes."""
+        self.life_cycle.on(ReplicaEvent.RETIRE)
         dropped = [
             *(key for key in self.node.ports.storage.load() if key != HANDOVER_RECORD),
             *OWN_RECORDS,
             *map(record_key, self.registers.states),
         ]
-        self.replica_id, self.state, self.incarnation = "", ReplicaState.SPARE, 0
+        self.replica_id, self.incarnation = "", 0
         self.known_incarnations, self.seal_record = {}, None
         self.registers.clear()
-        self.is_empty, self.is_failing, self.are_claims_open = True, False, True
+        self.is_failing, self.are_claims_open = False, True
         self.recovery.reset()
         self.recovery_responder.reset()
         self.node.ports.storage.write(dict.fromkeys(dropped), _ignore)
@@ -343,37 +409,38 @@
 
     def seal(self, record: SealRecord, done: Callable[[bool], None]) -> None:
         """No vote under this incarnation from here on; the record says so to a later start, too."""
-        self.state = ReplicaState.SEALED
+        self.life_cycle.on(ReplicaEvent.SEAL)
         self.seal_record = record
 
         def on_synced(is_synced: bool) -> None:
             if not is_synced:
+                self.life_cycle.on(ReplicaEvent.SEAL_REFUSED)
                 self.seal_record = None
-                self.resume()
             done(is_synced)
 
         self._write(ReplicaRecord(seal=record), on_synced)
 
     def unseal(self) -> None:
         """The successor never votes: this disk is whole, and goes on through ordinary recovery."""
+        seal = self.seal_record
 
         def on_synced(is_synced: bool) -> None:
-            if not is_synced or self.seal_record is None or self.recovery.is_rebuilding:
+            is_overtaken = self.seal_record is not seal or self.recovery.is_rebuilding
+            if not is_synced or is_overtaken:
                 return
+            self.life_cycle.on(ReplicaEvent.UNSEAL)
             self.seal_record = None
-            self.is_empty = False
             self.recovery.begin()
 
         self._write(ReplicaRecord(seal=None, is_partial=None), on_synced)
 
     def pause(self) -> None:
         """No vote until `resume`, in this process only."""
-        self.state = ReplicaState.SEALED
+        self.life_cycle.on(ReplicaEvent.PAUSE)
 
     def resume(self) -> None:
-        """Vote again after `pause`, or after a seal that the disk refused."""
-        if self.state == ReplicaState.SEALED and self.seal_record is None:
-            self.state = ReplicaState.VOTING
+        """Vote again after `pause`."""
+        self.life_cycle.on(ReplicaEvent.RESUME)
 
     def _on_newer_incarnation(self, incarnation: int) -> None:
         """A newer instance supersedes this one.
@@ -387,7 +454,7 @@
 
     def yield_to(self, incarnation: int) -> None:
         """A newer instance of this replica runs: this one votes no more."""
-        self.state = ReplicaState.SUPERSEDED
+        self.life_cycle.on(ReplicaEvent.SUPERSEDE)
         self.node.ports.log(SUPERSEDED_EVENT, seat=self.replica_id, incarnation=incarnation)
         if self.is_learned:
             self.retire()
@@ -403,13 +470,12 @@
             self.votes_from_us += passed_us - STEP_AT_MOST_US
         self.departure.tick(now_us)
         self.succession.tick(now_us)
-        if self.state == ReplicaState.VOTING:
+        if self.is_voting:
             return self._tick_voting(now_us)
-        if self.state == ReplicaState.SPARE:
+        if self.state is ReplicaState.SPARE:
             return self.assignment.tick(now_us)
-        if self.seal_record is not None and self.state != ReplicaState.SEALED:
+        if self.is_recovering:
             self.departure.query_outcome(now_us)
-        if self.state in IN_RECOVERY:
             self.recovery.tick(now_us)
 
     def _tick_voting(self, now_us: int) -> None:
--- a/packages/consensus/src/linkhaven/consensus/replica_assignment.py
+++ b/packages/consensus/src/linkhaven/consensus/replica_assignment.py
@@ -43,9 +43,12 @@
     replica_id: str
     replica_ids: tuple[str, ...]
     majority: int
-    is_empty: bool
     directory: AssignmentDirectory
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether its disk counts as lost."""
+
     def take(self, replica_id: str) -> None:
         """Recover as this replica."""
 
--- a/packages/consensus/src/linkhaven/consensus/state_transfer.py
+++ b/packages/consensus/src/linkhaven/consensus/state_transfer.py
@@ -86,7 +86,9 @@
     replica_id: str
     directory: Directory
     incarnation: int
-    are_claims_open: bool
+
+    def narrow_claims(self, are_open: bool) -> None:
+        """Keep claims open only if they are there, too."""
 
     def merge(self, registers: Mapping[str, RegisterCopy]) -> dict[str, Any]:
         """Take in the highest ballots of another replica; gives the records to write."""
@@ -243,7 +245,7 @@
                 peer.read_after(page.next_cursor)
                 return self._send_page_request(page.reply_to, peer.cursor)
             peers.pop(page.replica_id, None)
-            replica.are_claims_open = replica.are_claims_open and page.are_claims_open
+            replica.narrow_claims(page.are_claims_open)
             self.listener.on_peer_read()
 
         self.node.ports.storage.write(replica.merge(page.registers), on_stored)
--- a/packages/consensus/src/linkhaven/consensus/succession.py
+++ b/packages/consensus/src/linkhaven/consensus/succession.py
@@ -35,7 +35,6 @@
 )
 from .recovery_messages import PageRequest, RegisterCopy, StatePage
 from .replica_records import HandoverRecord, ReplicaRecord
-from .replica_state import ReplicaState
 
 RESEND_US = 100_000
 PATIENCE_US = 2_000_000
@@ -59,13 +58,18 @@
 
     replica_id: str
     majority: int
-    state: ReplicaState
     directory: Any
 
     @property
     def is_voting(self) -> bool:
         """Whether it votes now."""
 
+    def may_learn(self) -> bool:
+        """Whether it is a spare that may read a departing replica."""
+
+    def learn(self) -> None:
+        """Read a departing replica, and take no other replica meanwhile."""
+
     def merge(self, registers: Mapping[str, RegisterCopy]) -> dict[str, Any]:
         """Take in the highest ballots of another replica; gives the records to write."""
 
@@ -151,13 +155,13 @@
 
         An offer that comes again was given up here, or taken: it is answered, not taken up.
         """
-        if self.replica.state is not ReplicaState.SPARE or self.is_active():
+        if not self.replica.may_learn() or self.is_active():
             return
         if self._is_last_handover(offer.handover_id):
             return self._send_outcome(offer.reply_to)
         self._reset()
         self.state = SuccessionState.READING
-        self.replica.state = ReplicaState.LEARNING
+        self.replica.learn()
         self.departing_address = offer.reply_to
         handover = self.last_handover = HandoverRecord(offer.handover_id, is_taken=False)
         self.progress_us = self.node.now_us()
--- a/packages/controller/src/linkhaven/controller/local_status.py
+++ b/packages/controller/src/linkhaven/controller/local_status.py
@@ -65,7 +65,7 @@
         is_draining = self.shutdown.state is not ShutdownState.RUNNING
         return MemberStatus(
             replica=self.replica.replica_id,
-            state=self.replica.state,
+            state=self.replica.state.spelling,
             incarnation=self.replica.incarnation,
             address=self.node.address,
             learning=self._learning(),
@@ -85,7 +85,7 @@
         replica = self.replica
         return {
             "seat": replica.replica_id,
-            "standing": replica.state,
+            "standing": replica.state.spelling,
             "incarnation": replica.incarnation,
             "claims": len(replica.registers.claims),
             "are_claims_open": replica.are_claims_open,
@@ -114,8 +114,10 @@
         Raises `seat_not_waiting` where it doesn't wait.
         """
         if not self.replica.restore():
-            raise ServiceError("seat_not_waiting", standing=self.replica.state)
-        call.answer_json(200, {"seat": self.replica.replica_id, "standing": self.replica.state})
+            raise ServiceError("seat_not_waiting", standing=self.replica.state.spelling)
+        call.answer_json(
+            200, {"seat": self.replica.replica_id, "standing": self.replica.state.spelling}
+        )
 
 
 class StandingView:
--- /dev/null
+++ b/tests/test_life_cycle.py
@@ -0,0 +1,121 @@
+"""The one table of a replica's life cycle: what stands in it happens, and nothing else does."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+from linkhaven.consensus.replica_state import (
+    TRANSITIONS,
+    InvalidTransitionError,
+    LifeCycle,
+    ReplicaEvent,
+    ReplicaState,
+    StoredState,
+)
+
+CONSENSUS = Path(__file__).parent.parent / "packages/consensus/src/linkhaven/consensus"
+SPARE, BOOTSTRAPPING, RECOVERING = (
+    ReplicaState.SPARE,
+    ReplicaState.BOOTSTRAPPING,
+    ReplicaState.RECOVERING,
+)
+WAITING, LEARNING, VOTING = ReplicaState.WAITING, ReplicaState.LEARNING, ReplicaState.VOTING
+PAUSED, SEALED, SUPERSEDED = ReplicaState.PAUSED, ReplicaState.SEALED, ReplicaState.SUPERSEDED
+EMPTY, WHOLE, GIVEN_AWAY = StoredState.EMPTY, StoredState.WHOLE, StoredState.SEALED
+
+LIVES = {
+    "first start": ("BOOTSTRAP BEGIN_VOTES", SPARE, EMPTY, VOTING, WHOLE),
+    "first start, disk refuses": ("BOOTSTRAP BOOTSTRAP_REFUSED", SPARE, EMPTY, SPARE, EMPTY),
+    "restart": ("RECOVER BEGIN_VOTES", RECOVERING, WHOLE, VOTING, WHOLE),
+    "restart without a disk": ("RECOVER BEGIN_VOTES", RECOVERING, EMPTY, VOTING, WHOLE),
+    "operator restores": ("TOO_FEW_REPORTED BEGIN_VOTES", RECOVERING, EMPTY, VOTING, WHOLE),
+    "others come after all": ("TOO_FEW_REPORTED RECOVER BEGIN_VOTES",)
+    + (RECOVERING, EMPTY, VOTING, WHOLE),
+    "newcomer": ("TAKE RECOVER BEGIN_VOTES", SPARE, EMPTY, VOTING, WHOLE),
+    "newcomer that was second": ("TAKE RECOVER RETIRE", SPARE, EMPTY, SPARE, EMPTY),
+    "successor": ("LEARN TAKE_OVER RECOVER BEGIN_VOTES", SPARE, EMPTY, VOTING, WHOLE),
+    "successor that gave up": ("LEARN RETIRE", SPARE, EMPTY, SPARE, EMPTY),
+    "departed": ("SEAL RETIRE", VOTING, WHOLE, SPARE, EMPTY),
+    "seal refused": ("SEAL SEAL_REFUSED", VOTING, WHOLE, VOTING, WHOLE),
+    "sealed": ("SEAL", VOTING, WHOLE, SEALED, GIVEN_AWAY),
+    "sealed, successor gave up": ("SEAL UNSEAL RECOVER BEGIN_VOTES", VOTING, WHOLE, VOTING, WHOLE),
+    "sealed, restarted": ("RECOVER BEGIN_VOTES", RECOVERING, GIVEN_AWAY, VOTING, WHOLE),
+    "sealed, restarted, given back": ("UNSEAL RECOVER", RECOVERING, GIVEN_AWAY, RECOVERING, WHOLE),
+    "sealed, restarted, departed": ("RETIRE", RECOVERING, GIVEN_AWAY, SPARE, EMPTY),
+    "departs without a successor": ("PAUSE", VOTING, WHOLE, PAUSED, WHOLE),
+    "can't depart yet": ("PAUSE RESUME", VOTING, WHOLE, VOTING, WHOLE),
+    "superseded": ("SUPERSEDE RETIRE", VOTING, WHOLE, SPARE, EMPTY),
+    "a bootstrap that forgot": ("RECOVER SUPERSEDE RETIRE", VOTING, WHOLE, SPARE, EMPTY),
+}
+
+
+@pytest.mark.parametrize("events, state, stored, last, worth", LIVES.values(), ids=LIVES)
+def test_each_life_runs_through_its_states(events, state, stored, last, worth):
+    life = LifeCycle(state, stored)
+    for event in events.split():
+        life.on(ReplicaEvent[event])
+    assert (life.state, life.stored) == (last, worth)
+    assert life.may_vote is (last is VOTING)
+    assert life.is_empty is (worth is not WHOLE)
+
+
+def test_each_row_of_the_table_is_part_of_a_life():
+    assert {event for events, *_ in LIVES.values() for event in events.split()} == {
+        event.name for event in ReplicaEvent
+    }
+
+
+@pytest.mark.parametrize("state", ReplicaState)
+@pytest.mark.parametrize("event", ReplicaEvent)
+def test_what_stands_in_no_row_changes_nothing(event, state):
+    life = LifeCycle(state, WHOLE)
+    if state in TRANSITIONS[event].sources:
+        life.on(event)
+        assert life.state is TRANSITIONS[event].target
+        return
+    with pytest.raises(InvalidTransitionError, match=f"{event.name} in state {state.name}"):
+        life.on(event)
+    assert (life.state, life.stored) == (state, WHOLE)
+
+
+def test_the_ways_to_a_vote_are_these():
+    """A seal is opened by its successor's word alone, and then by a recovery."""
+    ways = {
+        (event.name, source)
+        for event, (sources, target, _) in TRANSITIONS.items()
+        for source in sources
+        if target is VOTING
+    }
+    assert ways == {
+        ("BEGIN_VOTES", BOOTSTRAPPING),
+        ("BEGIN_VOTES", RECOVERING),
+        ("BEGIN_VOTES", WAITING),
+        ("RESUME", PAUSED),
+        ("SEAL_REFUSED", SEALED),
+    }
+
+
+def test_a_pause_is_spelled_as_a_seal_on_the_wire():
+    assert {state.spelling for state in ReplicaState} == {
+        *("spare", "beginning", "rejoining", "waiting", "learning", "voting", "sealed", "fenced")
+    }
+
+
+def assigned_attributes(tree):
+    for node in ast.walk(tree):
+        targets = node.targets if isinstance(node, ast.Assign) else [getattr(node, "target", None)]
+        for target in targets:
+            for part in ast.walk(target) if target is not None else ():
+                if isinstance(part, ast.Attribute) and isinstance(part.ctx, ast.Store):
+                    yield ast.unparse(part)
+
+
+@pytest.mark.parametrize("path", sorted(CONSENSUS.glob("*.py")), ids=lambda path: path.name)
+def test_only_the_life_cycle_changes_a_replicas_state(path):
+    """The parts of a replica ask it to change; none of them assigns a field of it."""
+    assigned = set(assigned_attributes(ast.parse(path.read_text())))
+    assert not [name for name in assigned if name.startswith(("self.replica.", "replica."))]
+    is_owner = path.name == "replica_state.py"
+    assert not [name for name in assigned if "life_cycle." in name or name == "life.state"]
+    assert is_owner or "InvalidTransitionError" not in path.read_text()
