--- a/packages/controller/src/linkhaven/controller/role_orders.py
+++ b/packages/controller/src/linkhaven/controller/role_orders.py
@@ -25,8 +25,8 @@
 class OrderClient(Protocol):
     """Sends orders to runners."""
 
-    def order_phase(self, address: str, order: dict[str, Any], done: Any) -> Any:
-        """Order a role; `done` gets an error or the answer."""
+    def order_phase(self, runner: Runner, order: dict[str, Any], done: Any) -> Any:
+        """Order a role of this incarnation of a runner; `done` gets an error or the answer."""
 
 
 class OrderPermission:
@@ -181,4 +181,4 @@
             "holder": self.node.name,
             "incarnation": runner.incarnation,
         }
-        self.client.order_phase(runner.address, order, done)
+        self.client.order_phase(runner, order, done)
--- a/packages/runner/src/linkhaven/runner/adapter.py
+++ b/packages/runner/src/linkhaven/runner/adapter.py
@@ -232,9 +232,9 @@
     def free(self, runner, handle):
         """Give up a handle that nobody will fetch; our runners free it by themselves."""
 
-    def order_phase(self, address, order, done):
+    def order_phase(self, runner, order, done):
         """Order a runner to prefill or to decode; `done` as in `Reply`."""
-        return self._call(address, "POST", "/v1/phase", order, Reply(done))
+        return self._call(runner.address, "POST", "/v1/phase", order, Reply(done))
 
     def report(self, address, done):
         """Ask a runner for its report; `done` as in `Reply`."""
--- a/packages/runner/src/linkhaven/runner/roster.py
+++ b/packages/runner/src/linkhaven/runner/roster.py
@@ -20,6 +20,7 @@
     """One incarnation of a runner, as its last report, the list and this node's evidence have it.
 
     `kv_used` and `kv_total` are tokens of KV cache, `queued` and `running` counts of requests;
+    `num_orders` how many orders this incarnation has taken, None where its reports don't say;
     `reported_us` and the other times are by this node's clock.
     """
 
@@ -40,6 +41,7 @@
         "is_unresponsive",
         "is_changing",
         "fence",
+        "num_orders",
         "alive_us",
         "pool",
         "slots",
@@ -65,6 +67,7 @@
         self.reported_us = None
         self.mark = 0
         self.fence = 0
+        self.num_orders = None
         self.is_unresponsive = self.is_reported_unresponsive = False
         self.is_changing = False
         self.alive_us = None
@@ -89,6 +92,7 @@
         self.kv_total = max(1, report["kv_total"])
         self.mark = report["mark"]
         self.fence = report["fence"]
+        self.num_orders = report.get("num_orders")
         self.reported_us = now_us - report["age_us"]
         self.is_switching = report.get("is_switching", False)
         self.is_leaving = self.is_leaving or report["is_leaving"]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -422,6 +422,60 @@
     assert closed
 
 
+class OrderWire:
+    """Answers each order with one status, and keeps what was sent."""
+
+    def __init__(self, status):
+        self.status = status
+        self.sent = []
+
+    def open(self, address, method, path, fields, body, handler, **more):
+        self.sent.append((address, method, path, dict(fields), json.loads(body)))
+        handler.on_head(self.status, {})
+        handler.on_end()
+        return SimpleNamespace(close=lambda: None)
+
+
+ORDER = {"phase": "prefill", "holder": "core-1", "fence": 7, "mark": 3, "incarnation": 1}
+
+
+@pytest.mark.parametrize("num_orders", [None, 0, 4])
+def test_an_order_names_its_runner_and_how_many_orders_came_before_it(num_orders):
+    """It may come late: after the runner's restart, or after a later order of the same holder."""
+    wire, told = OrderWire(202), []
+    runner = SimpleNamespace(name="i-1", address="10.0.0.1:1", num_orders=num_orders)
+    PlatformRunners(node_over(wire)).order_phase(runner, ORDER, lambda *words: told.append(words))
+    ((address, method, path, fields, terms),) = wire.sent
+    assert (address, method, path) == ("10.0.0.1:1", "POST", "/order")
+    assert fields[names.EXPECTED_RUNNER] == "i-1"
+    assert terms["fence_token"] == 7
+    counted = {} if num_orders is None else {"expected_count": num_orders}
+    assert {name: terms[name] for name in terms if name == "expected_count"} == counted
+    assert [error for error, *_ in told] == [None]
+
+
+@pytest.mark.parametrize(
+    "status, code", [(409, "runner_lost"), (412, "fence_old"), (421, "runner_lost")]
+)
+def test_an_order_that_a_runner_does_not_take_is_refused(status, code):
+    runner, told = SimpleNamespace(name="i-1", address="10.0.0.1:1", num_orders=2), []
+    PlatformRunners(node_over(OrderWire(status))).order_phase(
+        runner, ORDER, lambda *words: told.append(words)
+    )
+    assert [error.code for error, *_ in told] == [code]
+
+
+def test_a_report_tells_how_many_orders_a_runner_has_taken():
+    report = {"phase": "decode", "queued": 0, "active": 0, "kv_used": 0, "kv_capacity": 9}
+    told = []
+    for more in ({"sequence": 3}, {}):
+        body = json.dumps({**report, **more}).encode()
+        PlatformRunners(node_over(ReadWire(200, {}, body))).report(
+            "10.0.0.1:1", lambda error, document, has_begun: told.append(document["num_orders"])
+        )
+    assert told == [3, None]
+
+
 def test_a_number_without_end_is_no_number():
     reader = EventReader(3)
     assert [piece.number for piece in reader.feed(b"id: " + b"9" * 5_000 + b"\n\n")] == [3]
