Soak: five sabotages, each with the rule that must find it; more one-time work and lost answers

Load 5 a second, two thirds of it one-time work; more answers lost and resets at runners, pauses of core members, held lines of routers and losses of the whole core. New rules: orders taken by a runner have rising tokens, a configuration never goes back within a life of a process.

--- a/packages/stage/src/linkhaven/stage/program.py
+++ b/packages/stage/src/linkhaven/stage/program.py
@@ -13,7 +13,7 @@
 from .loopback import LoadRun, measure_overhead, run_fleet
 from .measure import MEASURES
 from .slopes.program import SlopesCommand
-from .soak.program import SoakCommand, SoakNodeCommand
+from .soak.program import SoakCommand, SoakNodeCommand, SoakPowerCommand
 from .soak.records import RecordFile
 from .standins import Speeds, StandInPlatform, StandInRunner
 from .sweep import sweep
@@ -61,6 +61,7 @@
         option("phase", None, "prefill or decode", flag=False, default="decode"),
         option("fast", None, "take next to no time, for measuring what stands in front"),
         option("record", None, "append what it was offered and began to this file", flag=False),
+        option("trusting", None, "take any order, version and handle"),
     ]
 
     def act(self):
@@ -83,6 +84,7 @@
                 self.option("phase"),
                 record,
                 speeds=speeds,
+                is_trusting=self.option("trusting"),
             )
 
         return Shell(self.option("name"), None, self.option("http"), build).run_to_end()
@@ -258,5 +260,6 @@
             ExploreCommand(),
             SoakCommand(),
             SoakNodeCommand(),
+            SoakPowerCommand(),
         ],
     )
--- a/packages/stage/src/linkhaven/stage/soak/fleet.py
+++ b/packages/stage/src/linkhaven/stage/soak/fleet.py
@@ -6,6 +6,7 @@
 
 from ..loopback import LoopbackFleet
 from .relay import Mode, RelayLoop
+from .sabotage import TRUSTING_RUNNERS
 from .schedule import Link
 
 PROGRAMS = {"linkhaven-router": "router", "linkhaven-registry": "registry"}
@@ -18,11 +19,20 @@
     for a core seat its own way to the platform's list.
     """
 
-    __slots__ = ("relay_loop", "relays", "bound", "listed", "first_listed", "record_paths")
-
-    def __init__(self, deployment, folder, port, seed):
-        """Nothing runs yet but the relays' thread."""
+    __slots__ = (
+        "relay_loop",
+        "relays",
+        "bound",
+        "listed",
+        "first_listed",
+        "record_paths",
+        "sabotage",
+    )
+
+    def __init__(self, deployment, folder, port, seed, sabotage=None):
+        """Nothing runs yet but the relays' thread; `sabotage`: what to take out of the nodes."""
         super().__init__(deployment, folder, port)
+        self.sabotage = sabotage
         self.relay_loop = RelayLoop(seed)
         self.relays = {}
         self.bound = {}
@@ -58,7 +68,8 @@
         """Each runner writes down what it began."""
         path = os.path.join(self.folder, f"{name}.record")
         self.record_paths.append(path)
-        return ["--record", path]
+        trusting = ["--trusting"] if self.sabotage in TRUSTING_RUNNERS else []
+        return ["--record", path, *trusting]
 
     def _serve(self, name, program, settings):
         if name in self.registries:
@@ -78,6 +89,7 @@
             path,
             "--listen",
             listen,
+            *(("--sabotage", self.sabotage) if self.sabotage else ()),
         )
         self._run(name, "linkhaven-stage", *words)
 
--- a/packages/stage/src/linkhaven/stage/soak/judge.py
+++ b/packages/stage/src/linkhaven/stage/soak/judge.py
@@ -32,6 +32,8 @@
 
 BREACHES_KEPT = 5
 BREACH_CHARACTERS = 400
+APPLIED_EVENT = re.compile(r" LH2001 .*\"mark\":(\d+)")
+STARTED_EVENT = " LH1001 "
 FAULT_EVENTS = re.compile(r" LH(1005|19\d\d) ")
 TRACEBACK = "Traceback (most recent call last)"
 CHECKERS = (
@@ -185,6 +187,34 @@
         yield from acknowledged_plans_survive([*orders, final])
 
 
+def find_lower_fences(record):
+    """A runner takes no order under a lower fencing token than one that it took before."""
+    taken = {}
+    for _, kind, facts in record:
+        if kind != "order" or not facts["is_taken"]:
+            continue
+        runner, fence = (facts["runner"], facts["incarnation"]), facts["fence"]
+        if fence < taken.get(runner, 0):
+            yield f"{facts['runner']} took an order of {facts['holder']} with {fence} after {taken[runner]}"
+        taken[runner] = max(fence, taken.get(runner, 0))
+
+
+def find_older_configurations(logs):
+    """Within one life of a process the configuration in force never goes back."""
+    for name, text in logs.items():
+        highest = 0
+        for line in text.splitlines():
+            if STARTED_EVENT in line:
+                highest = 0
+            applied = APPLIED_EVENT.search(line)
+            if applied is None:
+                continue
+            mark = int(applied[1])
+            if mark < highest:
+                yield f"{name} went back from mark {highest} to {mark}"
+            highest = max(mark, highest)
+
+
 def find_faulty_lines(logs):
     """Log lines that must not be: what could not be handled, and breached invariants."""
     for name, text in logs.items():
@@ -222,6 +252,8 @@
     found = {checker.__name__: checker(record, **terms) for checker in CHECKERS}
     found["acknowledged_plans_survive"] = find_lost_plans(record)
     found["service_comes_back"] = find_starved(record, cast)
+    found["orders_have_rising_fences"] = find_lower_fences(record)
+    found["configurations_never_go_back"] = find_older_configurations(logs)
     found["no_faulty_lines"] = find_faulty_lines(logs)
     found["processes_end_in_order"] = find_bad_ends(record, codes)
     found["faults_end"] = find_unfinished(record)
--- a/packages/stage/src/linkhaven/stage/soak/run.py
+++ b/packages/stage/src/linkhaven/stage/soak/run.py
@@ -16,9 +16,12 @@
 from .relay import now_us
 from .schedule import SECOND_US, cast_of, draw_schedule
 
-RATE = 3
+RATE = 5
 """Requests a second: what one decode runner alone can read and answer, with some room."""
 
+ONE_TIME_SHARE = 0.65
+"""How much of the load may run once only: most of what must not be doubled or refused wrongly."""
+
 OPERATOR_S = 30.0
 READ_TRIES = 20
 READ_PAUSE_S = 0.25
@@ -71,6 +74,17 @@
         self.injector.begin(self.shell.ticker)
         return super().run()
 
+    def _pick(self):
+        """One-time work for the most part; the rest in the deployment's mix."""
+        kinds = self.deployment.kinds
+        is_one_time = self.dice.random() < ONE_TIME_SHARE
+        mix = {
+            kind: share
+            for kind, (share, _, _) in self.deployment.mix.items()
+            if kinds[kind].get("repeatable", True) is not is_one_time
+        }
+        return self.dice.choices(list(mix), list(mix.values()))[0]
+
     def _gap_us(self):
         """Evenly, so that each window of time has requests to judge."""
         return SECOND_US // self.rate
@@ -101,8 +115,11 @@
 
     __slots__ = ("deployment", "seed", "seconds", "folder", "record", "fleet", "cast", "schedule")
 
-    def __init__(self, deployment, seed, seconds, folder, port):
-        """Draws and writes down the schedule; nothing runs yet but the relays."""
+    def __init__(self, deployment, seed, seconds, folder, port, sabotage=None):
+        """Draws and writes down the schedule; nothing runs yet but the relays.
+
+        `sabotage`: a mechanism that the nodes lack, to see whether that is found.
+        """
         self.deployment = deployment
         self.seed = seed
         self.seconds = seconds
@@ -112,7 +129,7 @@
         self.schedule = draw_schedule(seed, deployment, seconds)
         os.makedirs(folder, exist_ok=True)
         self._write(SCHEDULE_FILE, msgspec.json.encode(self.schedule))
-        self.fleet = SoakFleet(deployment, folder, port, seed)
+        self.fleet = SoakFleet(deployment, folder, port, seed, sabotage)
 
     def run(self):
         """Start, disturb, stop, judge. All processes are ended, whatever happens."""
--- a/packages/stage/src/linkhaven/stage/soak/schedule.py
+++ b/packages/stage/src/linkhaven/stage/soak/schedule.py
@@ -117,9 +117,9 @@
 CHOICES = (
     (3, Kind.KILL, Role.CORE, Link.NONE),
     (3, Kind.KILL, Role.EDGE, Link.NONE),
-    (3, Kind.KILL, Role.DECODE, Link.NONE),
+    (5, Kind.KILL, Role.DECODE, Link.NONE),
     (1, Kind.KILL, Role.PREFILL, Link.NONE),
-    (2, Kind.PAUSE, Role.CORE, Link.NONE),
+    (4, Kind.PAUSE, Role.CORE, Link.NONE),
     (2, Kind.PAUSE, Role.EDGE, Link.NONE),
     (2, Kind.PAUSE, Role.DECODE, Link.NONE),
     (1, Kind.PAUSE, Role.PREFILL, Link.NONE),
@@ -139,13 +139,16 @@
     (2, Kind.LOSE_ANSWERS, Role.CORE, Link.CALLS),
     (1, Kind.LOSE_ANSWERS, Role.CORE, Link.PLATFORM),
     (2, Kind.LOSE_ANSWERS, Role.EDGE, Link.CALLS),
-    (3, Kind.LOSE_ANSWERS, Role.DECODE, Link.CALLS),
-    (2, Kind.LOSE_ANSWERS, Role.PREFILL, Link.CALLS),
+    (9, Kind.LOSE_ANSWERS, Role.DECODE, Link.CALLS),
+    (4, Kind.LOSE_ANSWERS, Role.PREFILL, Link.CALLS),
+    (4, Kind.RESET, Role.DECODE, Link.CALLS),
+    (2, Kind.DELAY, Role.EDGE, Link.LINES),
+    (2, Kind.HOLD, Role.EDGE, Link.LINES),
     (2, Kind.LEAVE, Role.DECODE, Link.NONE),
     (1, Kind.LEAVE, Role.PREFILL, Link.NONE),
     (2, Kind.REMOVE, Role.DECODE, Link.NONE),
 )
-WHOLE_CORE_SHARE = 0.12
+WHOLE_CORE_SHARE = 0.2
 LAST_RUNNER_SHARE = 0.12
 
 
