--- a/tests/test_soak_sabotage.py
+++ b/tests/test_soak_sabotage.py
@@ -1,4 +1,4 @@
-"""The sabotages of the soak: each takes a mechanism out of a process, and names the rule it breaks."""
+"""The sabotages of the soak: each takes out a mechanism and names the rules that must find it."""
 
 import subprocess
 import sys
