Placement: load view, outstanding work, backoff and candidates apart from the policy

Now `OutstandingWork` (one runner), `LoadView` (all, and what routers tell each other), `RunnerBackoff`, `Candidate` and `Decision` stand in modules of their own, with annotations and doc comments that keep all rules, and `PlacementPolicy` has the steps of a choice as a table. Stand-ins of three tests follow the moved names; renamed one to one, nothing else changed.

--- a/packages/pairing/src/linkhaven/pairing/__init__.py
+++ b/packages/pairing/src/linkhaven/pairing/__init__.py
@@ -1,7 +1,23 @@
+from .candidate import Candidate, Decision
 from .estimator import Estimator
 from .flow import Flow
 from .kept import Work
-from .pairing import NO_BOUND_US, Decision, Pairing
+from .load_view import LoadView
+from .outstanding_work import OutstandingWork
+from .placement import NO_BOUND_US, PlacementPolicy
 from .ratio import RatioSearch
+from .runner_backoff import RunnerBackoff
 
-__all__ = ["NO_BOUND_US", "Decision", "Estimator", "Flow", "Pairing", "RatioSearch", "Work"]
+__all__ = [
+    "NO_BOUND_US",
+    "Candidate",
+    "Decision",
+    "Estimator",
+    "Flow",
+    "LoadView",
+    "OutstandingWork",
+    "PlacementPolicy",
+    "RatioSearch",
+    "RunnerBackoff",
+    "Work",
+]
--- /dev/null
+++ b/packages/pairing/src/linkhaven/pairing/candidate.py
@@ -0,0 +1,108 @@
+"""The records of a placement: each runner as it was weighed, and which of them was chosen."""
+
+from typing import Any
+
+from linkhaven.runner import Runner
+
+OVERDUE_PART = 4
+"""What is late already joins a queue only while that is shorter than this part of the room."""
+
+
+class Candidate:
+    """A runner for one prompt, with the times that it was weighed by.
+
+    After TaiChi, Algorithm 2: `q_us` is the queue's time, `e_us` that of the prompt itself, `t_us`
+    that of the KV cache's transfer; `start_us` how long the decode then waits for its place.
+    """
+
+    __slots__ = (
+        "runner",
+        "queued_tokens",
+        "unread",
+        "q_us",
+        "e_us",
+        "t_us",
+        "start_us",
+        "is_eligible",
+        "has_memory",
+        "has_room",
+        "reads_for_others",
+    )
+
+    def __init__(
+        self,
+        runner: Runner,
+        queued_tokens: float,
+        unread: int,
+        q_us: int,
+        e_us: int,
+        t_us: int,
+        start_us: int,
+        ttft_us: int,
+        room_us: int,
+        is_overdue: bool = False,
+        typical_us: int = 0,
+    ) -> None:
+        """Eligible where the first token comes within `ttft_us` and the queue leaves `room_us`.
+
+        `typical_us`: what a usual prompt of this kind takes there; `is_overdue`: it has waited for
+        longer than its target, and need only find room itself.
+        """
+        self.runner = runner
+        self.start_us = start_us
+        self.unread = unread
+        self.queued_tokens = queued_tokens
+        self.q_us = q_us
+        self.e_us = e_us
+        self.has_memory = True
+        self.reads_for_others = False
+        self.t_us = t_us
+        self.has_room = q_us == 0 or q_us < room_us // OVERDUE_PART
+        leaves_room = q_us == 0 or q_us + typical_us < room_us or is_overdue and self.has_room
+        self.is_eligible = self.total_us < ttft_us and leaves_room
+
+    @property
+    def ahead_tokens(self) -> float:
+        """What this runner has to read until this prompt is read."""
+        return self.queued_tokens + self.unread
+
+    @property
+    def total_us(self) -> int:
+        """How long the first token takes."""
+        return self.q_us + self.e_us + self.t_us + self.start_us
+
+    def as_record(self) -> dict[str, Any]:
+        """As `explain` shows it."""
+        return {
+            "runner": self.runner.name,
+            "phase": self.runner.phase,
+            "queued_tokens": int(self.queued_tokens),
+            "unread": self.unread,
+            "q_us": self.q_us,
+            "e_us": self.e_us,
+            "t_us": self.t_us,
+            "start_us": self.start_us,
+            "is_eligible": self.is_eligible,
+        }
+
+
+class Decision:
+    """Where a prompt is read: all candidates, the chosen one, and why one was chosen that is late."""
+
+    __slots__ = ("candidates", "winner", "exception")
+
+    def __init__(
+        self, candidates: list[Candidate], winner: Candidate | None, exception: str | None = None
+    ) -> None:
+        """`winner` None: no runner may be sent the prompt now."""
+        self.candidates = candidates
+        self.winner = winner
+        self.exception = exception
+
+    def as_record(self) -> dict[str, Any]:
+        """As `explain` shows it."""
+        return {
+            "candidates": [candidate.as_record() for candidate in self.candidates],
+            "winner": self.winner and self.winner.runner.name,
+            "exception": self.exception,
+        }
--- a/packages/pairing/src/linkhaven/pairing/flow.py
+++ b/packages/pairing/src/linkhaven/pairing/flow.py
@@ -36,11 +36,11 @@
     def _shed(self, runner, settings, now_us):
         if (
             self._is_resting(runner.name, now_us)
-            or self.pairing.kv_share(runner) <= settings.kv_watermark
+            or self.pairing.load.kv_share(runner) <= settings.kv_watermark
         ):
             return
         target = self.pairing.choose_decode(without=(runner.name,))
-        if target is None or self.pairing.kv_share(target) > settings.kv_watermark - GAP:
+        if target is None or self.pairing.load.kv_share(target) > settings.kv_watermark - GAP:
             return
         movable = [
             stream for stream in self.streams() if stream.runner is runner and stream.is_movable()
@@ -63,7 +63,7 @@
                 continue
             if (
                 self._is_resting(origin.name, now_us)
-                or self.pairing.kv_share(origin) > settings.kv_watermark - GAP
+                or self.pairing.load.kv_share(origin) > settings.kv_watermark - GAP
             ):
                 continue
             self.rested_us[origin.name] = now_us
--- /dev/null
+++ b/packages/pairing/src/linkhaven/pairing/outstanding_work.py
@@ -0,0 +1,127 @@
+"""What routers have sent to one runner and not yet seen finished."""
+
+from collections import deque
+from typing import NamedTuple
+
+HISTORY_US = 5_000_000
+"""So long back it is known what was outstanding: reports of runners are late by less."""
+
+RACE_US = 5_000
+"""A long prompt that is sent this soon after a short one may reach the runner before it."""
+
+
+class WorkFigures(NamedTuple):
+    """Sums over the work of one router, or of several, at one runner."""
+
+    count: int
+    """Requests that wait there to be prefilled, or for their first token."""
+
+    tokens: int
+    """Prompt tokens to be prefilled."""
+
+    held_tokens: int
+    """Tokens of KV cache that running streams take."""
+
+    streams: int
+    """Running streams."""
+
+
+class OutstandingWork:
+    """Owns what this router has at one runner, and what the others reported of theirs.
+
+    `reads`: prompt tokens of each attempt that is to be prefilled; `decodes`: tokens of KV cache of
+    each stream; `starts`: attempts whose first token is awaited; `predictions`: of each read, how
+    many tokens it takes alone (0 where others were before it), and when it was sent. `moved_us`:
+    when the read at the head of the queue came there, about.
+    """
+
+    __slots__ = (
+        "reads",
+        "decodes",
+        "starts",
+        "predictions",
+        "reported",
+        "history",
+        "sent_us",
+        "sent_tokens",
+        "moved_us",
+        "count",
+    )
+
+    def __init__(self) -> None:
+        """Nothing is outstanding."""
+        self.reads: dict[str, int] = {}
+        self.decodes: dict[str, int] = {}
+        self.starts: set[str] = set()
+        self.predictions: dict[str, tuple[int, int]] = {}
+        self.reported: dict[str, tuple[WorkFigures, int]] = {}
+        self.history: deque[tuple[int, int, int]] = deque()
+        self.sent_us: int | None = None
+        self.sent_tokens = 0
+        self.moved_us = 0
+        self.count = 0
+
+    def own(self) -> WorkFigures:
+        """What this router has there."""
+        return WorkFigures(
+            len(self.reads) + len(self.starts),
+            sum(self.reads.values()),
+            sum(self.decodes.values()),
+            len(self.decodes),
+        )
+
+    def total(self) -> WorkFigures:
+        """What all routers have there, as far as it was reported."""
+        figures = self.own()
+        for other, _ in self.reported.values():
+            figures = WorkFigures(*map(sum, zip(figures, other, strict=True)))
+        return figures
+
+    def take_report(self, router: str, figures: WorkFigures, until_us: int, now_us: int) -> None:
+        """What another router, or all others together, have there; it lapses at `until_us`."""
+        self.reported[router] = (figures, until_us)
+        self.note_change(now_us)
+
+    def note_change(self, now_us: int) -> None:
+        """Remember what is outstanding from now on."""
+        count, _, held_tokens, _ = self.total()
+        if count < self.count or not self.count:
+            self.moved_us = now_us
+        self.count = count
+        self.history.append((now_us, count, held_tokens))
+        while self.history and now_us - self.history[0][0] > HISTORY_US:
+            self.history.popleft()
+
+    def longest_read(self) -> int:
+        """The longest prompt that waits there, as far as it can be known, in tokens."""
+        means = (
+            figures.tokens // figures.count
+            for figures, _ in self.reported.values()
+            if figures.count
+        )
+        return max(max(self.reads.values(), default=0), max(means, default=0))
+
+    def would_overtake(self, tokens: int, now_us: int) -> bool:
+        """Whether a long read, sent right behind a short one, may reach the runner before it."""
+        return (
+            self.sent_us is not None
+            and now_us - self.sent_us < RACE_US
+            and tokens > 2 * self.sent_tokens
+        )
+
+    def at(self, when_us: int) -> tuple[int, int]:
+        """Count and held tokens as they were known to be at a time."""
+        count, held_tokens = 0, 0
+        for noted_us, noted_count, noted_held_tokens in self.history:
+            if noted_us > when_us:
+                break
+            count, held_tokens = noted_count, noted_held_tokens
+        return count, held_tokens
+
+    def drop_lapsed(self, now_us: int) -> None:
+        """Forget reports that were not renewed."""
+        lapsed = [router for router, (_, until_us) in self.reported.items() if now_us >= until_us]
+        for router in lapsed:
+            del self.reported[router]
+        if lapsed:
+            self.note_change(now_us)
--- a/packages/router/src/linkhaven/router/attempts.py
+++ b/packages/router/src/linkhaven/router/attempts.py
@@ -274,7 +274,7 @@
         and may have begun is never sent again. Test: `forget_what_was_begun` in the model test.
         """
         if error.code in FAILED_HAND_OVERS and request.handle:
-            self.pairing.shun(request.handle[1])
+            self.pairing.backoff.eject(request.handle[1])
         self.leave_runner(request)
         self._note_failed(request, runner, error, has_begun)
         self._tell_of_runner(runner, error, has_begun)
@@ -311,7 +311,7 @@
         if code == "phase_wrong" and not self.desk.reads_are_runs:
             runner.is_switching = True
         if code in FULL:
-            self.pairing.note_turned_away(runner)
+            self.pairing.backoff.note_turned_away(runner)
         if code == "mark_old":
             self.node.snapshot.observe_version(error.detail.get("mark", 0))
 
@@ -349,7 +349,9 @@
         runner = self.pairing.choose_decode(
             without=request.failed, pool=request.pool
         ) or self.pairing.choose_decode(pool=request.pool)
-        if runner is None or not self._has_time_for(request, self.pairing.read_wait_us(runner)):
+        if runner is None or not self._has_time_for(
+            request, self.pairing.load.read_wait_us(runner)
+        ):
             return self.node.end_with_error(request, self._spent(request, error))
         if not self._may_try_again(request, 1):
             return self.node.end_with_error(request, self._spent(request, error))
--- a/packages/router/src/linkhaven/router/invariants.py
+++ b/packages/router/src/linkhaven/router/invariants.py
@@ -41,7 +41,7 @@
         if (
             has_prospect
             and can_serve
-            and not any(self.pairing.book(runner).known()[0] for runner in runners)
+            and not any(self.pairing.load.work_at(runner).total().count for runner in runners)
         ):
             names = [runner.name for runner in can_serve]
             self._violate("refused_beside_idle_runners", request=request.id, runners=names)
@@ -67,7 +67,7 @@
     def _can_decode(self, runner, request):
         if runner.phase != DECODE or not self.pairing.fits(runner, request.prompt_tokens):
             return False
-        streams = self.pairing.book(runner).known()[3]
+        streams = self.pairing.load.work_at(runner).total().streams
         return not runner.slots or streams < runner.slots
 
     def _violate(self, name, **facts):
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -8,7 +8,7 @@
 from linkhaven.consensus import Proposer
 from linkhaven.credit import GRANT_NUMBERS_PER_FENCE, AdmissionQueues, RetryBudget
 from linkhaven.membership import Membership
-from linkhaven.pairing import NO_BOUND_US, Flow, Pairing
+from linkhaven.pairing import NO_BOUND_US, Flow, PlacementPolicy
 from linkhaven.runner import Roster, RunnerDesk
 from linkhaven.runtime import Node, Table
 
@@ -126,7 +126,9 @@
         self.roster = Roster(self)
         self.desk = desk_of(self)
         self.keys = Keys(self, self.proposer, self._failed_routers)
-        self.pairing = Pairing(self, self.roster, lambda: self.membership.live_members("router"))
+        self.pairing = PlacementPolicy(
+            self, self.roster, lambda: self.membership.live_members("router")
+        )
         self.extra = RetryBudget(self)
         self.credit = AdmissionQueues(self, self._pace_at_first, self.end_with_error)
         self.requests = Table()
@@ -236,7 +238,7 @@
         facts["roster"] = self.roster.place
         facts["steward"] = self.steward_place
         if is_roster and self.pairing.is_large():
-            facts["views"] = self.pairing.own_views()
+            facts["views"] = self.pairing.load.own_rows()
             facts["lines"] = self.pairing.estimator.own_rows()
         if is_roster:
             facts["outcomes"] = self.pairing.plain.own_rows()
@@ -258,7 +260,7 @@
                 is_behind = runner.phase != steward["settled"].get(runner.name, runner.phase)
                 runner.is_changing = runner.name in steward["changing"] or is_behind
         if "views" in message:
-            self.pairing.take_views(message["views"])
+            self.pairing.load.take_fleet_sums(message["views"])
         if "lines" in message:
             self.pairing.estimator.take_others(message["lines"])
         if "outcomes" in message:
--- a/packages/router/src/linkhaven/router/refusals.py
+++ b/packages/router/src/linkhaven/router/refusals.py
@@ -44,13 +44,13 @@
 
     def _look_at(self, runner):
         """Name, phase, prompts waiting, prompt tokens to read, streams, share of its memory."""
-        waiting, tokens, _, streams = self.pairing.book(runner).known()
+        waiting, tokens, _, streams = self.pairing.load.work_at(runner).total()
         return [
             runner.name,
             runner.phase,
             waiting,
             tokens,
-            int(self.pairing.queued_tokens(runner)),
+            int(self.pairing.load.queued_tokens(runner)),
             streams,
-            round(self.pairing.kv_share(runner), 2),
+            round(self.pairing.load.kv_share(runner), 2),
         ]
--- a/packages/router/src/linkhaven/router/relay.py
+++ b/packages/router/src/linkhaven/router/relay.py
@@ -32,7 +32,7 @@
             pairing.note_begin(
                 request.handle[1], self.runner, request.prompt_tokens, now_us - request.progress_us
             )
-            pairing.note_hand_over(request.handle[1])
+            pairing.backoff.note_hand_over(request.handle[1])
             request.handle = None
         request.progress_us = now_us
         if request.run is None:
--- a/packages/router/src/linkhaven/router/silence.py
+++ b/packages/router/src/linkhaven/router/silence.py
@@ -50,7 +50,7 @@
         return owing
 
     def _queued_us(self, runner):
-        return self.attempts.pairing.read_wait_us(runner)
+        return self.attempts.pairing.load.read_wait_us(runner)
 
     def _is_lost(self, request, now_us):
         """Its runner is dark and sent nothing for a moment, and it can go on elsewhere."""
--- a/packages/stage/src/linkhaven/stage/measure.py
+++ b/packages/stage/src/linkhaven/stage/measure.py
@@ -1,6 +1,6 @@
 from functools import partial
 
-from linkhaven.pairing import NO_BOUND_US, Decision, Pairing
+from linkhaven.pairing import NO_BOUND_US, Decision, PlacementPolicy
 from linkhaven.runner.roster import PREFILL
 
 from .faults import ALL, Faults
@@ -10,7 +10,7 @@
 SECOND = 1_000_000
 
 
-class RandomPairing(Pairing):
+class RandomPlacement(PlacementPolicy):
     """Baseline: any open runner reads, any decode runner decodes."""
 
     __slots__ = ()
@@ -30,7 +30,7 @@
         return runners[self.node.ports.random.randrange(len(runners))] if runners else None
 
 
-class StrictPairing(Pairing):
+class StrictPlacement(PlacementPolicy):
     """Baseline: strict disaggregation, only prefill runners read."""
 
     __slots__ = ()
@@ -42,7 +42,7 @@
         ] or candidates
 
 
-POLICIES = {"taichi": Pairing, "random": RandomPairing, "strict": StrictPairing}
+POLICIES = {"taichi": PlacementPolicy, "random": RandomPlacement, "strict": StrictPlacement}
 
 
 def make_fleet(deployment, seed, policy="taichi", **given):
--- a/tests/test_coordination.py
+++ b/tests/test_coordination.py
@@ -724,11 +724,11 @@
     def sizes():
         router, core = fleet.routers["edge-2"].node, holder_of(fleet, "roster").node
         return {
-            "books": len(router.pairing.books),
+            "books": len(router.pairing.load.outstanding),
             "factors": len(router.pairing.estimator.factors),
             "runners": len(router.roster.runners),
             "evidence": len(router.roster.evidence),
-            "shunned": len(router.pairing.shunned),
+            "shunned": len(router.pairing.backoff.ejected),
             "heard": len(core.runner_discovery.health.seen_us),
             "leaving": len(core.runner_discovery.health.leaving),
             "out": sum(map(len, core.quota_allocator.grants.values())),
--- a/tests/test_dark_runner.py
+++ b/tests/test_dark_runner.py
@@ -174,8 +174,9 @@
         self.budget = 2
         pairing = SimpleNamespace(
             estimator=SimpleNamespace(read_us=lambda tokens, runner: read_us),
-            queued_tokens=lambda runner: 0,
-            read_wait_us=lambda runner: read_us,
+            load=SimpleNamespace(
+                queued_tokens=lambda runner: 0, read_wait_us=lambda runner: read_us
+            ),
             open_runners=lambda pool=None: self.roster.open_runners(),
         )
         self.tries = Failing(
--- a/tests/test_gone_runner.py
+++ b/tests/test_gone_runner.py
@@ -22,7 +22,7 @@
     pairing = SimpleNamespace(
         end_read=lambda *told: None,
         end_decode=lambda *told: None,
-        note_turned_away=lambda runner: heard.append("turned away"),
+        backoff=SimpleNamespace(note_turned_away=lambda runner: heard.append("turned away")),
     )
     roster = SimpleNamespace(
         note_dark=lambda runner: heard.append("dark"),
@@ -63,8 +63,7 @@
     pairing = SimpleNamespace(
         end_read=lambda *told: None,
         end_decode=lambda *told: None,
-        shun=lambda runner: None,
-        note_turned_away=lambda runner: None,
+        backoff=SimpleNamespace(eject=lambda runner: None, note_turned_away=lambda runner: None),
     )
     roster = SimpleNamespace(
         note_leaving=closed.append, note_dark=lambda runner: None, note_alive=lambda runner: None
--- a/tests/test_late_work.py
+++ b/tests/test_late_work.py
@@ -81,7 +81,7 @@
     readers = [each for each in node.roster.open_runners() if each.phase == "prefill"]
     assert readers
     for runner in readers:
-        pairing.shunned[(runner.name, runner.incarnation)] = (now_us + 5 * SECOND, SECOND)
+        pairing.backoff.ejected[(runner.name, runner.incarnation)] = (now_us + 5 * SECOND, SECOND)
     decision = pairing.choose(Work(12_000, (), POOL), 800_000, room_us=800_000)
     assert {each.runner.phase for each in decision.candidates} == {"decode"}
     assert decision.winner is not None, decision.as_record()
--- a/tests/test_placement_invariants.py
+++ b/tests/test_placement_invariants.py
@@ -3,7 +3,7 @@
 import pytest
 from pooled_fleet import fleet, violations
 
-from linkhaven.pairing import Pairing
+from linkhaven.pairing import PlacementPolicy
 from linkhaven.router.attempts import Attempts
 from linkhaven.stage.fleet import SECOND
 
@@ -27,9 +27,9 @@
     def weigh_by_room(self, work, ttft_us, without=(), room_us=0, is_overdue=False):
         return plain_weigh(self, work, ttft_us, without, self.node.rooms["digests"], is_overdue)
 
-    plain_weigh = Pairing.weigh
-    monkeypatch.setattr(Pairing, "weigh", weigh_by_room)
-    monkeypatch.setattr(Pairing, "choose_anyway", choose_any)
+    plain_weigh = PlacementPolicy.weigh
+    monkeypatch.setattr(PlacementPolicy, "weigh", weigh_by_room)
+    monkeypatch.setattr(PlacementPolicy, "choose_anyway", choose_any)
     assert run(seed)["late_work_beyond_room"] > 0
 
 
@@ -40,8 +40,8 @@
         decision.winner = None
         return decision
 
-    plain_choose = Pairing.choose
-    monkeypatch.setattr(Pairing, "choose", choose_none)
+    plain_choose = PlacementPolicy.choose
+    monkeypatch.setattr(PlacementPolicy, "choose", choose_none)
     monkeypatch.setattr(Attempts, "_is_hopeless", lambda self, request, decision, now_us: True)
     assert run(seed)["refused_beside_idle_runners"] > 0
 
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -20,18 +20,16 @@
 from linkhaven.router.request import PARKED, Request  # noqa: E402
 
 
-class Pairing:
+class PlacementPolicy:
     """A prefill runner that every read would go to, and a decode runner."""
 
     def __init__(self):
         self.reads = []
+        self.load = SimpleNamespace(read_wait_us=lambda runner: 0)
 
     def choose_decode(self, without=(), source=None, tokens=0, pool=None):
         return SimpleNamespace(name="decode-1", phase="decode")
 
-    def read_wait_us(self, runner):
-        return 0
-
     def begin_read(self, runner, attempt, work):
         self.reads.append(runner.name)
 
@@ -58,7 +56,7 @@
         ports=SimpleNamespace(log=lambda *told, **facts: None),
     )
     extra = SimpleNamespace(spend=lambda why, *part, **cost: True)
-    return Attempts(node, Pairing(), Desk(), SimpleNamespace(), extra)
+    return Attempts(node, PlacementPolicy(), Desk(), SimpleNamespace(), extra)
 
 
 def asked(**headers):
