--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -1,5 +1,7 @@
 import json
+import random
 import re
+from collections import Counter
 from pathlib import Path
 from types import SimpleNamespace
 
@@ -13,6 +15,7 @@
 from linkhaven.platform.runners import EventReader, PlatformRunners, Stream, error_of
 from linkhaven.platform.settings import Place
 from linkhaven.platform.translation import translate_configuration
+from linkhaven.router import RouterNode
 
 ROOT = Path(__file__).parents[1]
 OURS = {"last-event-id", "retry-after", "request-id"}
@@ -422,6 +425,45 @@
     assert closed
 
 
+class SendWire:
+    """Keeps the fields of what is sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def open(self, address, method, path, fields, body, handler, **more):
+        self.sent.append(dict(fields))
+        return SimpleNamespace(close=lambda: None)
+
+
+def test_each_send_hands_on_the_time_that_is_left_and_no_more():
+    """Whatever the client wrote; a send that comes later ends no later than the first."""
+    wire, now_us = SendWire(), [0]
+    node = node_over(wire)
+    node.now_us = lambda: now_us[0]
+    runner = SimpleNamespace(name="i-1", address="10.0.0.1:1")
+    request = request_to_send()
+    request.deadline_us = 8_000_000
+    request.fields = [("Deadline-Remaining", "99000"), ("Request-Priority", "0"), ("x", "y")]
+    for at_us in (0, 600_000, 7_999_500):
+        now_us[0] = at_us
+        PlatformRunners(node).decode(runner, request, None, ResponseHandler())
+    left_ms = [int(fields["deadline-remaining"]) for fields in wire.sent]
+    assert left_ms == [8_000, 7_400, 1]
+    assert all(fields["x"] == "y" for fields in wire.sent)
+    assert not any("request-priority" in map(str.lower, fields) for fields in wire.sent)
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (50, 50), (1, 2)])
+def test_each_part_of_a_split_has_its_weights_share(weights):
+    pools = [SimpleNamespace(pool=f"p-{place}", weight=one) for place, one in enumerate(weights)]
+    kind = SimpleNamespace(pools=pools)
+    node = SimpleNamespace(ports=SimpleNamespace(random=random.Random(7)))
+    drawn = Counter(RouterNode.choose_pool(node, kind) for _ in range(4_000))
+    for pool in pools:
+        assert abs(drawn[pool.pool] / 4_000 - pool.weight / sum(weights)) < 0.03
+
+
 class OrderWire:
     """Answers each order with one status, and keeps what was sent."""
 
