--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -174,7 +174,8 @@
     def timing_facts(self, now_us):
         """Return its times since arrival and the prediction for its prefill, as log facts.
 
-        These are the times of placement, hand-over, first answer and end.
+        These are the times of placement, hand-over, first answer and end. `runner` is the one that
+        it was sent to last, `prefill_runner` the one that was chosen to prefill its prompt.
         """
         facts = {
             "prompt": self.prompt_tokens,
@@ -191,6 +192,7 @@
             if winner is not None:
                 facts.update(
                     phase=winner.runner.phase,
+                    prefill_runner=winner.runner.name,
                     unread=winner.uncached_tokens,
                     q=winner.queue_wait_us,
                     e=winner.execution_us,
