Placement: late reports of queues are read by their age, and not counted twice

Cause: in a large fleet a router knows the others' work from sums that are 0.4 s old in the mean, and from the runners' counts, 1.3 s old. Both contain the same requests; they were added, and only the head of the queue was deducted. Prefill runners that were idle were taken to be busy for up to 5 s, and all routers sent to the one or two that no report mentioned (stale load information, positive feedback).

Why this works: what a runner prefills in the time since a report is deducted, at the learned pace, so that an old report of a short queue says nothing, and the larger of the two counts is taken (Dahlin 2000, for a drain without arrivals).

--- a/packages/pairing/src/linkhaven/pairing/load_view.py
+++ b/packages/pairing/src/linkhaven/pairing/load_view.py
@@ -3,7 +3,9 @@
 The runners' own reports are late and contain only counts. So routers send each other their
 outstanding work at a runner whenever it changes. In a large fleet, where the messages would grow
 with the square of the number of routers, each router reports to the core with its polls, and gets
-the sums of all others in return.
+the sums of all others in return. Such sums are older than most prefills take, so that they are
+interpreted by their age (Dahlin, "Interpreting stale load information", 2000): taken as they are,
+they would send all routers to the same few runners until the next sums.
 
 | message | effect |
 | --- | --- |
@@ -55,6 +57,8 @@
         "outstanding",
         "renewed_us",
         "heard_us",
+        "sums_taken_us",
+        "sums_interval_us",
     )
 
     def __init__(
@@ -74,6 +78,8 @@
         self.outstanding: dict[Key, OutstandingWork] = {}
         self.renewed_us = 0
         self.heard_us = -ALONE_US
+        self.sums_taken_us: int | None = None
+        self.sums_interval_us = 0
 
     def is_large(self) -> bool:
         """Whether there are too many routers to send each of them every change.
@@ -121,6 +127,8 @@
         They are those that the routers know of, plus requests that only the runner's report counts.
         The latter are taken at the mean prompt length, less what was prefilled since the report.
         """
+        if self.is_large():
+            return self._queued_by_late_reports(runner)
         work = self.work_at(runner)
         tokens = work.total().tokens
         if runner.reported_us is None:
@@ -134,6 +142,28 @@
         )
         return tokens + max(0, unknown - read_since)
 
+    def _queued_by_late_reports(self, runner: Runner) -> float:
+        """Return the prompt tokens queued at a runner of a large fleet.
+
+        What it has prefilled since a report is deducted. The routers' sums and the runner's own
+        count contain the same requests, so that the larger of the two counts.
+        Test: `test_late_reports_leave_most_prompts_in_time`.
+        """
+        work, now_us = self.work_at(runner), self.node.now_us()
+        by_routers: float = work.own().tokens
+        if self.sums_taken_us is not None:
+            mean_age_us = now_us - self.sums_taken_us + self.sums_interval_us // 2
+            by_routers += self._left_of(work.others.tokens, mean_age_us, runner)
+        if runner.reported_us is None:
+            return by_routers
+        reported_tokens = runner.queued * self.estimator.prompt_mean
+        age_us = now_us - runner.reported_us
+        return max(by_routers, self._left_of(reported_tokens, age_us, runner))
+
+    def _left_of(self, tokens: float, age_us: int, runner: Runner) -> float:
+        """Return how many of the tokens that were queued at a runner then are still queued."""
+        return max(0.0, tokens - age_us / self.estimator.token_us(runner)) if tokens else 0.0
+
     def prefill_wait_us(self, runner: Runner) -> int:
         """Return how long the runner takes to prefill its queue, in microseconds."""
         return self.estimator.prefill_us(self.queued_tokens(runner), runner)
@@ -159,8 +189,15 @@
         return [[*key, *work.own()] for key, work in self.outstanding.items() if work.has_own()]
 
     def take_fleet_sums(self, rows: Sequence[Sequence[Any]]) -> None:
-        """Replace the sums of all other routers' work at each runner, as of their last polls."""
+        """Replace the sums of all other routers' work at each runner, as of their last polls.
+
+        All routers poll at about the same interval, so that the sums are half of it old, in the
+        mean, when they are taken.
+        """
         now_us, named = self.node.now_us(), set()
+        if self.sums_taken_us is not None:
+            self.sums_interval_us = min(REPORT_LIFETIME_US, now_us - self.sums_taken_us)
+        self.sums_taken_us = now_us
         for name, incarnation, *figures in rows:
             named.add((name, incarnation))
             work = self._work_of((name, incarnation))
