Watch: routers of a large fleet exchange their load up to four times a second

Sums of other routers' work are half a poll old in the mean, while a prefill takes a tenth of that. The replica that sends the runner list held polls for 0.4 s from 63 routers on; now as long as 500 polls a second allow (0.25 s at 63 and 125 routers), and never longer than before.

The table of holds in tests/test_long_poll.py follows, for five sizes in place of one.

--- a/packages/configuration/src/linkhaven/configuration/long_poll.py
+++ b/packages/configuration/src/linkhaven/configuration/long_poll.py
@@ -13,6 +13,11 @@
 MAX_HOLD_US = 800_000
 """The longest hold in any fleet."""
 
+RUNNER_LIST_POLLS_PER_S = 500
+"""How many polls a second all routers together send to the replica that sends the runner list."""
+
+US_PER_S = 1_000_000
+
 SECTION_SENDER_TTL_US = 3_000_000
 """How long a replica counts as holder of a lease after sending the holder's section."""
 
@@ -33,7 +38,8 @@
 
     In small fleets all replicas hold polls for `long_poll_hold_us`. In larger ones a hold is at
     most a third of a lease, and of `plan_stale_us` if that is set. The replica that sends the
-    runner list holds polls half as long.
+    runner list holds polls at most half as long, and shorter where it can bear the polls
+    (`RUNNER_LIST_POLLS_PER_S`): with it the routers exchange their load.
     """
 
     __slots__ = ("bounds", "count_routers", "sent_us")
@@ -88,5 +94,6 @@
         if needs_larger_share and self.is_sender(replica_id, SHARES, now_us):
             return self.bounds.long_poll_hold_us
         if self.is_sender(replica_id, RUNNER_LIST, now_us):
-            return max(self.bounds.long_poll_hold_us, longest_us // 2)
+            bearable_us = self.count_routers() * US_PER_S // RUNNER_LIST_POLLS_PER_S
+            return max(self.bounds.long_poll_hold_us, min(longest_us // 2, bearable_us))
         return longest_us
--- a/tests/test_late_load_reports.py
+++ b/tests/test_late_load_reports.py
@@ -14,17 +14,19 @@
 from test_placement_cost import POOL, make_runner
 
 from linkhaven.configuration import PlacementSettings
+from linkhaven.configuration.long_poll import LongPollHold
 from linkhaven.controller.figure_relay import FigureRelay
 from linkhaven.pairing import PlacementPolicy, PrefillWork
 from linkhaven.pairing.fit import LineFit
 from linkhaven.runner.roster import DECODE, PREFILL
+from linkhaven.runtime import Bounds
 
 SECOND = 1_000_000
-POLL_US = 400_000
 RUNNER_REPORT_US = 1_300_000
 RUNNER_REPORT_DELAY_US = 200_000
 RETRY_US = 10_000
 ROUTERS = 60
+LIST_HOLDER = "a"
 PREFILL_RUNNERS, DECODE_RUNNERS = 11, 13
 BASE_US, TOKEN_US = 18_000, 3.0
 LINK_BYTES_PER_S = 500_000_000_000
@@ -69,6 +71,7 @@
         self.relays = {field: FigureRelay(relay_node, field) for field in ("views", "lines")}
         self.policies = [self._make_policy(number) for number in range(ROUTERS)]
         self.times_us = []
+        self.poll_us = poll_interval_us()
 
     def _make_policy(self, number):
         node = SimpleNamespace(
@@ -101,7 +104,7 @@
             relay.on_watch_request({"name": number, field: rows[field]})
         policy.load.take_fleet_sums(self.relays["views"].of_others(number))
         policy.estimator.take_others(self.relays["lines"].of_others(number))
-        self.at(self.now_us + POLL_US, lambda: self.poll(number))
+        self.at(self.now_us + self.poll_us, lambda: self.poll(number))
 
     def report_runners(self):
         """Have the runners report their queues; the reports arrive later."""
@@ -146,7 +149,7 @@
     def run(self, seconds):
         """Run the fleet; return for each prompt the time from arrival to the end of its prefill."""
         for number in range(ROUTERS):
-            first_us = self.now_us + self.rng.randrange(POLL_US)
+            first_us = self.now_us + self.rng.randrange(self.poll_us)
             self.at(first_us, lambda number=number: self.poll(number))
         self.at(self.now_us, self.report_runners)
         self.at(self.now_us, self.arrive)
@@ -164,6 +167,13 @@
     assert num_late <= MAX_LATE_SHARE * len(times_us)
 
 
+def poll_interval_us():
+    """Return how often the routers of this fleet poll the replica that sends the runner list."""
+    hold = LongPollHold(Bounds(plan_stale_us=None), lambda: ROUTERS)
+    hold.note_response(LIST_HOLDER, {"roster": {}}, ("roster",), 0)
+    return hold.hold_us(LIST_HOLDER, False, 0)
+
+
 def policy_with_reports(age_us, router_tokens=0, runner_count=0):
     """Return a policy, and a runner of which this much was reported `age_us` ago."""
     fleet = LateReportFleet(0)
--- a/tests/test_long_poll.py
+++ b/tests/test_long_poll.py
@@ -38,12 +38,22 @@
         assert longest_us * 3 <= max(3 * bounds.long_poll_hold_us, stale_us)
 
 
-def test_lease_holders_are_polled_more_often_in_a_large_fleet():
-    hold = make_hold(80, plan_stale_us=None)
+@pytest.mark.parametrize(
+    "routers, list_hold_us",
+    [
+        (80, 250_000),
+        (125, 250_000),
+        (160, 320_000),
+        (200, MAX_HOLD_US // 2),
+        (340, MAX_HOLD_US // 2),
+    ],
+)
+def test_lease_holders_are_polled_more_often_in_a_large_fleet(routers, list_hold_us):
+    hold = make_hold(routers, plan_stale_us=None)
     hold.note_response("a", {"roster": {}, "steward": {}}, SECTIONS, 0)
     hold.note_response("b", {"shares": {}}, SECTIONS, 0)
     assert hold.hold_us("c", False, 0) == hold.longest_us() == MAX_HOLD_US
-    assert hold.hold_us("a", False, 0) == MAX_HOLD_US // 2
+    assert hold.hold_us("a", False, 0) == list_hold_us
     assert hold.hold_us("b", False, 0) == MAX_HOLD_US
     assert hold.hold_us("b", True, 0) == Bounds().long_poll_hold_us
     assert hold.hold_us("c", True, 0) == MAX_HOLD_US
