--- a/packages/pairing/src/linkhaven/pairing/estimator.py
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -59,6 +59,7 @@
         "others",
         "others_wait",
         "waits",
+        "merged_samples",
     )
 
     def __init__(self, now_us, are_views_late=lambda: False):
@@ -73,6 +74,7 @@
         self.others = {}
         self.others_wait = {}
         self.waits = {}
+        self.merged_samples: dict[str, LineFit] = {}
         self.stream_us = DEFAULT_STREAM_US
         self.prompt_mean = 1_000.0
         self.answer_token_us = 10_000.0
@@ -146,11 +148,18 @@
         return None if line is None else self._converted(line, phase)
 
     def _samples(self, phase):
-        """Return the fit of a phase's prefills at all routers, or None without any."""
+        """Return the fit of a phase's prefills at all routers, or None without any.
+
+        One decision asks for it many times, so that the sum with the other routers' samples is kept
+        until either changes.
+        """
         fit, others = self.fits.get(phase), self.others.get(phase)
-        if others is not None:
-            return (fit or LineFit()).plus(others)
-        return fit
+        if others is None:
+            return fit
+        merged = self.merged_samples.get(phase)
+        if merged is None:
+            merged = self.merged_samples[phase] = (fit or LineFit()).plus(others)
+        return merged
 
     def _measured_line(self, phase):
         samples = self._samples(phase)
@@ -167,6 +176,7 @@
 
     def take_others(self, rows):
         """Replace the sums of the prefills that all other routers measured lately."""
+        self.merged_samples.clear()
         self.others = {phase: sums[: len(PARTS)] for phase, _, *sums in rows}
         self.others_wait = {phase: sums[len(PARTS) :] for phase, _, *sums in rows}
 
@@ -245,6 +255,7 @@
             line, above = line or self._samples(phase).rough_line(), ABOVE_LINE_WEIGHT
         is_above = line is not None and seen_us > line[0] + tokens * line[1]
         fit.note(tokens, seen_us, above if is_above else 1.0)
+        self.merged_samples.pop(phase, None)
         if line is not None:
             self._wait_samples(phase).note(max(0.0, seen_us - line[0] - tokens * line[1]), now_us)
         self.noted_us[phase] = now_us
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -13,6 +13,7 @@
 
 from linkhaven.configuration import PlacementSettings
 from linkhaven.pairing import OutstandingWork, PlacementPolicy, PrefillWork
+from linkhaven.pairing.fit import LineFit
 from linkhaven.pairing.outstanding_work import WorkFigures
 from linkhaven.runner import Runner
 from linkhaven.runner.roster import DECODE, PREFILL
@@ -107,3 +108,19 @@
     few, many = make_policy(4, 6), make_policy(16, 24)
     costs = [count_calls(lambda one=one: one.choose(work, 800_000)) for one in (few, many)]
     assert costs[1] < 6 * costs[0]
+
+
+def test_a_placement_sums_the_samples_of_all_routers_once(monkeypatch):
+    policy = make_policy(11, 13)
+    policy.load.peers = lambda: [None] * 60
+    policy.estimator.settings = PlacementSettings(prefill_tokens_per_s=0)
+    policy.estimator.take_others([[PREFILL, 0, *LineFit().as_row(), 0, 0]])
+    sums = []
+    plus = LineFit.plus
+    monkeypatch.setattr(LineFit, "plus", lambda fit, row: sums.append(row) or plus(fit, row))
+    for _ in range(5):
+        policy.choose(PrefillWork(8_000, (), POOL), 800_000)
+    assert len(sums) == 1
+    policy.estimator.note_prefill("runner-0", PREFILL, 8_000, 30_000)
+    policy.choose(PrefillWork(8_000, (), POOL), 800_000)
+    assert len(sums) == 2
