Placement: a large fleet tells eight routers of a slow link, not all

Cause: each measured transfer over a link that counts as slow was sent to every other router. The traffic grows with the square of the fleet (class of fault: broadcast of each observation). In a large fleet eight routers, drawn anew each time, are told; small fleets tell all, as before. Test: test_the_messages_on_a_slow_link_dont_grow_with_the_square_of_a_large_fleet (62 and 340 messages before, 8 after).

--- a/packages/pairing/src/linkhaven/pairing/placement.py
+++ b/packages/pairing/src/linkhaven/pairing/placement.py
@@ -45,6 +45,10 @@
 SAMPLE_SIZE = 4
 """The number of runners of each role that are evaluated in a large fleet."""
 
+LINK_SAMPLE_FANOUT = 8
+"""The number of other routers that are told of a slow link in a large fleet: told all of them, each
+router would get a message for nearly every request of the fleet."""
+
 START_INTERVAL_US = 50_000
 """Decode runners whose streams would start in the same interval of this length count as equal."""
 
@@ -480,9 +484,16 @@
         if self.load.kv_share(target) >= NEARLY_FULL_KV_SHARE:
             return
         sample = self.estimator.note_transfer(source, target, tokens, seen_us)
-        for peer in self.peers() if sample else ():
+        for peer in self._link_sample_receivers() if sample else ():
             self.node.send(peer.address, LinkSample(*sample))
 
+    def _link_sample_receivers(self):
+        """Return the routers that a sample of a link's speed is sent to; all in a small fleet."""
+        peers = self.peers()
+        if not self.is_large():
+            return peers
+        return self.node.ports.random.sample(list(peers), LINK_SAMPLE_FANOUT)
+
     def on_link_sample(self, message):
         """Learn how slow a link is from a transfer that another router measured."""
         self.estimator.links.learn(message.pair, message.zones, message.factor)
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -15,6 +15,7 @@
 from linkhaven.pairing import OutstandingWork, PlacementPolicy, PrefillWork
 from linkhaven.pairing.fit import LineFit
 from linkhaven.pairing.outstanding_work import WorkFigures
+from linkhaven.pairing.placement import LINK_SAMPLE_FANOUT
 from linkhaven.runner import Runner
 from linkhaven.runner.roster import DECODE, PREFILL
 
@@ -124,3 +125,21 @@
     policy.estimator.note_prefill("runner-0", PREFILL, 8_000, 30_000)
     policy.choose(PrefillWork(8_000, (), POOL), 800_000)
     assert len(sums) == 2
+
+
+def num_link_samples_sent(num_peers):
+    """Return how many messages a router sends when a transfer to a decode runner was slow."""
+    policy, sent = make_policy(2, 2), []
+    peers = [SimpleNamespace(name=f"r-{n}", address=f"10.0.1.{n}:1") for n in range(num_peers)]
+    policy.peers = policy.load.peers = lambda: peers
+    policy.node.send = lambda address, message: sent.append(address)
+    source, _, target, _ = policy.roster.open_runners()
+    policy.note_decode_start(source, target, 8_000, seen_us=9_000_000)
+    assert len(set(sent)) == len(sent)
+    return len(sent)
+
+
+def test_the_messages_on_a_slow_link_dont_grow_with_the_square_of_a_large_fleet():
+    """On arrps-palermo-grown most messages of a router were such samples, 250 a second."""
+    assert num_link_samples_sent(6) == 6
+    assert num_link_samples_sent(62) == num_link_samples_sent(340) == LINK_SAMPLE_FANOUT
