--- a/packages/pairing/src/linkhaven/pairing/estimator.py
+++ b/packages/pairing/src/linkhaven/pairing/estimator.py
@@ -3,9 +3,9 @@
 from linkhaven.configuration import PlacementSettings
 from linkhaven.runner.roster import DECODE, PREFILL
 
-from .fit import PARTS, LineFit
-from .links import LinkSlowdowns
-from .recent import RecentMean
+from .line_fit import PARTS, LineFit
+from .link_slowdowns import LinkSlowdowns
+from .recent_mean import RecentMean
 
 SMOOTHING = 0.1
 """The weight of a new sample in exponential moving averages."""
--- a/packages/pairing/src/linkhaven/pairing/load_view.py
+++ b/packages/pairing/src/linkhaven/pairing/load_view.py
@@ -19,9 +19,9 @@
 from linkhaven.runtime import Node
 
 from .estimator import Estimator
-from .kept import PrefixCacheView
 from .messages import QueueView, QueueViews
 from .outstanding_work import OutstandingWork, WorkFigures
+from .prefix_cache import PrefixCacheView
 
 REPORT_LIFETIME_US = 2_500_000
 """How long another router's report counts unless it is renewed."""
--- a/packages/pairing/src/linkhaven/pairing/placement.py
+++ b/packages/pairing/src/linkhaven/pairing/placement.py
@@ -21,11 +21,11 @@
 from .candidate import Candidate, Decision
 from .decoders import DecoderSplit, split_decoders
 from .estimator import Estimator
-from .kept import PrefillWork, PrefixCacheView
 from .load_view import LoadView
 from .messages import LinkSample, QueueViews, RunnerEjected
-from .plain import PlainScheduler
+from .plain_scheduler import PlainScheduler
 from .pool_snapshot import PoolSnapshot
+from .prefix_cache import PrefillWork, PrefixCacheView
 from .runner_backoff import RunnerBackoff
 
 NO_BOUND_US = 1 << 62
--- a/tests/test_late_load_reports.py
+++ b/tests/test_late_load_reports.py
@@ -17,7 +17,7 @@
 from linkhaven.configuration.long_poll import LongPollHold
 from linkhaven.controller.figure_relay import FigureRelay
 from linkhaven.pairing import PlacementPolicy, PrefillWork
-from linkhaven.pairing.fit import LineFit
+from linkhaven.pairing.line_fit import LineFit
 from linkhaven.runner.roster import DECODE, PREFILL
 from linkhaven.runtime import Bounds
 
--- a/tests/test_placement_cost.py
+++ b/tests/test_placement_cost.py
@@ -13,7 +13,7 @@
 
 from linkhaven.configuration import PlacementSettings
 from linkhaven.pairing import OutstandingWork, PlacementPolicy, PrefillWork
-from linkhaven.pairing.fit import LineFit
+from linkhaven.pairing.line_fit import LineFit
 from linkhaven.pairing.outstanding_work import WorkFigures
 from linkhaven.pairing.placement import LINK_SAMPLE_FANOUT
 from linkhaven.runner import Runner
--- a/tests/test_plain_runners.py
+++ b/tests/test_plain_runners.py
@@ -6,7 +6,7 @@
 
 from linkhaven.controller.figure_relay import FigureRelay
 from linkhaven.controller.role_pools import PoolRoles
-from linkhaven.pairing.plain import PlainScheduler
+from linkhaven.pairing.plain_scheduler import PlainScheduler
 from linkhaven.runner import PLAIN, Runner
 from linkhaven.stage.core import SimCore
 
--- a/tests/test_shared_lines.py
+++ b/tests/test_shared_lines.py
@@ -10,9 +10,9 @@
 from linkhaven.pairing import PrefillWork
 from linkhaven.pairing.decoders import MIN_DECODE_ONLY, split_decoders
 from linkhaven.pairing.estimator import Estimator
-from linkhaven.pairing.fit import LineFit
-from linkhaven.pairing.kept import PrefixCacheView
-from linkhaven.pairing.recent import RecentMean
+from linkhaven.pairing.line_fit import LineFit
+from linkhaven.pairing.prefix_cache import PrefixCacheView
+from linkhaven.pairing.recent_mean import RecentMean
 from linkhaven.runner.roster import DECODE, PREFILL, Runner
 
 SECOND = 1_000_000
