Configuration: an empty list of pools allows none, it is no missing list

What callers saw: the operator got 200 for a configuration whose routes name a service that its list doesn't have, if that list is empty; it was in force, and each request of these routes was answered 503 until an operator noticed. The same by a change of items that removes the last service, and by a native PATCH that removes the last pool.

Cause: the check of the pools that a kind names was skipped where the document's list of pools is falsy, so that an empty list passed for a list that isn't given. Told from two other hypotheses (a verdict out of the cache of decoded items; an answer for a change sent before) by one run in a fresh process, one document each, base 0: services [other] rejected, services [] accepted, all else alike.

Change: only a document that doesn't list its pools takes any name. A record that is stored was checked when it was accepted; it is now read by its schema only, so that a document which an earlier version acknowledged under fewer rules stays in force and can be mended.

--- a/packages/configuration/src/linkhaven/configuration/document.py
+++ b/packages/configuration/src/linkhaven/configuration/document.py
@@ -261,7 +261,7 @@
     claims: ClaimSettings = ClaimSettings()
     fleet: FleetSettings = FleetSettings(routers=1)
     pools: Mapping[str, PoolSettings] = {}
-    """Empty if runners aren't divided into pools."""
+    """Empty also if the document doesn't list its pools."""
 
     http_limits: HttpLimits = field(name="limits", default=HttpLimits())
     min_allowance_share: int | float = field(name="floor", default=0.02)
--- a/packages/configuration/src/linkhaven/configuration/overlay.py
+++ b/packages/configuration/src/linkhaven/configuration/overlay.py
@@ -8,7 +8,7 @@
 from .document import Configuration, RequestKind
 from .document_faults import document_invalid_at
 from .records import Overlay, Record, document_of, overlay_of
-from .validation import DecodedDocument, decode_configuration
+from .validation import DecodedDocument, decode_configuration, decode_stored_configuration
 
 
 def apply_overlay(document: dict, overlay: Overlay) -> dict:
@@ -34,10 +34,10 @@
 def effective_configuration(record: Record, base: DecodedDocument | None = None) -> Configuration:
     """Return the configuration of a record with its document included.
 
-    `base` is as in `decode_configuration`. Raises ServiceError `plan_invalid` if it isn't valid; a
-    stored record was checked before.
+    `base` is as in `decode_configuration`. Raises ServiceError `plan_invalid` if it doesn't fit the
+    schema; its consistency was checked before it was stored.
     """
-    return decode_configuration(effective_document(record), base)
+    return decode_stored_configuration(effective_document(record), base)
 
 
 def put_overlay_group(document: dict, overlay: Overlay, name: str, group: dict) -> Overlay:
--- a/packages/configuration/src/linkhaven/configuration/validation.py
+++ b/packages/configuration/src/linkhaven/configuration/validation.py
@@ -54,13 +54,33 @@
     try:
         configuration = _decode(document, base)
     except t.DataError as error:
-        faults += cast(list[DocumentFault], flatten_faults(error))
+        faults += _schema_faults(error)
     faults += _list_inconsistencies(document)
     if configuration is None or faults:
         raise document_invalid(*sorted(faults, key=lambda fault: fault["place"]))
     return configuration
 
 
+def decode_stored_configuration(
+    document: Any, base: DecodedDocument | None = None
+) -> Configuration:
+    """Return the configuration of a document that was accepted before it was stored.
+
+    Only the schema is checked: a document that an earlier version accepted stays readable when a
+    consistency rule is added. `base` is as in `decode_configuration`. Raises ServiceError
+    `plan_invalid` if the document doesn't fit the schema.
+    Test: `test_a_stored_document_that_a_newer_rule_rejects_stays_in_force`.
+    """
+    try:
+        return _decode(document, base)
+    except t.DataError as error:
+        raise document_invalid(*_schema_faults(error)) from None
+
+
+def _schema_faults(error: t.DataError) -> list[DocumentFault]:
+    return cast(list[DocumentFault], flatten_faults(error))
+
+
 def list_document_faults(document: Any) -> list[DocumentFault]:
     """Return the faults of a document, an empty list if it is valid."""
     try:
@@ -147,11 +167,17 @@
 
 
 def _list_pool_faults(name: str, kind: dict, pools: Any) -> Iterator[DocumentFault]:
+    """Yield the faults of a kind's pools.
+
+    `pools` are the document's own: None if it doesn't list them, then any name is taken; a list
+    without entries allows none.
+    Test: `test_a_kind_of_an_unlisted_pool_is_rejected_however_short_the_list_is`.
+    """
     listed = kind.get("pools")
     entries = (
         [entry for entry in listed if isinstance(entry, dict)] if isinstance(listed, list) else []
     )
-    if isinstance(pools, dict) and pools:
+    if isinstance(pools, dict):
         for index, entry in enumerate(entries):
             if isinstance(entry.get("pool"), str) and entry["pool"] not in pools:
                 yield {
--- a/tests/test_patch.py
+++ b/tests/test_patch.py
@@ -17,6 +17,7 @@
 from linkhaven.runtime import Call, write_json
 
 SECOND = 1_000_000
+INVALID = 422
 PARTS = ("route_rules", "services")
 ROUTE = {
     "name": "r-1",
@@ -76,6 +77,19 @@
     return send_request(core, name, "GET", "/Configuration.Describe").response_body
 
 
+# An invalid configuration without any service was acknowledged, and its routes had no runner.
+def test_a_configuration_whose_routes_have_no_service_is_not_acknowledged():
+    core = make_core()
+    empty = {**DOCUMENT, "services": []}
+    assert put(core, empty) == INVALID
+    assert shown(core) != write_json(empty) and put(core) == 200
+    assert put(core, {**empty, "revision": 6}, base=4) == INVALID
+    assert patch(core, 4, 6, removals={"services": ["pool-1", "pool-2"]}).status == INVALID
+    assert patch(core, 4, 6, removals={"services": ["pool-1"]}).status == INVALID
+    assert shown(core) == write_json(DOCUMENT)
+    assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
+
+
 # Applying patches
 
 
