Platform: a service that a route names beside its split must exist, too

What callers saw: a configuration whose route names an unknown service was acknowledged, if the route has a split as well: the split was read in place of the service. An empty split beside a service passed for no split, although its weights sum to 0.

Cause: `traffic_split or [target_service]`, of the same kind as the empty list of services: what is empty passed for what isn't given, and one field hid another from the check.

Change: a service beside a split becomes a pool of weight 0, which gets no requests and which the core's own check looks up; an empty split is rejected.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -106,6 +106,38 @@
     assert configuration.kinds["r-a1"].is_idempotent is False
 
 
+# A service beside a split was never looked at, and an empty split passed for a missing one.
+@pytest.mark.parametrize("split", [[{"target_service": "pool-1", "weight": 1}], []])
+def test_every_service_that_a_route_names_must_exist(split):
+    with pytest.raises(ServiceError) as rejected:
+        decode_configuration(
+            translate_configuration(
+                make_document(make_route(traffic_split=split, target_service="gone")), 0.2, 43
+            )
+        )
+    (fault,) = rejected.value.detail["places"]
+    assert fault["place"].startswith("kinds/r-a1/pools")
+
+
+def test_an_empty_split_beside_a_service_has_no_weight_to_go_by():
+    with pytest.raises(ServiceError) as rejected:
+        translate_configuration(make_document(make_route(traffic_split=[])), 0.2, 43)
+    assert rejected.value.detail["places"] == [
+        {"place": "kinds/r-a1/pools", "fault": "the weights sum to 0"}
+    ]
+
+
+def test_a_service_beside_a_split_gets_no_requests():
+    split = [{"target_service": "pool-1", "weight": 3}]
+    configuration = decode_configuration(
+        translate_configuration(make_document(make_route(traffic_split=split)), 0.2, 43)
+    )
+    assert [record_to_dict(part) for part in configuration.kinds["r-a1"].pools] == [
+        {"pool": "pool-1", "weight": 3},
+        {"pool": "pool-1", "weight": 0},
+    ]
+
+
 @pytest.mark.parametrize(
     "invalid",
     [
