Platform: a number without an end is answered, also in the midst of a proposal

What callers saw: a configuration with a time beyond the range of a float (1e308 ms, 1e400, Infinity) ended the operator's connection without an answer. In a change of items the error left the handler of a promise, so that the proposal was left to its time-out.

Cause: `OverflowError` was missing in the list of errors that the translation turns into an answer.

--- a/tests/test_patch.py
+++ b/tests/test_patch.py
@@ -303,3 +303,21 @@
     status, response = send_command(core, "PATCH", "/v1/plan", removals={"kinds": ["k"]})
     assert (status, response["code"]) == (422, "plan_invalid") and "its sender" in str(response)
     assert core.read()[1]["mark"] == 1
+
+
+# A number without an end raised OverflowError: the operator's connection ended without an answer,
+# for a change of items in the midst of its proposal.
+@pytest.mark.parametrize("number", ["1e308", "1e400", "Infinity", "NaN"])
+@pytest.mark.parametrize("field", ["timeout_ms", "target_latency_ms", "target_gap_ms"])
+def test_a_number_that_is_too_large_is_answered(field, number):
+    core = make_core()
+    assert put(core) == 200
+    route = json.dumps({**ROUTE, field: "NUMBER"}).replace('"NUMBER"', number)
+    services = json.dumps(DOCUMENT["services"])
+    replace = f'{{"revision": 6, "route_rules": [{route}], "services": {services}}}'
+    update = f'{{"revision": 6, "upserts": {{"route_rules": [{route}]}}}}'
+    for path, text in (("Replace", replace), ("Update", update)):
+        call = send_request(core, "core-1", "POST", f"/Configuration.{path}", text.encode(), 4)
+        assert call.is_ended and 400 <= call.status < 500
+    assert shown(core) == write_json(DOCUMENT)
+    assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
