Platform: a configuration is read by its types, and a wrong one is rejected at its place

What callers saw: a configuration with a value of another type was acknowledged, and the value converted or passed over. `"resumable": "no"` made a stream resumable (so it may run twice), `"rate_per_s": ""` took the limit off a tenant, `services: {}`, `limits: "x"` and `engine: [1]` counted as left out, `timeout_ms: true` was one millisecond, a target of "0" or -5 became one microsecond. Where such a value was rejected, the place was ".", the fault a Python error.

Cause: the translation read maps by `get(...) or default` and by arithmetic on whatever it found: what is empty or false passed for what isn't given.

The cases of a tenant that could never be served expect the same rejection from reading and decoding together, as reading already rejects an infinite limit.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -155,6 +155,85 @@
         decode_configuration(translate_configuration(invalid, 0.2, 43))
 
 
+SERVICE = {"name": "pool-1", "max_connections": 360}
+TENANT = {"name": "t-1", "api_keys": ["key"]}
+
+
+def make_document_with_route(**fields):
+    return make_document(make_route(**fields))
+
+
+def make_document_with_service(**fields):
+    return make_document(services=[{**SERVICE, **fields}])
+
+
+def make_document_with_tenant(**fields):
+    return make_document(tenants=[{**TENANT, **fields}])
+
+
+# A value of another type passed for one that was left out, or was converted: "no" made a stream
+# resumable, an empty text took the limit off a tenant, True was one millisecond.
+@pytest.mark.parametrize(
+    "invalid, place",
+    [
+        (make_document(services={}), "services"),
+        (make_document(services=""), "services"),
+        (make_document(services=None), "services"),
+        (make_document(services=["pool-1"]), "services/0"),
+        (make_document(route_rules={}), "route_rules"),
+        (make_document(limits=[]), "limits"),
+        (make_document(limits=0), "limits"),
+        (make_document(limits="max_body_bytes"), "limits"),
+        (make_document(limits={"idle_timeout_ms": True}), "limits/idle_timeout_ms"),
+        (make_document(limits={"max_body_bytes": None}), "limits/max_body_bytes"),
+        (make_document(tenants=""), "tenants"),
+        (make_document(tenants={}), "tenants"),
+        (make_document_with_tenant(rate_per_s=""), "tenants/0/rate_per_s"),
+        (make_document_with_tenant(rate_per_s=[]), "tenants/0/rate_per_s"),
+        (make_document_with_tenant(rate_per_s=False), "tenants/0/rate_per_s"),
+        (make_document_with_tenant(burst_size=""), "tenants/0/burst_size"),
+        (make_document_with_tenant(api_keys="key"), "tenants/0/api_keys"),
+        (make_document_with_tenant(api_keys=[None]), "tenants/0/api_keys/0"),
+        (make_document_with_service(engine=[]), "services/0/engine"),
+        (make_document_with_service(engine="x"), "services/0/engine"),
+        (make_document_with_service(engine={"capacity": "64"}), "services/0/engine/capacity"),
+        (make_document_with_service(engine={"capacity": True}), "services/0/engine/capacity"),
+        (make_document_with_service(max_connections=10**30), "services/0/max_connections"),
+        (make_document_with_route(name=[]), "route_rules/0/name"),
+        (make_document_with_route(route_type=None), "route_rules/0/route_type"),
+        (make_document_with_route(resumable="no"), "route_rules/0/resumable"),
+        (make_document_with_route(public="no"), "route_rules/0/public"),
+        (make_document_with_route(public=0), "route_rules/0/public"),
+        (make_document_with_route(timeout_ms=True), "route_rules/0/timeout_ms"),
+        (make_document_with_route(timeout_ms="8"), "route_rules/0/timeout_ms"),
+        (make_document_with_route(timeout_ms=float("inf")), "route_rules/0/timeout_ms"),
+        (make_document_with_route(timeout_ms=float("nan")), "route_rules/0/timeout_ms"),
+        (make_document_with_route(target_latency_ms="0"), "route_rules/0/target_latency_ms"),
+        (make_document_with_route(target_latency_ms=-5), "route_rules/0/target_latency_ms"),
+        (make_document_with_route(target_latency_ms=1e300), "route_rules/0/target_latency_ms"),
+        (make_document_with_route(traffic_split=0), "route_rules/0/traffic_split"),
+        (make_document_with_route(traffic_split={}), "route_rules/0/traffic_split"),
+        (
+            make_document_with_route(traffic_split=[{"target_service": "pool-1", "weight": True}]),
+            "route_rules/0/traffic_split/0/weight",
+        ),
+        (make_document_with_route(priority=10**30), "route_rules/0/priority"),
+    ],
+)
+def test_a_value_of_another_type_is_rejected_at_its_place(invalid, place):
+    with pytest.raises(ServiceError) as rejected:
+        translate_configuration(invalid, 0.2, 43)
+    assert rejected.value.code == "plan_invalid"
+    assert [fault["place"] for fault in rejected.value.detail["places"]] == [place]
+
+
+@pytest.mark.parametrize("field", ["limits", "tenants"])
+def test_a_part_that_is_null_counts_as_left_out(field):
+    assert translate_configuration(make_document(**{field: None}), 0.2, 43) == (
+        translate_configuration(make_document(), 0.2, 43)
+    )
+
+
 def test_only_requests_that_did_not_run_get_a_not_run_status():
     for code in CATALOGUE:
         assert (status_of(ServiceError(code, done="unknown")) == 502) and status_of(
--- a/tests/test_tenant_keys_and_quotas.py
+++ b/tests/test_tenant_keys_and_quotas.py
@@ -141,9 +141,8 @@
 )
 def test_a_tenant_that_could_never_be_served_is_refused(tenant):
     """A line end can't stand in a header, nor an infinite limit in JSON."""
-    document = translate_configuration(configuration([tenant]), 0.2, 10)
     with pytest.raises(ServiceError) as refused:
-        decode_configuration(document)
+        decode_configuration(translate_configuration(configuration([tenant]), 0.2, 10))
     assert refused.value.code == "plan_invalid"
 
 
