Configuration: a text that not every parser reads alike is rejected

What callers saw: a configuration with NaN, an infinite number or a lone surrogate in a field that nothing reads was acknowledged, although no strict reader can read it whole; of a name that stands twice in an object the last value was read in place of the first, so that an unknown service could stand before a known one. A lone surrogate in a change of items can't be stored: the error left the handler of a promise, and the operator got 503 for as long as it sent the change.

Cause: what msgspec refuses was decoded again by the standard library, which accepts more than JSON. That fallback stays for what is stored and for messages between our processes.

Change: the operator's interfaces, the platform's and the native one, read strictly (RFC 8259, sections 4, 6 and 8.2); a stored text is read as before.

--- a/packages/configuration/src/linkhaven/configuration/commands.py
+++ b/packages/configuration/src/linkhaven/configuration/commands.py
@@ -8,7 +8,7 @@
 from typing import Any, Protocol
 
 from linkhaven.api import ServiceError, check_document
-from linkhaven.runtime import read_json
+from linkhaven.runtime import read_strict_json
 
 from .command_update import CommandUpdate, MakeContents
 from .document_faults import document_invalid_at
@@ -174,7 +174,7 @@
 
     def on_check(self, call: Call) -> None:
         """Check a document; raises ServiceError `plan_invalid` with all its faults."""
-        faults = list_document_faults(read_json(call.body))
+        faults = list_document_faults(read_strict_json(call.body))
         if faults:
             raise ServiceError("plan_invalid", places=faults)
         call.answer_json(200, {"fits": True})
@@ -194,7 +194,7 @@
 
     def on_put(self, call: Call) -> None:
         """Replace the whole document; a source text is no longer in force afterwards."""
-        command = check_document("PlanPut", read_json(call.body))
+        command = check_document("PlanPut", read_strict_json(call.body))
         document = command["plan"]
         decode_configuration(document)
 
@@ -206,7 +206,7 @@
 
     def on_patch(self, call: Call) -> None:
         """Change groups, kinds, pools and tenants by name."""
-        command = check_document("PlanPatch", read_json(call.body))
+        command = check_document("PlanPatch", read_strict_json(call.body))
         patch = read_mapping_patch(command)
 
         def make(record: Record | None, reader: RecordReader) -> Contents:
@@ -223,7 +223,7 @@
 
     def on_item_command(self, call: Call, name: str, item: ItemCommand) -> None:
         """Put or remove one group or kind."""
-        command = check_document(item.schema, read_json(call.body))
+        command = check_document(item.schema, read_strict_json(call.body))
 
         def make(record: Record | None, reader: RecordReader) -> Contents:
             expanded = _expanded(record, reader)
--- a/packages/runtime/src/linkhaven/runtime/__init__.py
+++ b/packages/runtime/src/linkhaven/runtime/__init__.py
@@ -23,7 +23,7 @@
     Storage,
 )
 from .tables import Table
-from .text import read_json, write_json
+from .text import read_json, read_strict_json, write_json
 
 __all__ = [
     "PROTOCOL_VERSION",
@@ -44,6 +44,7 @@
     "UntypedMessage",
     "kind_of",
     "read_json",
+    "read_strict_json",
     "reply_address_of",
     "write_json",
     "write_line",
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -222,6 +222,18 @@
     assert place in [found["place"] for found in list_document_faults({**PLAN, **changed})]
 
 
+# A document that other parsers can't read, or read otherwise, was put.
+@pytest.mark.parametrize("text", ["NaN", "1e400", r'"\ud800"', '1, "note": 2'])
+def test_a_native_command_takes_only_text_that_every_parser_reads_alike(text):
+    core = make_core()
+    command = {"expect": 0, "put_id": "first", "plan": {**PLAN, "note": "TEXT"}}
+    body = json.dumps(command).replace('"TEXT"', text).encode()
+    call = RecordedCall("PUT", "/v1/plan", {}, body)
+    core.machines["core-2"].node.serve(call)
+    assert (call.status, call.document["code"]) == (400, "bad_request")
+    assert call.document["detail"]["places"][0]["fault"].startswith("not JSON: ")
+
+
 POOLED = {**PLAN, "kinds": {"k": kind("g", pools=[{"pool": "x", "weight": 1}])}}
 
 
--- a/tests/test_patch.py
+++ b/tests/test_patch.py
@@ -13,8 +13,9 @@
     read_list_patch,
     read_mapping_patch,
 )
+from linkhaven.platform import operator
 from linkhaven.platform.operator import OperatorApi
-from linkhaven.runtime import Call, write_json
+from linkhaven.runtime import Call, read_json, write_json
 
 SECOND = 1_000_000
 INVALID = 422
@@ -321,3 +322,46 @@
         assert call.is_ended and 400 <= call.status < 500
     assert shown(core) == write_json(DOCUMENT)
     assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
+
+
+# Text that parsers read differently, or not at all, was acknowledged; a lone surrogate in a change
+# of items can't be stored, and was answered 503 for as long as the operator sent it.
+@pytest.mark.parametrize(
+    "field",
+    [
+        '"note": NaN',
+        '"note": -Infinity',
+        '"note": 1e400',
+        r'"note": "\ud800"',
+        r'"hostname": "\ud800"',
+        '"note": 1, "note": 2',
+        '"target_service": "gone", "target_service": "pool-1"',
+    ],
+)
+def test_a_text_that_not_every_parser_reads_alike_is_not_acknowledged(field):
+    core = make_core()
+    assert put(core) == 200
+    route = json.dumps({**ROUTE, "x": 0}).replace('"x": 0', field)
+    if field.startswith('"hostname"'):
+        route = route.replace('"hostname": "one.example", ', "")
+    if field.startswith('"target_service"'):
+        route = route.replace('"target_service": "pool-1", "max', '"max')
+    services = json.dumps(DOCUMENT["services"])
+    replace = f'{{"revision": 6, "route_rules": [{route}], "services": {services}}}'
+    update = f'{{"revision": 6, "upserts": {{"route_rules": [{route}]}}}}'
+    for path, text in (("Replace", replace), ("Update", update)):
+        call = send_request(core, "core-1", "POST", f"/Configuration.{path}", text.encode(), 4)
+        assert call.status == 400
+        assert json.loads(call.response_body)["detail"]["places"][0]["place"] == "."
+    assert shown(core) == write_json(DOCUMENT)
+    assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
+
+
+def test_a_text_that_is_stored_stays_readable_whatever_is_taken_now(monkeypatch):
+    core = make_core()
+    with monkeypatch.context() as earlier_version:
+        earlier_version.setattr(operator, "read_strict_json", read_json)
+        assert put(core, {**DOCUMENT, "note": float("nan")}) == 200
+    assert b'"note":NaN' in shown(core)
+    assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
+    assert b'"note":NaN' in shown(core) and b"pool-2" not in shown(core)
