Platform: of two services with one name neither is dropped in silence

What callers saw: a configuration with two services of one name was acknowledged, and the last one read in place of the first; for routes and tenants it was rejected.

--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -127,6 +127,14 @@
     ]
 
 
+# Of two services with one name the last was read in place of the first, and both acknowledged.
+def test_a_service_that_stands_twice_is_rejected():
+    service = {"name": "pool-1", "max_connections": 360}
+    with pytest.raises(ServiceError) as rejected:
+        translate_configuration(make_document(services=[service, service]), 0.2, 43)
+    assert rejected.value.detail["places"] == [{"place": "pools/pool-1", "fault": "stands twice"}]
+
+
 def test_a_service_beside_a_split_gets_no_requests():
     split = [{"target_service": "pool-1", "weight": 3}]
     configuration = decode_configuration(
