Stop: a process sends what its connections hold before it ends

Cause: a request counts as ended once its answer is in the connection's own buffer; the drain looked at requests only, and the loop stopped after a fixed delay.

Change: after the drain, GracefulStop waits for the connections that were unfinished then, until the kernel has their bytes, the peer is gone, or the time is over (the drain's bound and 0.2 s). Event 1008 tells how many connections and bytes were left. The same for controllers, whose calls under way are answered first, and for our own HTTP interface.

--- a/packages/api/src/linkhaven/api/events.py
+++ b/packages/api/src/linkhaven/api/events.py
@@ -26,6 +26,7 @@
     1007: EventDefinition(
         "error", "log lines were lost: the queue was full, or a write was refused"
     ),
+    1008: EventDefinition("warning", "process stopped before its responses were sent"),
     1101: EventDefinition("info", "member is up"),
     1102: EventDefinition("warning", "member is down: most of its watchers suspect it"),
     1103: EventDefinition("info", "a member of another protocol version said hello"),
--- a/packages/wire/src/linkhaven/wire/api_server.py
+++ b/packages/wire/src/linkhaven/wire/api_server.py
@@ -119,6 +119,27 @@
             self.on_writable()
 
 
+class ApiSender:
+    """One connection of the server, as `GracefulStop` sees it."""
+
+    __slots__ = ("server", "sock")
+
+    def __init__(self, server: "ApiServer", sock: socket.socket) -> None:
+        """Take an open connection."""
+        self.server = server
+        self.sock = sock
+
+    def unsent_bytes(self) -> int:
+        """Return the bytes that the kernel hasn't accepted yet; 0 if the connection is closed."""
+        return self.server.unsent_bytes(self.sock)
+
+    def is_finished(self) -> bool:
+        """Whether it is closed, or no call is under way and nothing is left to be sent."""
+        if self.sock not in self.server.server._clients:
+            return True
+        return self.sock not in self.server.calls and not self.unsent_bytes()
+
+
 class ApiServer(BaseComponent):
     """An HTTP server made of the HTTP component of circuits.web and its TCP server.
 
@@ -161,6 +182,10 @@
         """Number of bytes waiting to be sent on a connection."""
         return sum(len(data) for data in self.server._buffers.get(sock, ()))
 
+    def list_senders(self) -> list[ApiSender]:
+        """Return the open connections."""
+        return [ApiSender(self, sock) for sock in self.server._clients]
+
     def on_call_ended(self, call: ApiCall) -> None:
         """Remove a call whose response is complete or aborted."""
         self.calls.pop(call.sock, None)
--- a/packages/wire/src/linkhaven/wire/event_loop.py
+++ b/packages/wire/src/linkhaven/wire/event_loop.py
@@ -5,7 +5,7 @@
 
 | signal | first time | again while draining |
 | --- | --- | --- |
-| SIGTERM | the node drains, then the loop stops; without `node.drain` it stops at once | ignored |
+| SIGTERM | `GracefulStop.begin`; without `node.drain` the loop stops at once | ignored |
 | SIGINT | same as SIGTERM | stops at once |
 | SIGHUP | calls `on_hangup` | calls `on_hangup` |
 """
@@ -37,6 +37,7 @@
 
 from .api_server import ApiServer
 from .client import Client
+from .graceful_stop import GracefulStop, ResponseServer, StopState
 from .http_server import HttpServer
 from .line_server import LineServer
 from .log import make_log
@@ -54,9 +55,6 @@
 IDLE_CHECK_INTERVAL_US = 1_000_000
 """How often idle connections to linkhaven's own HTTP API are checked for."""
 
-STOP_DELAY_US = 200_000
-"""How long a drained node keeps running, so that its last responses and messages are sent."""
-
 YOUNG_OBJECTS = 20_000
 """Threshold of the garbage collector's youngest generation.
 
@@ -131,7 +129,6 @@
         """
         super().__init__()
         self.code = 0
-        self.is_stopping = False
         self.last_check_us = 0
         self.on_hangup = on_hangup
         self.http_servers: list[HttpServer] = []
@@ -145,6 +142,9 @@
         ports = Ports(self.timer, self.client, storage, random.Random(), self.log)
         self.node = build(ports, time.time_ns() // NS_PER_US)
         self.timer.register(self)
+        self.graceful_stop = GracefulStop(
+            self.node, self._list_servers, self.timer, self.log, self.stop
+        )
         if lines:
             self.add_line_server(lines)
         self.api_server = self._add_api(http, body_bytes, connections) if http else None
@@ -190,6 +190,13 @@
         self.http_servers.append(server)
         return server
 
+    def _list_servers(self) -> list[ResponseServer]:
+        """Return the servers whose responses are sent before the process stops."""
+        servers: list[ResponseServer] = list(self.http_servers)
+        if self.api_server is not None:
+            servers.append(self.api_server)
+        return servers
+
     def _add_api(self, address: str, body_bytes: int, connections: int) -> ApiServer:
         try:
             server = ApiServer(address, self._on_call, body_bytes, connections)
@@ -266,13 +273,15 @@
             if self.on_hangup:
                 self.on_hangup()
             return
-        if self.is_stopping and signo == signals.SIGTERM:
+        is_stopping = self.graceful_stop.state is not StopState.RUNNING
+        if is_stopping and signo == signals.SIGTERM:
             return
-        if self.is_stopping or not hasattr(self.node, "drain"):
+        if is_stopping:
+            self.graceful_stop.stop_now()
+        elif hasattr(self.node, "drain"):
+            self.graceful_stop.begin()
+        else:
             self.stop()
-            return
-        self.is_stopping = True
-        self.node.drain(lambda: self.timer.call_in(STOP_DELAY_US, self.stop))
 
     @handler("exception", channel="*")
     def _on_exception(
--- a/packages/wire/src/linkhaven/wire/http_server.py
+++ b/packages/wire/src/linkhaven/wire/http_server.py
@@ -64,6 +64,10 @@
         """Remove a closed connection."""
         self.connections.discard(connection)
 
+    def list_senders(self) -> list[ServerConnection]:
+        """Return the open connections."""
+        return list(self.connections)
+
     def stop_listening(self) -> None:
         """Stop accepting connections; existing connections continue."""
         self.listener.close()
--- a/packages/wire/src/linkhaven/wire/server_connection.py
+++ b/packages/wire/src/linkhaven/wire/server_connection.py
@@ -226,6 +226,16 @@
         if self.tcp.is_quiet():
             self.refuse(HTTPStatus.REQUEST_TIMEOUT)
 
+    def unsent_bytes(self) -> int:
+        """Return the bytes of responses that the kernel hasn't accepted yet."""
+        return self.tcp.unsent_bytes
+
+    def is_finished(self) -> bool:
+        """Whether it is closed, or no response is under way, nor the close that follows one."""
+        if self.tcp.is_closed:
+            return True
+        return self.call is None and not self.tcp.unsent_bytes and not self.is_closing
+
     def is_idle(self) -> bool:
         """Whether no request is being read or answered."""
         return self.call is None and not self.reader.has_begun
