Server: the idle limit of a closing connection counts from its last progress

What callers saw: an answer that closes its connection (an error, a stop, HTTP/1.0) was cut off `idle_us` after it was given, though its reader took it all the while; on a kept connection it came whole.

Cause: progress was noted for connections that are kept only.

Measured: the new case fails on the commit before; a reader that takes nothing is still cut off at the limit.

--- a/packages/wire/src/linkhaven/wire/server_connection.py
+++ b/packages/wire/src/linkhaven/wire/server_connection.py
@@ -5,7 +5,7 @@
 | idle | None | no | no | `idle_us` now or when it became idle, whichever is longer |
 | reading | None | yes | no | `head_us` for the head, `idle_us` for the body: rejected with 408 |
 | responding | the request | yes | no | none here: the node limits the duration of requests |
-| closing | None | yes | yes | `idle_us` while the response is unsent, then `LINGER_US` |
+| closing | None | yes | yes | `idle_us` without progress of the response, then `LINGER_US` |
 """
 
 import socket
@@ -177,7 +177,7 @@
             return
         if self.call is not None:
             return self.call.on_bytes_sent(self.tcp.unsent_bytes)
-        if not self.reader.has_begun:
+        if self.is_closing or not self.reader.has_begun:
             self.waiting_since_us = self.server.clock.now_us()
         if not self.is_closing or self.tcp.unsent_bytes:
             return
--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -173,3 +173,23 @@
         world.run_for(50 * MS)
     assert process.took_us() < 5 * SECOND
     assert {request.status for request in late if request.outcome == "whole"} == {503}
+
+
+# A response that closes its connection was cut off after the idle limit, though it made progress.
+@pytest.mark.parametrize("closes", [False, True])
+def test_a_response_in_progress_is_not_cut_off_by_the_idle_limit(world, closes):
+    world.server.is_closing = closes
+    idle_us = world.server.limits.idle_us
+    bytes_per_s = ANSWER_BYTES * SECOND // (2 * idle_us)
+    request = ask(world, bytes_per_s)
+    world.run_for(2 * idle_us + 2 * SECOND)
+    assert (request.outcome, len(request.data)) == ("whole", ANSWER_BYTES)
+
+
+def test_a_response_without_progress_is_cut_off_at_the_idle_limit(world):
+    world.server.is_closing = True
+    ask(world, 0)
+    world.run_for(world.server.limits.idle_us - SECOND)
+    assert world.server.connections
+    world.run_for(2 * SECOND)
+    assert not world.server.connections
