Router: an ended request keeps its record, not its body, and is freed at once

Causes, found by collecting what only the garbage collector frees (gc.DEBUG_SAVEALL): (1) the records of the last 2,000 requests were the requests, whose calls held their bodies; (2) each request was a cycle with its call, each ended call to a runner one with its handler (29.6 objects a request in all), and each closed connection one with its owner; our thresholds collect the oldest generation after millions of allocations.

Change: explain keeps a RequestRecord, at most 2,000 and at most 16 MB of them; a request releases its call's listeners, an ended exchange its handler and its bytes, a closed connection its owner.

--- a/packages/router/src/linkhaven/router/explain.py
+++ b/packages/router/src/linkhaven/router/explain.py
@@ -7,10 +7,14 @@
 from linkhaven.api import ServiceError
 
 from .messages import Explanation, WantExplanation
+from .request import RequestRecord
 
 MAX_RECORDS = 2_000
 """Ended requests that are kept, the newest ones."""
 
+MAX_RECORDS_BYTES = 16_000_000
+"""Memory of the ended requests that are kept; fewer are kept where each had many candidates."""
+
 MAX_EVENTS = 500
 """Log events that are kept, the newest ones."""
 
@@ -24,6 +28,11 @@
 """How long a call waits for the record of another router."""
 
 
+def _share_of_memory(record):
+    """Return the part of `MAX_RECORDS_BYTES` that a record takes: `MAX_RECORDS` fit at most."""
+    return max(record.size_bytes(), MAX_RECORDS_BYTES // MAX_RECORDS)
+
+
 class Explainer:
     """Keeps a bounded number of ended requests and of log events of this router.
 
@@ -37,7 +46,7 @@
         self.node = node
         self.membership = membership
         self.requests = requests
-        self.ended = FIFOCache(MAX_RECORDS)
+        self.ended = FIFOCache(MAX_RECORDS_BYTES, getsizeof=_share_of_memory)
         self.events = deque(maxlen=MAX_EVENTS)
         self.pending_calls = {}
         log = node.ports.log
@@ -53,8 +62,8 @@
         node.tick_handlers.append(self.tick)
 
     def store(self, request):
-        """Keep a request that has ended."""
-        self.ended[request.id] = request
+        """Keep the record of a request that has ended, and nothing that its caller sent."""
+        self.ended[request.id] = RequestRecord(request)
 
     def _record(self, id):
         request = self.requests.get(id) or self.ended.get(id)
--- a/packages/router/src/linkhaven/router/node.py
+++ b/packages/router/src/linkhaven/router/node.py
@@ -562,9 +562,10 @@
         request.parked = None
         request.outcome = outcome
         request.prompt = request.body = request.fields = None
-        self.explainer.store(request)
+        request.call.on_client_disconnect = request.call.on_writable = None
         self.requests.drop(request.id)
         request.add_step(self.now_us(), outcome)
+        self.explainer.store(request)
         for listener in self.on_end:
             listener(request, self.now_us())
         if request.quota_slice is not None and not request.attempts:
--- a/packages/router/src/linkhaven/router/request.py
+++ b/packages/router/src/linkhaven/router/request.py
@@ -11,6 +11,9 @@
     "ended",
 )
 
+RECORD_BYTES, STEP_BYTES, CANDIDATE_BYTES = 1_000, 400, 400
+"""Memory of the record of a request, of one of its steps, and of one runner that was evaluated."""
+
 
 class Request:
     """The whole state of one request; the router's components change it, it decides nothing.
@@ -201,6 +204,45 @@
                 )
         return facts
 
+    def as_record(self):
+        """Return the record that `explain` shows."""
+        return RequestRecord(self).as_record()
+
+
+class RequestRecord:
+    """What `explain` needs of a request, which may have ended; nothing of its call or its body."""
+
+    __slots__ = (
+        "id",
+        "caller_request_id",
+        "kind_name",
+        "group",
+        "admitted_version",
+        "prompt_tokens",
+        "state",
+        "attempts",
+        "decisions",
+        "steps",
+        "outcome",
+        "tenant",
+        "arrived_us",
+    )
+
+    def __init__(self, request):
+        """Copy the fields of a request; lists are shared, as an ended request changes no more."""
+        for field in self.__slots__:
+            setattr(self, field, getattr(request, field))
+
+    def size_bytes(self):
+        """Return about how much memory it takes."""
+        candidates = sum(len(decision.candidates) for decision in self.decisions)
+        return (
+            RECORD_BYTES
+            + len(self.caller_request_id or "")
+            + STEP_BYTES * len(self.steps)
+            + CANDIDATE_BYTES * candidates
+        )
+
     def as_record(self):
         """Return the record that `explain` shows."""
         record = {
--- a/packages/wire/src/linkhaven/wire/exchange.py
+++ b/packages/wire/src/linkhaven/wire/exchange.py
@@ -34,6 +34,13 @@
 while the peer is closing."""
 
 
+def _ignore(*_: object) -> None:
+    """Ignore an event of a call that has ended."""
+
+
+IGNORING_HANDLER = ResponseHandler(_ignore, _ignore, _ignore, _ignore)
+
+
 class ConnectionSource(Protocol):
     """The part of `Client` that an exchange uses."""
 
@@ -149,14 +156,25 @@
         self.idle_us = max(declared_us - KEEP_ALIVE_MARGIN_US, declared_us // 2)
 
     def _finish(self) -> None:
-        self.is_over = True
         connection = self.connection
         if self._may_keep_connection():
             connection.become_idle(self.idle_us)
         else:
             connection.exchange = None
             connection.close()
-        self.handler.on_end()
+        self._end().on_end()
+
+    def _end(self) -> ResponseHandler:
+        """End the call; return its handler, which is released.
+
+        Whoever made the call holds it, and its handler holds them: kept, each ended call would be
+        a cycle that holds the request until the garbage collector's oldest generation is collected.
+        Test: `test_an_ended_request_is_freed_without_the_garbage_collector`.
+        """
+        handler, self.handler = self.handler, IGNORING_HANDLER
+        self.is_over = True
+        self.request = b""
+        return handler
 
     def _may_keep_connection(self) -> bool:
         """Whether both sides are done, allow reuse, and no data is left to send or read."""
@@ -186,8 +204,9 @@
     def _fail(self, has_begun: bool) -> None:
         if self.is_over:
             return
+        handler = self.handler
         self.close()
-        self.handler.on_error(has_begun)
+        handler.on_error(has_begun)
 
     def pause_reading(self) -> None:
         """Stop reading the response until `resume_reading`; flow control slows its sender."""
@@ -203,6 +222,6 @@
         """Abort the call; its handler isn't called any more."""
         if self.is_over:
             return
-        self.is_over = True
+        self._end()
         self.connection.exchange = None
         self.connection.close()
--- a/packages/wire/src/linkhaven/wire/tcp_connection.py
+++ b/packages/wire/src/linkhaven/wire/tcp_connection.py
@@ -40,6 +40,10 @@
 """Called with whether the kernel had accepted any of the sent bytes."""
 
 
+def _ignore(_: object) -> None:
+    """Ignore an event of a connection that is closed."""
+
+
 class TcpConnection:
     """One stream socket driven by the poller; data sent in one turn goes out in one write.
 
@@ -271,14 +275,21 @@
         """Close after the peer closed or an error occurred, and call `on_close`."""
         if self.is_closed:
             return
+        on_close = self.on_close
         self.close()
-        self.on_close(self.has_begun)
+        on_close(self.has_begun)
 
     def close(self) -> None:
-        """Close at once; unsent data is dropped and `on_close` isn't called."""
+        """Close at once; unsent data is dropped and `on_close` isn't called.
+
+        The owner's callbacks are released, so that the two are freed without the garbage collector.
+        Test: `test_an_ended_request_is_freed_without_the_garbage_collector`.
+        """
         if self.is_closed:
             return
         self.is_closed = True
+        self.on_data = self.on_close = _ignore
+        self.on_sent = None
         self.unsent.clear()
         self.unsent_bytes = 0
         if self.mask:
