Soak: an operator puts invalid plans, none of which may be acknowledged

Beside them one more puts a plan with one thing changed, twice a second, on the plan in force: eleven kinds of change, each tested to make a valid plan of both deployments invalid.

--- a/packages/stage/src/linkhaven/stage/soak/judge.py
+++ b/packages/stage/src/linkhaven/stage/soak/judge.py
@@ -206,6 +206,13 @@
         yield from acknowledged_plans_survive([*orders, final])
 
 
+def find_acknowledged_invalid_plans(record):
+    """Report invalid plans that were acknowledged."""
+    for _, kind, facts in record:
+        if kind == "invalid_acked":
+            yield f"mark {facts['mark']}: {facts['how']}"
+
+
 def find_lower_fences(record):
     """Report orders that a runner accepted with a lower fencing token than an earlier one."""
     taken = {}
@@ -275,6 +282,7 @@
     }
     found = {checker.__name__: checker(record, **parameters) for checker in CHECKERS}
     found["acknowledged_plans_survive"] = find_lost_plans(record)
+    found["invalid_plans_are_rejected"] = find_acknowledged_invalid_plans(record)
     found["service_comes_back"] = find_starved(record, roles)
     found["orders_have_rising_fences"] = find_lower_fences(record)
     found["configurations_never_go_back"] = find_older_configurations(logs)
--- a/packages/stage/src/linkhaven/stage/soak/run.py
+++ b/packages/stage/src/linkhaven/stage/soak/run.py
@@ -12,6 +12,7 @@
 from .fleet import SoakFleet
 from .hot_tenant import HotTenant
 from .injector import Injector
+from .invalid_changes import InvalidChanger
 from .judge import judge_soak, required_end_us
 from .operators import PlanChanger, TenantChanger
 from .records import Record
@@ -228,9 +229,11 @@
         return totals
 
     def _operators(self, mark):
-        """The operator that changes the plan, and a second one that changes any tenants."""
+        """The operator that changes the plan, one whose changes are all invalid, and one more that
+        changes any tenants."""
         arguments = (self.fleet.calls_addresses(self.roles.cores), self.deployment, mark)
         operators = [PlanChanger(*arguments, self.record.note, self.tenants)]
+        operators.append(InvalidChanger(*arguments[:2], self.record.note, operators[0], self.seed))
         if self.tenants:
             operators.append(TenantChanger(*arguments, self.record.note, self.tenants, self.seed))
         return operators
--- a/packages/stage/src/linkhaven/stage/soak/sabotage.py
+++ b/packages/stage/src/linkhaven/stage/soak/sabotage.py
@@ -11,6 +11,7 @@
     ConfigurationSnapshot,
     ConfigurationWatcher,
     decode_configuration,
+    validation,
 )
 from linkhaven.controller.storage import LmdbStorage
 from linkhaven.credit.tenant_quota import TenantQuotas
@@ -82,6 +83,14 @@
     ConfigurationWatcher._is_source = lambda self, seat, now_us: True
 
 
+def take_any_pool_of_an_empty_list() -> None:
+    """Let a controller accept a kind of any pool if the plan's list of pools is empty."""
+    list_pool_faults = validation._list_pool_faults
+    validation._list_pool_faults = lambda name, kind, pools: list_pool_faults(
+        name, kind, pools or None
+    )
+
+
 def pass_the_key_on() -> None:
     """Let a router send the runner the last API key that it read."""
     read_key = native.take_api_key
@@ -141,6 +150,7 @@
         answer_before_the_sync,
         order_without_a_lease,
         take_any_configuration,
+        take_any_pool_of_an_empty_list,
         pass_the_key_on,
         name_no_tenant,
         let_any_key_in,
@@ -155,6 +165,7 @@
     "answer_before_the_sync": frozenset(("acknowledged_plans_survive", "orders_are_linearizable")),
     "order_without_a_lease": frozenset(("orders_have_rising_fences",)),
     "take_any_configuration": frozenset(("configurations_never_go_back",)),
+    "take_any_pool_of_an_empty_list": frozenset(("invalid_plans_are_rejected",)),
     "pass_the_key_on": frozenset(("runners_see_no_keys",)),
     "name_no_tenant": frozenset(("runners_see_the_holder_of_the_key",)),
     "let_any_key_in": frozenset(("unknown_keys_run_nothing",)),
--- a/tests/test_soak_judge.py
+++ b/tests/test_soak_judge.py
@@ -198,6 +198,20 @@
     return [*record, (END_US, "operator_stuck", {})]
 
 
+def acknowledge_an_invalid_plan(record):
+    facts = {"put_id": "invalid-operator-3", "how": "name_a_pool_of_an_empty_list", "mark": 3}
+    return [*record, (OVER_US, "invalid_acked", facts)]
+
+
+def reject_an_invalid_plan(record):
+    facts = {"put_id": "invalid-operator-3", "how": "drop_all_groups", "code": "plan_invalid"}
+    return [*record, (OVER_US, "invalid_rejected", facts)]
+
+
+def test_a_rejected_invalid_plan_is_no_breach():
+    assert judge(reject_an_invalid_plan(correct_record())).breaches == {}
+
+
 def test_a_correct_record_has_no_breach():
     verdict = judge(correct_record())
     assert verdict.breaches == {}
@@ -221,6 +235,7 @@
         (leave_a_replica_unread, "acknowledged_plans_survive"),
         (acknowledge_two, "orders_are_linearizable"),
         (serve_under_a_plan_without_the_kind, "answers_fit_their_mark"),
+        (acknowledge_an_invalid_plan, "invalid_plans_are_rejected"),
         (starve_after_the_faults, "service_comes_back"),
         (starve_between_faults, "service_comes_back"),
         (judge_too_early, "service_comes_back"),
