--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -152,6 +152,37 @@
     assert process.graceful_stop.state is StopState.STOPPED and process.events == []
 
 
+class DrainedNode:
+    """A node that has nothing to drain, as a controller without leases."""
+
+    def __init__(self, bounds):
+        self.bounds = bounds
+
+    def drain(self, on_drained):
+        on_drained()
+
+
+def test_a_call_that_is_not_answered_yet_is_waited_for(world):
+    calls = []
+    world.server.on_call = calls.append
+    request = ask(world, FULL_PACE)
+    stopped = []
+    GracefulStop(
+        DrainedNode(world.node.bounds),
+        lambda: [world.server],
+        world.clock,
+        lambda number, **facts: None,
+        lambda: stopped.append(world.clock.us),
+    ).begin()
+    world.run_for(SECOND)
+    assert not stopped and request.outcome is None
+    calls[0].answer_json(503, {})
+    answered_us = world.clock.us
+    world.run_for(SECOND)
+    assert (request.status, request.outcome) == (503, "whole")
+    assert answered_us < stopped[0] < answered_us + SECOND
+
+
 def test_without_anything_unsent_the_process_stops_soon_after_its_node_has_drained(world):
     request = ask(world, 100 * FULL_PACE, 100)
     world.run_for(100 * MS)
