--- a/tests/test_invalid_configurations.py
+++ b/tests/test_invalid_configurations.py
@@ -11,6 +11,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from linkhaven.api import ServiceError
 from linkhaven.configuration import decode_configuration
 from linkhaven.platform.operator import OperatorApi
 from linkhaven.runtime import Call
@@ -33,15 +34,34 @@
 class AcceptingStore:
     """Commits what decodes, on a base whose revision is `BASE`."""
 
+    def __init__(self, text=None):
+        self.text = text
+
     def put_document(self, base, revision, text, document, on_result):
         decode_configuration(document)
-        on_result(None, type("Committed", (), {"key": revision}))
+        on_result(None, Committed(revision))
+
+    def patch_document(self, base, revision, text, merge, on_result):
+        try:
+            merged, document = merge(self.text)
+            decode_configuration(document)
+        except ServiceError as error:
+            return on_result(error, None)
+        self.text = merged
+        on_result(None, Committed(revision))
+
 
+class Committed:
+    """The result of a commit."""
 
-def status_of(text):
-    """Return the status of the answer to a replacement with this text."""
-    call = RecordedCall("POST", "/Configuration.Replace", {"base-version": str(BASE)}, text)
-    OperatorApi(AcceptingStore(), 0.2, 10).serve(call)
+    def __init__(self, key):
+        self.key = key
+
+
+def status_of(text, command="Replace", store=None):
+    """Return the status of the answer to a command with this text."""
+    call = RecordedCall("POST", f"/Configuration.{command}", {"base-version": str(BASE)}, text)
+    OperatorApi(store or AcceptingStore(), 0.2, 10).serve(call)
     assert call.is_ended, "the connection ends without an answer"
     return call.status
 
@@ -235,6 +255,23 @@
     return json.dumps(document)
 
 
+@st.composite
+def changes_of_items(draw):
+    """A configuration in force, and the text of a change of its items with one thing changed."""
+    document, other = draw(configurations()), draw(configurations())
+    command = {"revision": 9, "upserts": {}, "removals": {}}
+    for part in ("route_rules", "services", "tenants"):
+        if other.get(part) and draw(st.booleans()):
+            command["upserts"][part] = other[part]
+        if document.get(part) and draw(st.booleans()):
+            command["removals"][part] = [draw(st.sampled_from(document[part]))["name"]]
+    if draw(st.booleans()):
+        how = draw(st.sampled_from(["drop", "double", "case", "replace", "replace"]))
+        place = draw(st.sampled_from(list(places_of(command))))
+        change(command, place, how, draw(st.sampled_from(ODD_VALUES)))
+    return json.dumps(document), json.dumps(command)
+
+
 # The tests
 
 
@@ -259,6 +296,17 @@
     assert fault is None or status != OK, fault
 
 
+@given(changes_of_items())
+@settings(max_examples=500, derandomize=True, deadline=None)
+def test_no_change_of_items_makes_an_invalid_configuration(change_of_items):
+    before, text = change_of_items
+    store = AcceptingStore(before)
+    status = status_of(text.encode(), "Update", store)
+    assert status == OK or 400 <= status < 500
+    assert status == OK or store.text == before
+    assert breaks_the_page(read_as_every_parser(store.text)) is None
+
+
 @given(changed_texts(), st.data())
 @settings(max_examples=300, derandomize=True, deadline=None)
 def test_a_text_that_is_cut_short_is_answered_and_never_acknowledged(text, data):
--- a/tests/test_patch.py
+++ b/tests/test_patch.py
@@ -365,3 +365,21 @@
     assert b'"note":NaN' in shown(core)
     assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
     assert b'"note":NaN' in shown(core) and b"pool-2" not in shown(core)
+
+
+# An item whose name is no text raised TypeError in the midst of a proposal: 503 for as long as the
+# operator sends the change.
+def test_a_change_of_items_whose_names_are_no_texts_is_answered():
+    core = make_core()
+    assert put(core, {**DOCUMENT, "notes": [{"name": []}]}) == 200
+    assert patch(core, 4, 6, upserts={"notes": [{"name": "a"}]}).status == INVALID
+    assert patch(core, 4, 6, removals={"services": ["pool-2"]}).status == 200
+
+
+# A base version of over 4,300 digits raised ValueError: the connection ended without an answer.
+def test_a_base_version_of_any_length_is_answered():
+    core = make_core()
+    call = send_request(
+        core, "core-1", "POST", "/Configuration.Replace", write_json(DOCUMENT), "9" * 5_000
+    )
+    assert 400 <= call.status < 500
