--- a/tests/test_graceful_stop.py
+++ b/tests/test_graceful_stop.py
@@ -4,9 +4,8 @@
 """
 
 import pytest
-from connections_world import MS, Caller, CallerRequest, World
+from connections_world import MS, Caller, CallerRequest
 
-from linkhaven.wire import listener, tcp_connection
 from linkhaven.wire.graceful_stop import LEAST_SENDING_US, SEND_MARGIN_US, GracefulStop, StopState
 
 SECOND = 1_000_000
@@ -41,16 +40,6 @@
             self._close()
 
 
-@pytest.fixture
-def world(monkeypatch):
-    monkeypatch.setattr(tcp_connection, "socket", tcp_connection.socket)
-    monkeypatch.setattr(listener, "socket", listener.socket)
-    world = World()
-    world.settle()
-    yield world
-    world.close()
-
-
 class Process:
     """The router of a world, with the stop of its process."""
 
--- a/tests/test_planned_work.py
+++ b/tests/test_planned_work.py
@@ -4,26 +4,15 @@
 """
 
 import pytest
-from connections_world import HOST, MS, ROUTES, Caller, CallerRequest, RuleBrokenError, World
+from connections_world import HOST, MS, ROUTES, Caller, CallerRequest, RuleBrokenError
 from msgspec.structs import replace
 
 from linkhaven.platform.translation import translate_configuration
 from linkhaven.router.doors import RouteTable
-from linkhaven.wire import listener, tcp_connection
 
 LINGER_MS = 2_400
 
 
-@pytest.fixture
-def world(monkeypatch):
-    monkeypatch.setattr(tcp_connection, "socket", tcp_connection.socket)
-    monkeypatch.setattr(listener, "socket", listener.socket)
-    world = World()
-    world.settle()
-    yield world
-    world.close()
-
-
 def send(world, path, caller=None):
     if caller is None:
         caller = Caller(world)
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -10,10 +10,9 @@
 from contextlib import contextmanager
 
 import pytest
-from connections_world import MS, Caller, CallerRequest, World
+from connections_world import MS, Caller, CallerRequest
 
 from linkhaven.router.explain import MAX_RECORDS, MAX_RECORDS_BYTES
-from linkhaven.wire import listener, tcp_connection
 
 REQUESTS = 60
 WARM_UP = 20
@@ -22,16 +21,6 @@
 """Most memory of an ended request that is still explained."""
 
 
-@pytest.fixture
-def world(monkeypatch):
-    monkeypatch.setattr(tcp_connection, "socket", tcp_connection.socket)
-    monkeypatch.setattr(listener, "socket", listener.socket)
-    world = World()
-    world.settle()
-    yield world
-    world.close()
-
-
 def answer(world, request):
     """Have the runner answer at once."""
     respond(world, lambda arrival: world.answer(arrival, 200, b"ok"))
--- a/tests/test_resting_connections.py
+++ b/tests/test_resting_connections.py
@@ -4,24 +4,13 @@
 suspended, and against closing an idle connection before the limit its caller relies on.
 """
 
-import pytest
-from connections_world import MS, Caller, CallerRequest, World
+from connections_world import MS, Caller, CallerRequest
 
-from linkhaven.wire import ServerLimits, listener, tcp_connection
+from linkhaven.wire import ServerLimits
 
 FOUR_FIFTHS_OF_15_S = 12_000
 
 
-@pytest.fixture
-def world(monkeypatch):
-    monkeypatch.setattr(tcp_connection, "socket", tcp_connection.socket)
-    monkeypatch.setattr(listener, "socket", listener.socket)
-    world = World()
-    world.settle()
-    yield world
-    world.close()
-
-
 def connect_caller(world):
     caller = Caller(world)
     world.callers.append(caller)
