--- a/review/rig/fleet.py
+++ b/review/rig/fleet.py
@@ -39,6 +39,9 @@
 """The bounds of ttcp-linkhaven."""
 
 OK = 200
+RUN_S = 110
+"""How long a case may run, in seconds."""
+
 STATUS_WAIT_S = 0.1
 
 
@@ -74,6 +77,17 @@
     return True
 
 
+def limit_run() -> None:
+    """End by an exception at SIGTERM and after `RUN_S`, so that all processes are ended, too."""
+
+    def on_signal(*_: Any) -> None:
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGALRM, on_signal)
+    signal.alarm(RUN_S)
+
+
 class Machine:
     """One machine of the fleet: its address on loopback, its settings and its process."""
 
